--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/directory.rs
@@ -0,0 +1,1 @@
+//! Entry addresses handed to callers.
--- /dev/null
+++ b/crates/core/src/expert.rs
@@ -0,0 +1,1 @@
+//! Placement of expert replicas on the ranks of a group.
--- /dev/null
+++ b/crates/core/src/fair.rs
@@ -0,0 +1,1 @@
+//! Weighted fair queueing by client account.
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,1 @@
+//! Roles held for a limited time through the platform.
--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Claims that make a request with an idempotency key run at most once.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,43 @@
+//! Pure decision core of berylgw.
+//!
+//! Every decision is a function of state, an event and an explicit
+//! [`clock::Instant`]; the result is a list of actions for the process to
+//! carry out. Nothing in this crate reads a clock, opens a socket, spawns a
+//! task or draws from a global random source.
+//!
+//! - Configuration: [`sheet`] parses the operators' CSV, [`config`] holds
+//!   versioned objects and resolves them into a [`config::Snapshot`] of
+//!   [`client`], [`failure`], [`backend`], [`service`] and [`host`] values.
+//! - A request's way through an entry: [`directory`], [`route`], [`retry`],
+//!   [`ledger`], [`stream`], [`buffer`], with [`outcome`] for its end.
+//! - A request's way through an agent: [`admission`], [`fair`], [`ticket`],
+//!   [`quarantine`], [`drain`].
+//! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`].
+
+pub mod admission;
+pub mod backend;
+pub mod buffer;
+pub mod client;
+pub mod clock;
+pub mod config;
+pub mod directory;
+pub mod drain;
+pub mod error;
+pub mod expert;
+pub mod failure;
+pub mod fair;
+pub mod host;
+pub mod lease;
+pub mod ledger;
+pub mod order;
+pub mod outcome;
+pub mod quarantine;
+pub mod retry;
+pub mod route;
+pub mod service;
+pub mod sheet;
+pub mod step;
+pub mod stream;
+pub mod ticket;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,154 @@
+//! How a request ended, and why it was refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The request ran and its whole answer was delivered.
+    #[display("done")]
+    Done,
+    /// No backend server ran the request or ever will.
+    #[display("not-run")]
+    NotRun,
+    /// The request may or may not have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident = $label:literal, $status:literal;)*) => {
+        /// Why a request was refused or given up on.
+        #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum Reason {
+            $($(#[$doc])* #[display($label)] $name,)*
+        }
+
+        impl Reason {
+            /// All reasons, in order.
+            pub const ALL: &[Reason] = &[$(Reason::$name),*];
+
+            /// Label used in metrics, logs and messages.
+            pub const fn label(self) -> &'static str {
+                match self { $(Reason::$name => $label),* }
+            }
+
+            /// HTTP status with which a caller is told.
+            pub const fn status(self) -> u16 {
+                match self { $(Reason::$name => $status),* }
+            }
+
+            /// The reason with this label, if there is one.
+            pub fn from_label(label: &str) -> Option<Reason> {
+                Self::ALL.iter().copied().find(|reason| reason.label() == label)
+            }
+        }
+    };
+}
+
+reasons! {
+    /// The bearer token is missing or belongs to no client account.
+    Unauthenticated = "unauthenticated", 401;
+    /// The service does not exist or the client account may not use it.
+    UnknownService = "unknown_service", 404;
+    /// The request is malformed or too large.
+    InvalidRequest = "invalid_request", 400;
+    /// The idempotency key was used before with another body.
+    KeyReused = "key_reused", 422;
+    /// The idempotency key is claimed and its result is not known yet.
+    KeyPending = "key_pending", 409;
+    /// The client account is above its request rate.
+    RateLimited = "rate_limited", 429;
+    /// The client account has too many requests in flight.
+    ConcurrencyLimited = "concurrency_limited", 429;
+    /// The backend server holds as much as it can bear.
+    ServerFull = "server_full", 503;
+    /// The queue of the backend server is full.
+    QueueFull = "queue_full", 503;
+    /// No backend server of the service accepts work.
+    NoServer = "no_server", 503;
+    /// The backend server is leaving or its failure domain is out of service.
+    Draining = "draining", 503;
+    /// The sender acts on an older configuration than the receiver.
+    StaleConfig = "stale_config", 503;
+    /// The fencing token is older than one already seen.
+    StaleToken = "stale_token", 503;
+    /// The deadline passed or cannot be met.
+    Deadline = "deadline", 504;
+    /// The ledger partition cannot be written or has no owner.
+    LedgerUnavailable = "ledger_unavailable", 503;
+    /// The ticket is unknown, expired or already used.
+    TicketInvalid = "ticket_invalid", 410;
+    /// The retry budget is spent.
+    RetryBudget = "retry_budget", 503;
+    /// The request crashed backend servers and is quarantined.
+    Quarantined = "quarantined", 422;
+    /// The agent could not be reached.
+    AgentUnreachable = "agent_unreachable", 503;
+    /// The connection to the agent broke or went silent after dispatch.
+    ConnectionLost = "connection_lost", 502;
+    /// The backend server failed while it ran the request.
+    ServerFailed = "server_failed", 502;
+    /// The answer was incomplete or out of sequence.
+    AnswerCorrupt = "answer_corrupt", 502;
+    /// The caller reads too slowly and the memory budget is spent.
+    SlowReader = "slow_reader", 503;
+    /// The process is shutting down.
+    ShuttingDown = "shutting_down", 503;
+}
+
+/// A request that was refused or given up on.
+///
+/// ```
+/// use berylgw_core::outcome::{Outcome, Reason, Refusal};
+/// use std::time::Duration;
+///
+/// let refusal = Refusal::not_run(Reason::ServerFull, Duration::from_millis(250));
+/// assert_eq!(refusal.outcome, Outcome::NotRun);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{reason} ({outcome}): {message}")]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Whether the request may have run.
+    pub outcome: Outcome,
+    /// When the caller should come back.
+    pub retry_after: Duration,
+    /// Explanation for a person.
+    pub message: Arc<str>,
+}
+
+impl Refusal {
+    /// A refusal of a request that was provably not run.
+    pub fn not_run(reason: Reason, retry_after: Duration) -> Self {
+        Refusal {
+            reason,
+            outcome: Outcome::NotRun,
+            retry_after,
+            message: reason.label().into(),
+        }
+    }
+
+    /// A refusal of a request that may have run.
+    pub fn unknown(reason: Reason, retry_after: Duration) -> Self {
+        Refusal {
+            reason,
+            outcome: Outcome::Unknown,
+            retry_after,
+            message: reason.label().into(),
+        }
+    }
+
+    /// Replaces the explanation.
+    pub fn with_message(mut self, message: impl Into<Arc<str>>) -> Self {
+        self.message = message.into();
+        self
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Detection of requests that crash the backend servers that run them.
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Budget for further attempts of a request.
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,1 @@
+//! Selection of a backend server for a request.
--- /dev/null
+++ b/crates/core/src/sheet.rs
@@ -0,0 +1,1 @@
+//! The operators' CSV sheet.
--- /dev/null
+++ b/crates/core/src/step.rs
@@ -0,0 +1,1 @@
+//! Switch of a group from one expert map to the next.
--- /dev/null
+++ b/crates/core/src/stream.rs
@@ -0,0 +1,1 @@
+//! Reassembly of answer frames and resumption of streams.
--- /dev/null
+++ b/crates/core/src/ticket.rs
@@ -0,0 +1,1 @@
+//! Tokens that let one agent run one request at most once.
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,239 @@
+//! Single calls to the platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{IF_MATCH, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Kind, Result};
+use crate::object::{Host, List, Object};
+use crate::watch::Watch;
+
+/// How a conditional update ended.
+#[derive(Clone, Debug)]
+pub enum Update {
+    /// It took effect with this version.
+    Applied(u64),
+    /// Another write came first; the object has this version, 0 if deleted.
+    Conflict(u64),
+    /// It had no effect: rate limit, outage or no connection.
+    Refused(Error),
+    /// It may have taken effect; read the object back.
+    Unknown(Error),
+}
+
+/// A client of one platform address.
+///
+/// Cloning is cheap and shares connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+}
+
+#[derive(Deserialize)]
+struct Version {
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Hosts {
+    hosts: Vec<Host>,
+}
+
+impl Client {
+    /// Makes a client that waits at most `timeout` for each answer.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let http = HttpClient::builder(TokioExecutor::new()).build_http();
+        Client {
+            address,
+            timeout,
+            http,
+        }
+    }
+
+    /// Reads one object, `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses the call or does not answer in time.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        let (status, body) = self.call(Method::GET, &path, None, Bytes::new()).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        decode(&path, status, &body).map(Some)
+    }
+
+    /// Reads all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses the call or does not answer in time.
+    pub async fn list(&self, kind: &str) -> Result<List> {
+        let path = format!("/v1/objects/{kind}");
+        let (status, body) = self.call(Method::GET, &path, None, Bytes::new()).await?;
+        decode(&path, status, &body)
+    }
+
+    /// Writes an object if it still has `expected` as its version; 0 means that
+    /// it must not exist.
+    pub async fn put<T: Serialize>(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: u64,
+        value: &T,
+    ) -> Update {
+        let path = format!("/v1/objects/{kind}/{name}");
+        match serde_json::to_vec(value) {
+            Ok(body) => self.update(Method::PUT, &path, expected, body.into()).await,
+            Err(error) => Update::Refused(Error::new(Kind::Protocol, path, error)),
+        }
+    }
+
+    /// Deletes an object if it still has `expected` as its version.
+    pub async fn delete(&self, kind: &str, name: &str, expected: u64) -> Update {
+        let path = format!("/v1/objects/{kind}/{name}");
+        self.update(Method::DELETE, &path, expected, Bytes::new())
+            .await
+    }
+
+    /// Watches a kind for writes after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses the call; with [`Kind::Compacted`] if the
+    /// revision is no longer kept.
+    pub async fn watch(&self, kind: &str, revision: u64) -> Result<Watch> {
+        let path = format!("/v1/objects/{kind}?watch={revision}");
+        let response = self.send(Method::GET, &path, None, Bytes::new()).await?;
+        match response.status() {
+            StatusCode::OK => Ok(Watch::new(path, response.into_body())),
+            status => Err(refusal(&path, status, &response)),
+        }
+    }
+
+    /// Reads the lagging list of hosts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses the call or does not answer in time.
+    pub async fn hosts(&self) -> Result<Vec<Host>> {
+        let (status, body) = self
+            .call(Method::GET, "/v1/hosts", None, Bytes::new())
+            .await?;
+        decode::<Hosts>("/v1/hosts", status, &body).map(|list| list.hosts)
+    }
+
+    async fn update(&self, method: Method, path: &str, expected: u64, body: Bytes) -> Update {
+        let (status, body) = match self.call(method, path, Some(expected), body).await {
+            Ok(answer) => answer,
+            Err(error) if error.kind() == Kind::NoAnswer => return Update::Unknown(error),
+            Err(error) => return Update::Refused(error),
+        };
+        let version = serde_json::from_slice::<Version>(&body).map(|body| body.version);
+        match (status, version) {
+            (StatusCode::OK, Ok(version)) => Update::Applied(version),
+            (StatusCode::CONFLICT, Ok(version)) => Update::Conflict(version),
+            (StatusCode::NOT_FOUND, _) => Update::Conflict(0),
+            (status, _) => Update::Unknown(Error::new(Kind::Protocol, path, status)),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        expected: Option<u64>,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes)> {
+        let answer = async {
+            let response = self.send(method, path, expected, body).await?;
+            let status = response.status();
+            if let Some(error) = refused(path, status, &response) {
+                return Err(error);
+            }
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|error| Error::new(Kind::NoAnswer, path, error))?;
+            Ok((status, body.to_bytes()))
+        };
+        let timed_out = |_| Error::new(Kind::NoAnswer, path, "timed out");
+        tokio::time::timeout(self.timeout, answer)
+            .await
+            .map_err(timed_out)?
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        expected: Option<u64>,
+        body: Bytes,
+    ) -> Result<Response<Incoming>> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        if let Some(expected) = expected {
+            request = request.header(IF_MATCH, expected);
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|error| Error::new(Kind::Protocol, path, error))?;
+        let answer = tokio::time::timeout(self.timeout, self.http.request(request)).await;
+        match answer {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(Error::new(Kind::Unreachable, path, error)),
+            Ok(Err(error)) => Err(Error::new(Kind::NoAnswer, path, error)),
+            Err(_) => Err(Error::new(Kind::NoAnswer, path, "timed out")),
+        }
+    }
+}
+
+fn refused(path: &str, status: StatusCode, response: &Response<Incoming>) -> Option<Error> {
+    let refusal_statuses = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::PAYLOAD_TOO_LARGE,
+        StatusCode::GONE,
+    ];
+    refusal_statuses
+        .contains(&status)
+        .then(|| refusal(path, status, response))
+}
+
+fn refusal(path: &str, status: StatusCode, response: &Response<Incoming>) -> Error {
+    let kind = match status {
+        StatusCode::TOO_MANY_REQUESTS => Kind::RateLimited,
+        StatusCode::SERVICE_UNAVAILABLE => Kind::Unavailable,
+        StatusCode::PAYLOAD_TOO_LARGE => Kind::TooLarge,
+        StatusCode::GONE => Kind::Compacted,
+        _ => Kind::Protocol,
+    };
+    let seconds = response
+        .headers()
+        .get(RETRY_AFTER)
+        .and_then(|value| value.to_str().ok());
+    let retry_after = seconds
+        .and_then(|value| value.parse().ok())
+        .map(Duration::from_secs_f64);
+    Error::new(kind, path, status).with_retry_after(retry_after)
+}
+
+fn decode<T: DeserializeOwned>(path: &str, status: StatusCode, body: &[u8]) -> Result<T> {
+    if status != StatusCode::OK {
+        return Err(Error::new(Kind::Protocol, path, status));
+    }
+    serde_json::from_slice(body).map_err(|error| Error::new(Kind::Protocol, path, error))
+}
--- /dev/null
+++ b/crates/platform/src/watch.rs
@@ -0,0 +1,61 @@
+//! The event stream of one kind.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::error::{Error, Kind, Result};
+use crate::object::Event;
+
+/// Silence after which a watch counts as broken; heartbeats come every second.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// A running watch.
+#[derive(Debug)]
+pub struct Watch {
+    call: String,
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl Watch {
+    pub(crate) fn new(call: String, body: Incoming) -> Self {
+        Watch {
+            call,
+            body,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Waits for the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends or no event arrives for three seconds; open
+    /// a new watch from the last revision seen.
+    pub async fn next(&mut self) -> Result<Event> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|&byte| byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                return serde_json::from_slice(&line)
+                    .map_err(|error| Error::new(Kind::Protocol, &self.call, error));
+            }
+            self.fill().await?;
+        }
+    }
+
+    async fn fill(&mut self) -> Result<()> {
+        let lost = |message: String| Error::new(Kind::NoAnswer, &self.call, message);
+        let frame = tokio::time::timeout(SILENCE_LIMIT, self.body.frame())
+            .await
+            .map_err(|_| lost("no event within the silence limit".to_owned()))?
+            .ok_or_else(|| lost("connection closed".to_owned()))?
+            .map_err(|error| lost(error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            self.buffer.extend_from_slice(&data);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Messages between berylgw processes.
+//!
+//! The code in [`generated`] is written by `berylgw-codegen` from
+//! `proto/berylgw.proto` and committed, so that a build needs no generator.
+
+#[allow(missing_docs, clippy::all, rustdoc::all)]
+#[path = "generated/berylgw.v1.rs"]
+pub mod generated;
+
+pub use generated::*;
