Add placement of expert replicas

Cause: demand for experts drifts and one overloaded rank slows every step. Change: maps, greedy placement, incremental changes with a gain-over-cost rule, placement by a balanced block design, pacing of weight transfers.

--- a/crates/core/src/expert.rs
+++ b/crates/core/src/expert.rs
@@ -1,1 +1,31 @@
 //! Placement of expert replicas on the ranks of a group.
+//!
+//! The ranks of a group advance in lock-step, so a layer takes as long as its
+//! most loaded rank. A [`Map`] says which experts each rank holds in one layer;
+//! [`Load`] is the work that each expert receives; [`skew`] compares the most
+//! loaded rank with the mean.
+//!
+//! Three ways of placing replicas are here: [`greedy`] computes a map from
+//! nothing, [`incremental`] changes a map by single slots where the predicted
+//! gain exceeds the cost of the bytes moved, and [`design`] spreads replicas by
+//! a balanced block design without looking at the load. [`pace`] keeps transfers
+//! within the rate of the weight store.
+//!
+//! ```
+//! use berylgw_core::expert::{Layout, Load, greedy, skew};
+//!
+//! let layout = Layout::new(4, 8, 3).unwrap();
+//! let load = Load::new(vec![8.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 2.0]);
+//! let map = greedy::place(layout, &load);
+//! assert!(skew(&map, &load) < 1.2);
+//! ```
+
+pub mod design;
+pub mod greedy;
+pub mod incremental;
+mod layout;
+mod map;
+pub mod pace;
+
+pub use layout::Layout;
+pub use map::{Expert, Load, Map, Rank, rank_loads, skew};
--- /dev/null
+++ b/crates/core/src/expert/map.rs
@@ -0,0 +1,201 @@
+//! Which rank holds which experts, and how loaded that makes it.
+
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+use super::Layout;
+
+/// Index of an expert in a layer.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Expert(u16);
+
+impl Expert {
+    /// The index as a position in an array.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// All experts of a layout.
+    pub fn all(layout: Layout) -> impl Iterator<Item = Expert> {
+        (0..layout.experts() as u16).map(Expert)
+    }
+}
+
+/// Index of a rank in a group.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Rank(u16);
+
+impl Rank {
+    /// The index as a position in an array.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// All ranks of a layout.
+    pub fn all(layout: Layout) -> impl Iterator<Item = Rank> {
+        (0..layout.ranks() as u16).map(Rank)
+    }
+}
+
+/// Work that each expert of a layer receives in a step, in tokens.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Load(Vec<f64>);
+
+impl Load {
+    /// Makes a load from tokens per expert.
+    pub fn new(tokens: Vec<f64>) -> Self {
+        Load(tokens)
+    }
+
+    /// Tokens of one expert.
+    pub fn of(&self, expert: Expert) -> f64 {
+        self.0[expert.index()]
+    }
+
+    /// Tokens of all experts.
+    pub fn total(&self) -> f64 {
+        self.0.iter().sum()
+    }
+
+    /// Moves each expert's value towards `sample` by `share` of the difference.
+    ///
+    /// Load reports are noisy; following each of them would move replicas for
+    /// differences that are gone by the time the weights arrive.
+    pub fn smooth(&mut self, sample: &Load, share: f64) {
+        for (value, new) in self.0.iter_mut().zip(&sample.0) {
+            *value += share * (new - *value);
+        }
+    }
+}
+
+/// The experts that each rank holds in one layer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Map {
+    layout: Layout,
+    /// Sorted experts of each rank.
+    ranks: Vec<Vec<Expert>>,
+    /// Number of ranks that hold each expert.
+    replicas: Vec<u16>,
+}
+
+impl Map {
+    /// A map in which no rank holds an expert yet.
+    pub(super) fn empty(layout: Layout) -> Self {
+        let ranks = vec![Vec::with_capacity(layout.slots()); layout.ranks()];
+        Map {
+            layout,
+            ranks,
+            replicas: vec![0; layout.experts()],
+        }
+    }
+
+    /// Dimensions of the layer.
+    pub fn layout(&self) -> Layout {
+        self.layout
+    }
+
+    /// Sorted experts of one rank.
+    pub fn experts(&self, rank: Rank) -> &[Expert] {
+        &self.ranks[rank.index()]
+    }
+
+    /// Number of ranks that hold the expert.
+    pub fn replicas(&self, expert: Expert) -> usize {
+        usize::from(self.replicas[expert.index()])
+    }
+
+    /// Whether the rank holds the expert.
+    pub fn holds(&self, rank: Rank, expert: Expert) -> bool {
+        self.experts(rank).binary_search(&expert).is_ok()
+    }
+
+    /// Whether the rank has a free slot.
+    pub fn has_room(&self, rank: Rank) -> bool {
+        self.experts(rank).len() < self.layout.slots()
+    }
+
+    /// Whether every expert is held by at least one rank.
+    pub fn is_complete(&self) -> bool {
+        self.replicas.iter().all(|&count| count > 0)
+    }
+
+    /// Adds a replica; does nothing if the rank holds the expert already.
+    pub(super) fn insert(&mut self, rank: Rank, expert: Expert) {
+        let held = &mut self.ranks[rank.index()];
+        let Err(position) = held.binary_search(&expert) else {
+            return;
+        };
+        held.insert(position, expert);
+        self.replicas[expert.index()] += 1;
+    }
+
+    /// Removes a replica; does nothing if the rank does not hold the expert.
+    pub(super) fn remove(&mut self, rank: Rank, expert: Expert) {
+        let held = &mut self.ranks[rank.index()];
+        let Ok(position) = held.binary_search(&expert) else {
+            return;
+        };
+        held.remove(position);
+        self.replicas[expert.index()] -= 1;
+    }
+
+    /// Number of slots that have to be loaded to go from `old` to this map.
+    pub fn transfers_from(&self, old: &Map) -> usize {
+        let mut transfers = 0;
+        for rank in Rank::all(self.layout) {
+            let new = self.experts(rank).iter();
+            transfers += new.filter(|expert| !old.holds(rank, **expert)).count();
+        }
+        transfers
+    }
+}
+
+/// Tokens that each rank works on, with each expert's tokens split evenly over
+/// its replicas.
+pub fn rank_loads(map: &Map, load: &Load) -> Vec<f64> {
+    let of_rank = |rank: Rank| -> f64 {
+        let held = map.experts(rank).iter();
+        held.map(|&expert| load.of(expert) / map.replicas(expert) as f64)
+            .sum()
+    };
+    Rank::all(map.layout()).map(of_rank).collect()
+}
+
+/// Load of the most loaded rank over the mean, 1 when perfectly balanced.
+pub fn skew(map: &Map, load: &Load) -> f64 {
+    let loads = rank_loads(map, load);
+    let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+    let max = loads.iter().copied().fold(0.0, f64::max);
+    if mean > 0.0 { max / mean } else { 1.0 }
+}
