Judge changes of an expert map together

Cause: a single change often moves the maximum to another rank that was nearly as loaded, so that improve() stopped although two changes together would pay. Change: changes are chosen by the drop of the peak, then by the drop of the sum of squares, and the prefix with the largest net gain is kept.

--- a/crates/core/examples/rebalance.rs
+++ b/crates/core/examples/rebalance.rs
@@ -11,8 +11,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const SEED: u64 = 11;
-const MINUTES: usize = 480;
+const SEEDS: [u64; 6] = [11, 12, 13, 14, 15, 16];
+const MINUTES: usize = 240;
 /// Weights of one expert in one layer.
 const EXPERT_BYTES: u64 = 44 << 20;
 /// Standard deviation of the logarithm of an expert's load, per minute.
@@ -24,7 +24,7 @@
 
 fn main() {
     println!(
-        "seed {SEED}, {MINUTES} minutes, {} MiB an expert",
+        "seeds {SEEDS:?}, {MINUTES} minutes each, {} MiB an expert",
         EXPERT_BYTES >> 20
     );
     for (ranks, experts, slots) in [(16, 64, 6), (16, 64, 8), (64, 256, 6), (64, 256, 8)] {
@@ -102,30 +102,32 @@
     place: impl Fn(Layout, &Load) -> Map,
     rebalance: impl Fn(&Map, &Load) -> Option<Map>,
 ) {
-    let mut demand = Demand::new(layout, SEED);
-    let mut estimate = demand.sample();
-    let mut map = place(layout, &estimate);
-    let mut skews = Vec::with_capacity(MINUTES);
+    let mut skews = Vec::new();
     let mut transfers = 0;
-    let mut decisions = Vec::with_capacity(MINUTES);
-    for _ in 0..MINUTES {
-        demand.advance();
-        let sample = demand.sample();
-        skews.push(skew(&map, &sample));
-        estimate.smooth(&sample, SMOOTHING);
-        let start = Instant::now();
-        let new = rebalance(&map, &estimate);
-        decisions.push(start.elapsed());
-        let Some(new) = new else {
-            continue;
-        };
-        transfers += new.transfers_from(&map);
-        map = new;
+    let mut decisions = Vec::new();
+    for seed in SEEDS {
+        let mut demand = Demand::new(layout, seed);
+        let mut estimate = demand.sample();
+        let mut map = place(layout, &estimate);
+        for _ in 0..MINUTES {
+            demand.advance();
+            let sample = demand.sample();
+            skews.push(skew(&map, &sample));
+            estimate.smooth(&sample, SMOOTHING);
+            let start = Instant::now();
+            let new = rebalance(&map, &estimate);
+            decisions.push(start.elapsed());
+            let Some(new) = new else {
+                continue;
+            };
+            transfers += new.transfers_from(&map);
+            map = new;
+        }
     }
     skews.sort_by(f64::total_cmp);
     let mean = skews.iter().sum::<f64>() / skews.len() as f64;
     let p95 = skews[skews.len() * 95 / 100];
-    let bytes = transfers as f64 * EXPERT_BYTES as f64 / (MINUTES as f64 / 60.0);
+    let bytes = transfers as f64 * EXPERT_BYTES as f64 / (skews.len() as f64 / 60.0);
     let longest = decisions.iter().max().copied().unwrap_or_default();
     let mean_time = decisions.iter().sum::<Duration>() / decisions.len() as u32;
     println!(
--- a/crates/core/src/expert/incremental.rs
+++ b/crates/core/src/expert/incremental.rs
@@ -6,7 +6,8 @@
 
 use super::{Expert, Load, Map, Rank, rank_loads, skew};
 
-/// Smallest reduction of the maximum, as a share of it, that counts as a gain.
+/// Smallest reduction of the sum of squares, as a share of the square of the
+/// largest rank load, that counts.
 ///
 /// Below it, moves chase rounding differences without an effect on step time.
 const MIN_GAIN_SHARE: f64 = 1e-4;
@@ -61,34 +62,37 @@
     pub net_gain: f64,
 }
 
-/// Changes `map` slot by slot while each change gains more than it costs.
+/// Changes `map` slot by slot and keeps the prefix of changes with the largest
+/// net gain.
 ///
-/// Returns `None` if no change is worth its cost. Work per change grows with
-/// the slots of the most loaded rank times all slots of the layer.
+/// A single change often moves the maximum to another rank that was nearly as
+/// loaded, and only the next one pays off. Changes are therefore chosen by how
+/// much they even out all ranks, and judged together.
+///
+/// Returns `None` if no prefix gains more than it costs. Work per change grows
+/// with the slots of the most loaded rank times all slots of the layer.
 pub fn improve(map: &Map, load: &Load, rule: &Rule) -> Option<Change> {
+    let peak = max(&rank_loads(map, load));
     let mut current = map.clone();
-    let mut transfers = 0;
-    let mut net_gain = 0.0;
-    while transfers < rule.max_transfers {
+    let mut best: Option<Change> = None;
+    while current.transfers_from(map) < rule.max_transfers {
         let loads = rank_loads(&current, load);
         let Some(step) = best_step(&current, load, &loads) else {
             break;
         };
-        let before = max(&loads);
-        let gain = rule.gain(before, before - step.reduction) - rule.cost(step.transfers);
-        if gain <= 0.0 {
-            break;
-        }
         step.apply(&mut current);
-        transfers += step.transfers;
-        net_gain += gain;
+        let transfers = current.transfers_from(map);
+        let gain = rule.gain(peak, max(&rank_loads(&current, load)));
+        let net_gain = gain - rule.cost(transfers);
+        if net_gain > best.as_ref().map_or(0.0, |change| change.net_gain) {
+            best = Some(Change {
+                map: current.clone(),
+                transfers,
+                net_gain,
+            });
+        }
     }
-    let transfers = current.transfers_from(map);
-    (transfers > 0).then_some(Change {
-        map: current,
-        transfers,
-        net_gain,
-    })
+    best
 }
 
 /// One change of a slot.
@@ -96,7 +100,9 @@
 struct Step {
     kind: StepKind,
     /// Reduction of the load of the most loaded rank, in tokens.
-    reduction: f64,
+    peak_drop: f64,
+    /// Reduction of the sum of the squares of all rank loads.
+    square_drop: f64,
     transfers: usize,
 }
 
@@ -118,6 +124,16 @@
 }
 
 impl Step {
+    /// Compares by the drop of the peak for each slot loaded, then by how much
+    /// the step evens out all ranks, which decides between ranks that are
+    /// equally loaded.
+    fn is_better(&self, other: &Step) -> bool {
+        let value = |drop: f64, step: &Step| drop / step.transfers as f64;
+        let peak = value(self.peak_drop, self).total_cmp(&value(other.peak_drop, other));
+        let square = value(self.square_drop, self).total_cmp(&value(other.square_drop, other));
+        peak.then(square).is_gt()
+    }
+
     fn apply(&self, map: &mut Map) {
         match self.kind {
             StepKind::Replace {
@@ -143,7 +159,7 @@
     }
 }
 
-/// The change that reduces the largest rank load most, per slot loaded.
+/// The change that evens out the rank loads most, per slot loaded.
 fn best_step(map: &Map, load: &Load, loads: &[f64]) -> Option<Step> {
     let hot = hottest(map, loads)?;
     let peak = loads[hot.index()];
@@ -165,7 +181,7 @@
             }
         }
     }
-    best.filter(|step| step.reduction > peak * MIN_GAIN_SHARE)
+    best.filter(|step| step.square_drop > peak * peak * MIN_GAIN_SHARE)
 }
 
 /// A pair of slots: one of the most loaded rank, one of another rank.
@@ -181,8 +197,7 @@
     let Some(step) = step else {
         return;
     };
-    let value = |step: &Step| step.reduction / step.transfers as f64;
-    if best.as_ref().is_none_or(|best| value(&step) > value(best)) {
+    if best.as_ref().is_none_or(|best| step.is_better(best)) {
         *best = Some(step);
     }
 }
@@ -199,38 +214,48 @@
     if map.replicas(victim) < 2 || map.holds(rank, expert) || victim == expert {
         return None;
     }
-    let before = load.of(expert) / map.replicas(expert) as f64;
-    let after = load.of(expert) / (map.replicas(expert) + 1) as f64;
-    let victim_before = load.of(victim) / map.replicas(victim) as f64;
-    let victim_after = load.of(victim) / (map.replicas(victim) - 1) as f64;
-    let mut new_peak = loads[rank.index()] - victim_before + after;
+    let share = |expert: Expert, replicas: usize| load.of(expert) / replicas as f64;
+    let count = map.replicas(expert);
+    let victim_count = map.replicas(victim);
+    let relief = share(expert, count) - share(expert, count + 1);
+    let burden = share(victim, victim_count - 1) - share(victim, victim_count);
+    let own = share(expert, count + 1) - share(victim, victim_count);
+    let peak = loads[hot.index()];
+    let mut new_peak = loads[rank.index()] + own;
+    let mut square_drop = drop_of_square(loads[rank.index()], own);
     for holder in Rank::all(map.layout()) {
         if holder == rank {
             continue;
         }
-        let mut value = loads[holder.index()];
-        if map.holds(holder, expert) {
-            value += after - before;
-        }
-        if map.holds(holder, victim) {
-            value += victim_after - victim_before;
-        }
-        new_peak = new_peak.max(value);
-        if new_peak >= loads[hot.index()] {
+        let relieved = if map.holds(holder, expert) {
+            relief
+        } else {
+            0.0
+        };
+        let burdened = if map.holds(holder, victim) {
+            burden
+        } else {
+            0.0
+        };
+        let change = burdened - relieved;
+        new_peak = new_peak.max(loads[holder.index()] + change);
+        if new_peak > peak {
             return None;
         }
+        square_drop += drop_of_square(loads[holder.index()], change);
     }
-    let reduction = loads[hot.index()] - new_peak;
     let kind = StepKind::Replace {
         rank,
         victim,
         expert,
     };
-    Some(Step {
+    let step = Step {
         kind,
-        reduction,
+        peak_drop: peak - new_peak,
+        square_drop,
         transfers: 1,
-    })
+    };
+    (square_drop > 0.0).then_some(step)
 }
 
 /// Exchanges the hot expert with a lighter one of `slot.rank`.
@@ -246,27 +271,31 @@
     }
     let shift =
         load.of(given) / map.replicas(given) as f64 - load.of(taken) / map.replicas(taken) as f64;
-    let pair = (loads[hot.index()] - shift).max(loads[cold.index()] + shift);
+    let square_drop =
+        drop_of_square(loads[hot.index()], -shift) + drop_of_square(loads[cold.index()], shift);
     let peak = loads[hot.index()];
-    if pair >= peak {
-        return None;
-    }
     let others = Rank::all(map.layout()).filter(|&rank| rank != hot && rank != cold);
     let rest = others.map(|rank| loads[rank.index()]).fold(0.0, f64::max);
-    let reduction = peak - pair.max(rest);
+    let new_peak = rest.max(peak - shift).max(loads[cold.index()] + shift);
     let kind = StepKind::Swap {
         hot,
         given,
         cold,
         taken,
     };
-    (reduction > 0.0).then_some(Step {
+    Some(Step {
         kind,
-        reduction,
+        peak_drop: peak - new_peak,
+        square_drop,
         transfers: 2,
     })
 }
 
+/// Reduction of the square of `load` when `change` is added to it.
+fn drop_of_square(load: f64, change: f64) -> f64 {
+    load * load - (load + change) * (load + change)
+}
+
 fn hottest(map: &Map, loads: &[f64]) -> Option<Rank> {
     Rank::all(map.layout()).max_by(|a, b| loads[a.index()].total_cmp(&loads[b.index()]))
 }
--- a/crates/core/tests/expert.rs
+++ b/crates/core/tests/expert.rs
@@ -156,8 +156,8 @@
     const STORE_RATE: f64 = 1_000.0;
     const GROUPS: usize = 4;
     const BYTES: u64 = 50;
-    let mut pacers = vec![pace::Pacer::new(400, 1_000, 10); GROUPS];
-    let mut starts = vec![Instant::ORIGIN; GROUPS];
+    let mut pacers: [_; GROUPS] = std::array::from_fn(|_| pace::Pacer::new(400, 1_000, 10));
+    let mut starts = [Instant::ORIGIN; GROUPS];
     let mut served = [0_u64; GROUPS];
     let mut bucket = STORE_RATE;
     let step = Duration::from_millis(1);
