--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -227,7 +227,7 @@
         .and_then(|value| value.to_str().ok());
     let retry_after = seconds
         .and_then(|value| value.parse().ok())
-        .map(Duration::from_secs_f64);
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     Error::new(kind, path, status).with_retry_after(retry_after)
 }
 
