Add fake rank group and caller

Tests of the serving path need an engine whose answers can be checked byte for byte and that fails the way real engines do.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,12 +1,17 @@
 //! Fakes of outside systems, a fault-injecting proxy and a process launcher.
 //!
-//! - [`platform`] plays a system that berylgw
-//!   talks to; it has a small binary and a `control` listener for faults.
-//! - [`launch`] starts processes and [`control`] drives their control listeners.
+//! - [`platform`] and [`engine`] play the systems that berylgw talks to; each has
+//!   a small binary and a `control` listener for faults.
+//! - [`launch`] starts processes, [`control`] drives their control listeners and
+//!   [`client`] makes calls as a caller would.
 //! - [`serve`] and [`bucket`] are shared by the fakes.
 
 pub mod bucket;
+pub mod client;
 pub mod control;
+pub mod engine;
 pub mod launch;
 pub mod platform;
 pub mod serve;
+
+pub use engine::answer;
--- a/crates/testkit/src/serve.rs
+++ b/crates/testkit/src/serve.rs
@@ -136,9 +136,11 @@
     let builder = Builder::new(TokioExecutor::new());
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     let closed = state.wait_for(|state| state.closings != opened.closings);
+    // Closing comes first, so that no answer is written after it.
     tokio::select! {
-        _ = serving => {}
+        biased;
         _ = closed => {}
         _ = hangup.0.notified() => {}
+        _ = serving => {}
     }
 }
