Add fake plain service

At-most-once tests need a service that counts its executions and loses answers after it ran a request.

fake-service serves bookings, stock and load on several servers, counts executions per booking and can crash, drop or withhold answers.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Fakes of outside systems, a fault-injecting proxy and a process launcher.
 //!
-//! - [`platform`] and [`engine`] play the systems that berylgw talks to; each has
+//! - [`platform`], [`engine`] and [`service`] play the systems that berylgw talks
+//!   to; each has
 //!   a small binary and a `control` listener for faults.
 //! - [`launch`] starts processes, [`control`] drives their control listeners and
 //!   [`client`] makes calls as a caller would.
@@ -13,5 +14,6 @@
 pub mod launch;
 pub mod platform;
 pub mod serve;
+pub mod service;
 
 pub use engine::answer;
--- /dev/null
+++ b/crates/testkit/src/service/http.rs
@@ -0,0 +1,122 @@
+//! HTTP interface of the fake service.
+
+use std::time::{Duration, Instant};
+
+use axum::extract::{Path, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Extension, Json, Router};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::state::{Ending, Service};
+use super::{Execution, Stats};
+use crate::control::patched;
+use crate::engine::answer;
+use crate::serve::Hangup;
+
+/// One server of a service.
+#[derive(Clone, Debug)]
+struct Target {
+    service: Service,
+    server: usize,
+}
+
+#[derive(Deserialize)]
+struct Booking {
+    booking: String,
+}
+
+/// Routes of the `service` interface of one server.
+pub fn router(service: Service, server: usize) -> Router {
+    Router::new()
+        .route("/bookings", post(book))
+        .route("/stock/{item}", get(stock))
+        .route("/load", get(load))
+        .with_state(Target { service, server })
+}
+
+/// Routes of the `control` interface.
+pub fn control_router(service: Service) -> Router {
+    Router::new()
+        .route("/fault", post(set_fault))
+        .route("/executions", get(executions))
+        .route("/servers", get(servers))
+        .with_state(service)
+}
+
+async fn book(
+    State(target): State<Target>,
+    Extension(hangup): Extension<Hangup>,
+    Json(request): Json<Booking>,
+) -> Response {
+    let Target { service, server } = target;
+    let place = service.enter(server);
+    work(&service).await;
+    let ending = service.state().run(&request.booking);
+    match ending {
+        Ending::Answer(serial) => {
+            drop(place);
+            let booking = request.booking;
+            Json(json!({"booking": booking, "confirmed": true, "serial": serial})).into_response()
+        }
+        Ending::Crash => {
+            service.crash(server);
+            std::future::pending().await
+        }
+        Ending::Drop => hangup.hang_up().await,
+        Ending::Hang => std::future::pending().await,
+    }
+}
+
+async fn stock(State(target): State<Target>, Path(item): Path<String>) -> Json<Value> {
+    let _place = target.service.enter(target.server);
+    work(&target.service).await;
+    let count = answer::token(&item, 0);
+    let count = u32::from_str_radix(count.trim(), 16).unwrap_or_default();
+    Json(json!({ "item": item, "count": count }))
+}
+
+async fn work(service: &Service) {
+    let time = {
+        let state = service.state();
+        state.settings.work + Duration::from_millis(state.fault.slow_ms)
+    };
+    // A request that overfilled its server ends here: its connection breaks.
+    tokio::task::yield_now().await;
+    tokio::time::sleep(time).await;
+}
+
+async fn load(State(target): State<Target>) -> Json<Value> {
+    let state = target.service.state();
+    let in_flight = state.lagging_load(target.server, Instant::now());
+    let capacity = state.settings.capacity;
+    Json(json!({"in_flight": in_flight, "queued": 0, "capacity": capacity, "cold": false}))
+}
+
+async fn set_fault(State(service): State<Service>, Json(patch): Json<Value>) -> Response {
+    let mut state = service.state();
+    match patched(&state.fault, &patch) {
+        Ok(fault) => {
+            state.fault = fault.clone();
+            Json(fault).into_response()
+        }
+        Err(message) => (StatusCode::BAD_REQUEST, message).into_response(),
+    }
+}
+
+async fn executions(State(service): State<Service>) -> Json<Vec<Execution>> {
+    Json(service.state().executions())
+}
+
+async fn servers(State(service): State<Service>) -> Json<Vec<Stats>> {
+    let state = service.state();
+    Json(
+        state
+            .servers
+            .iter()
+            .map(|server| server.stats.clone())
+            .collect(),
+    )
+}
