Add cluster launcher and demo

Integration tests and the demo need a whole system of processes whose sheet has the addresses they really listen on.

cluster starts the fakes, entries and agents of a sheet, writes their settings and applies the sheet with the operator command line. berylgw-demo runs the sheet of both users and makes calls. Engine load reports count running and waiting requests apart, and service load reports have their time, as the interface says.

--- /dev/null
+++ b/crates/testkit/src/bin/berylgw-demo.rs
@@ -0,0 +1,142 @@
+//! Runs the whole system on one host and makes a few calls.
+
+use std::error::Error;
+use std::net::SocketAddr;
+
+use berylgw_core::outcome::Outcome;
+use berylgw_testkit::answer;
+use berylgw_testkit::client::{self, Call, Client};
+use berylgw_testkit::cluster::{Cluster, Extra};
+use hyper::Method;
+use serde_json::{Value, json};
+
+const TOKENS: u32 = 12;
+
+/// Attempts of a call that was not run, before the demo gives up.
+const ATTEMPTS: u32 = 30;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let mut args = pico_args::Arguments::from_env();
+    let sheet: Option<String> = args.opt_value_from_str("--sheet")?;
+    if let Some(argument) = args.finish().first() {
+        return Err(format!("unexpected argument {argument:?}").into());
+    }
+    let sheet = std::fs::read_to_string(sheet.as_deref().unwrap_or("examples/sheet.csv"))?;
+    let mut cluster = Cluster::start(&sheet, &Extra::default()).await?;
+    println!(
+        "started {} entries and {} agents; the sheet is accepted",
+        cluster.entries.len(),
+        cluster.agents.len(),
+    );
+    // Dropping the cluster kills its processes, so an interrupted demo leaves none.
+    tokio::select! {
+        done = calls(&cluster) => done?,
+        signal = berylgw_runtime::signal::terminated() => return Ok(signal?),
+    }
+    cluster.stop().await?;
+    println!("all entries and agents exited with status 0");
+    Ok(())
+}
+
+async fn calls(cluster: &Cluster) -> Result<(), Box<dyn Error>> {
+    let wash = entry(cluster, "wash-shed", "grower-redhill").await?;
+    prompt(&wash, "draft-llm", "Draft a pickup note for twelve crates.").await?;
+    book(&wash, "yard-app", "bookings", "pickup-1").await?;
+    let works = entry(cluster, "ikeja", "contractor-okafor").await?;
+    prompt(
+        &works,
+        "drafting-llm",
+        "Draft a road permit for Allen Avenue.",
+    )
+    .await?;
+    book(&works, "permit-app", "payments", "fee-1").await?;
+    let refused = wash.chat("drafting-llm", "hello", TOKENS).await;
+    let refusal = refused.err();
+    let Some(refusal) = refusal.as_ref().and_then(client::Error::refusal) else {
+        return Err("a call without a grant was not refused".into());
+    };
+    println!("grower-redhill -> drafting-llm: {refusal}");
+    Ok(())
+}
+
+/// Asks an entry of the failure domain which address to use.
+async fn entry(cluster: &Cluster, domain: &str, account: &str) -> Result<Client, Box<dyn Error>> {
+    let known = cluster
+        .entries
+        .iter()
+        .find(|entry| &*entry.domain == domain);
+    let known: SocketAddr = known.ok_or("no entry in the failure domain")?.address;
+    let token = format!("{account}-token");
+    let first = Client::new(known, token.clone());
+    let directory = retried(async || first.directory(domain).await).await?;
+    println!("directory for {account} in {domain}:");
+    for address in &directory.addresses {
+        println!("  {} ({})", address.address, address.domain);
+    }
+    let nearest = directory
+        .addresses
+        .first()
+        .ok_or("the directory is empty")?;
+    Ok(Client::new(nearest.address, token))
+}
+
+async fn prompt(client: &Client, model: &str, prompt: &str) -> Result<(), Box<dyn Error>> {
+    let expected = answer::text(prompt, TOKENS as usize);
+    let whole = retried(async || client.chat(model, prompt, TOKENS).await).await?;
+    let streamed = retried(async || client.stream(model, prompt, TOKENS).await?.rest().await);
+    let streamed = streamed.await?;
+    for (form, answer) in [("whole", whole), ("stream", streamed)] {
+        println!("{model} ({form}): {}", answer.text);
+        if answer.text != expected {
+            return Err(format!("expected {expected}").into());
+        }
+    }
+    Ok(())
+}
+
+/// Sends a non-idempotent request twice with one key; it has to run once.
+async fn book(
+    client: &Client,
+    service: &str,
+    path: &str,
+    booking: &str,
+) -> Result<(), Box<dyn Error>> {
+    let call = Call {
+        service,
+        method: Method::POST,
+        path,
+        key: Some(booking),
+        ticket: None,
+        body: json!({ "booking": booking }),
+    };
+    let first: Value = retried(async || client.call(call.clone()).await).await?;
+    let second: Value = retried(async || client.call(call.clone()).await).await?;
+    println!("{service}: {first}, sent again: {second}");
+    if first != second {
+        return Err("the request ran twice".into());
+    }
+    Ok(())
+}
+
+/// Repeats a call that was not run, as its refusal asks.
+async fn retried<T>(call: impl AsyncFn() -> Result<T, client::Error>) -> Result<T, client::Error> {
+    let mut attempt = 1;
+    loop {
+        let error = match call().await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => error,
+        };
+        let not_run = error
+            .refusal()
+            .filter(|refusal| refusal.outcome == Outcome::NotRun);
+        let Some(refusal) = not_run.filter(|_| attempt < ATTEMPTS) else {
+            return Err(error);
+        };
+        if attempt == 1 {
+            println!("refused, trying again: {refusal}");
+        }
+        tokio::time::sleep(refusal.retry_after).await;
+        attempt += 1;
+    }
+}
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -107,9 +107,9 @@
 /// Load of a rank as `GET /load` reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests that the rank holds.
+    /// Requests with a first token.
     pub in_flight: usize,
-    /// Requests of these without a first token.
+    /// Requests without a first token.
     pub queued: usize,
     /// Requests that a warm rank can hold.
     pub capacity: usize,
--- a/crates/testkit/src/engine/rank.rs
+++ b/crates/testkit/src/engine/rank.rs
@@ -134,9 +134,11 @@
 
     /// Records the load for lagging reports.
     pub fn sample(&mut self, settings: &Settings, started: Instant, now: Instant) {
+        let waiting = self.jobs.iter().filter(|job| job.prefill_steps > 0);
+        let queued = waiting.count();
         let load = Load {
-            in_flight: self.jobs.len(),
-            queued: self.jobs.iter().filter(|job| job.prefill_steps > 0).count(),
+            in_flight: self.jobs.len() - queued,
+            queued,
             capacity: settings.capacity,
             cold: self.cold,
             as_of_ms: now.duration_since(started).as_millis() as u64,
--- a/crates/testkit/src/launch.rs
+++ b/crates/testkit/src/launch.rs
@@ -172,6 +172,18 @@
         status.map_err(|error| failure(&self.name, error))
     }
 
+    /// Waits for the end of the process and of its output.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the status cannot be read.
+    pub async fn finish(&mut self) -> Result<ExitStatus, Error> {
+        let status = self.wait().await?;
+        let ended = |lines: &Lines| (lines.open_pipes == 0).then_some(());
+        self.until("the end of the output", ended).await?;
+        Ok(status)
+    }
+
     /// Sends SIGTERM and waits for the end of the process.
     ///
     /// # Errors
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,12 +3,14 @@
 //! - [`platform`], [`engine`] and [`service`] play the systems that berylgw talks
 //!   to; each has
 //!   a small binary and a `control` listener for faults.
-//! - [`launch`] starts processes, [`control`] drives their control listeners and
+//! - [`launch`] starts processes, [`cluster`] a whole system of them; [`control`]
+//!   drives the control listeners and
 //!   [`client`] makes calls as a caller would.
 //! - [`serve`] and [`bucket`] are shared by the fakes.
 
 pub mod bucket;
 pub mod client;
+pub mod cluster;
 pub mod control;
 pub mod engine;
 pub mod launch;
--- a/crates/testkit/src/service/http.rs
+++ b/crates/testkit/src/service/http.rs
@@ -32,6 +32,8 @@
 pub fn router(service: Service, server: usize) -> Router {
     Router::new()
         .route("/bookings", post(book))
+        .route("/payments", post(book))
+        .route("/licences", post(book))
         .route("/stock/{item}", get(stock))
         .route("/load", get(load))
         .with_state(Target { service, server })
@@ -90,9 +92,18 @@
 
 async fn load(State(target): State<Target>) -> Json<Value> {
     let state = target.service.state();
-    let in_flight = state.lagging_load(target.server, Instant::now());
-    let capacity = state.settings.capacity;
-    Json(json!({"in_flight": in_flight, "queued": 0, "capacity": capacity, "cold": false}))
+    let now = Instant::now();
+    let as_of = now.checked_sub(state.settings.load_lag);
+    let as_of = as_of.map_or(Duration::ZERO, |at| {
+        at.saturating_duration_since(state.started)
+    });
+    Json(json!({
+        "in_flight": state.lagging_load(target.server, now),
+        "queued": 0,
+        "capacity": state.settings.capacity,
+        "cold": false,
+        "as_of_ms": as_of.as_millis() as u64,
+    }))
 }
 
 async fn set_fault(State(service): State<Service>, Json(patch): Json<Value>) -> Response {
--- a/crates/testkit/src/service/state.rs
+++ b/crates/testkit/src/service/state.rs
@@ -21,6 +21,7 @@
     pub servers: Vec<Server>,
     executions: BTreeMap<String, u64>,
     serial: u64,
+    pub started: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -65,6 +66,7 @@
                 servers,
                 executions: BTreeMap::new(),
                 serial: 0,
+                started: Instant::now(),
             })),
         }
     }
