Add fake weight store and fault proxy

Tests of map switches need a rate-limited store, and tests of silent or broken connections need faults between two running processes.

fake-store serves weights within a byte rate and counts reads. fault-proxy delays, cuts, freezes (open connections only or new ones too) and drops answers; its control listener also counts accepted connections, which a test has to wait for before it clears a freeze.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,11 +1,12 @@
 //! Fakes of outside systems, a fault-injecting proxy and a process launcher.
 //!
-//! - [`platform`], [`engine`] and [`service`] play the systems that berylgw talks
-//!   to; each has
-//!   a small binary and a `control` listener for faults.
+//! - [`platform`], [`engine`], [`service`] and [`store`] play the systems that
+//!   berylgw talks to; each has a small binary and a `control` listener for
+//!   faults or counters.
+//! - [`proxy`] stands between two processes and delays, cuts or freezes their
+//!   connections.
 //! - [`launch`] starts processes, [`cluster`] a whole system of them; [`control`]
-//!   drives the control listeners and
-//!   [`client`] makes calls as a caller would.
+//!   drives the control listeners and [`client`] makes calls as a caller would.
 //! - [`serve`] and [`bucket`] are shared by the fakes.
 
 pub mod bucket;
@@ -15,7 +16,9 @@
 pub mod engine;
 pub mod launch;
 pub mod platform;
+pub mod proxy;
 pub mod serve;
 pub mod service;
+pub mod store;
 
 pub use engine::answer;
