Install signal handlers of the fakes before they listen

A test that stopped a fake right after its listening line failed once in three runs of the suite: the handlers of berylgw_runtime::signal::terminated are installed when it is first polled, so an earlier SIGTERM killed the process.

The fakes and the demo now install the handlers first. The test repeats the stop 20 times. The host list lag and the seeded loss of answers get tests.

--- a/crates/testkit/src/bin/berylgw-demo.rs
+++ b/crates/testkit/src/bin/berylgw-demo.rs
@@ -7,6 +7,7 @@
 use berylgw_testkit::answer;
 use berylgw_testkit::client::{self, Call, Client};
 use berylgw_testkit::cluster::{Cluster, Extra};
+use berylgw_testkit::serve::stop_signal;
 use hyper::Method;
 use serde_json::{Value, json};
 
@@ -23,16 +24,21 @@
         return Err(format!("unexpected argument {argument:?}").into());
     }
     let sheet = std::fs::read_to_string(sheet.as_deref().unwrap_or("examples/sheet.csv"))?;
-    let mut cluster = Cluster::start(&sheet, &Extra::default()).await?;
+    let mut stop = std::pin::pin!(stop_signal()?);
+    // Dropping the cluster kills its processes, so an interrupted demo leaves none.
+    let extra = Extra::default();
+    let mut cluster = tokio::select! {
+        cluster = Cluster::start(&sheet, &extra) => cluster?,
+        () = &mut stop => return Ok(()),
+    };
     println!(
         "started {} entries and {} agents; the sheet is accepted",
         cluster.entries.len(),
         cluster.agents.len(),
     );
-    // Dropping the cluster kills its processes, so an interrupted demo leaves none.
     tokio::select! {
         done = calls(&cluster) => done?,
-        signal = berylgw_runtime::signal::terminated() => return Ok(signal?),
+        () = &mut stop => return Ok(()),
     }
     cluster.stop().await?;
     println!("all entries and agents exited with status 0");
--- a/crates/testkit/src/bin/fake-engine.rs
+++ b/crates/testkit/src/bin/fake-engine.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use berylgw_testkit::engine::{Engine, Settings, control_router, router, run_steps};
-use berylgw_testkit::serve::{announce, listen};
+use berylgw_testkit::serve::{announce, listen, stop_signal};
 use pico_args::Arguments;
 
 #[tokio::main]
@@ -18,6 +18,7 @@
         return Err(format!("unexpected argument {argument:?}").into());
     }
     berylgw_runtime::log::install();
+    let stop = stop_signal()?;
     let ranks = settings.ranks;
     let engine = Engine::new(settings);
     for rank in 0..ranks {
@@ -26,7 +27,7 @@
     }
     announce("control", control, control_router(engine.clone())).await?;
     tokio::spawn(run_steps(engine));
-    berylgw_runtime::signal::terminated().await?;
+    stop.await;
     Ok(())
 }
 
--- a/crates/testkit/src/bin/fake-platform.rs
+++ b/crates/testkit/src/bin/fake-platform.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use berylgw_testkit::platform::{Platform, Settings, control_router, router};
-use berylgw_testkit::serve::announce;
+use berylgw_testkit::serve::{announce, stop_signal};
 
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
@@ -30,9 +30,10 @@
         return Err(format!("unexpected argument {argument:?}").into());
     }
     berylgw_runtime::log::install();
+    let stop = stop_signal()?;
     let platform = Platform::new(settings);
     announce("platform", listen, router(platform.clone())).await?;
     announce("control", control, control_router(platform)).await?;
-    berylgw_runtime::signal::terminated().await?;
+    stop.await;
     Ok(())
 }
--- a/crates/testkit/src/bin/fake-service.rs
+++ b/crates/testkit/src/bin/fake-service.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use berylgw_testkit::serve::{announce, listen};
+use berylgw_testkit::serve::{announce, listen, stop_signal};
 use berylgw_testkit::service::{Service, Settings, control_router, router};
 use pico_args::Arguments;
 
@@ -18,6 +18,7 @@
         return Err(format!("unexpected argument {argument:?}").into());
     }
     berylgw_runtime::log::install();
+    let stop = stop_signal()?;
     let servers = settings.servers;
     let service = Service::new(settings);
     for server in 0..servers {
@@ -25,7 +26,7 @@
         tracing::info!(interface = "service", %address, server, "listening");
     }
     announce("control", control, control_router(service)).await?;
-    berylgw_runtime::signal::terminated().await?;
+    stop.await;
     Ok(())
 }
 
--- a/crates/testkit/src/bin/fake-store.rs
+++ b/crates/testkit/src/bin/fake-store.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 use std::net::SocketAddr;
 
-use berylgw_testkit::serve::announce;
+use berylgw_testkit::serve::{announce, stop_signal};
 use berylgw_testkit::store::{Store, control_router, router};
 
 const DEFAULT_BYTES_PER_SECOND: f64 = 64e6;
@@ -19,9 +19,10 @@
         return Err(format!("unexpected argument {argument:?}").into());
     }
     berylgw_runtime::log::install();
+    let stop = stop_signal()?;
     let store = Store::new(rate.unwrap_or(DEFAULT_BYTES_PER_SECOND));
     announce("store", listen, router(store.clone())).await?;
     announce("control", control, control_router(store)).await?;
-    berylgw_runtime::signal::terminated().await?;
+    stop.await;
     Ok(())
 }
--- a/crates/testkit/src/bin/fault-proxy.rs
+++ b/crates/testkit/src/bin/fault-proxy.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use berylgw_testkit::proxy::{Proxy, control_router};
-use berylgw_testkit::serve::announce;
+use berylgw_testkit::serve::{announce, stop_signal};
 
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
@@ -17,10 +17,11 @@
         return Err(format!("unexpected argument {argument:?}").into());
     }
     berylgw_runtime::log::install();
+    let stop = stop_signal()?;
     let proxy = Proxy::new(upstream);
     let address = proxy.listen(listen).await?;
     berylgw_runtime::log::listening("proxy", address);
     announce("control", control, control_router(proxy)).await?;
-    berylgw_runtime::signal::terminated().await?;
+    stop.await;
     Ok(())
 }
--- a/crates/testkit/src/control.rs
+++ b/crates/testkit/src/control.rs
@@ -76,6 +76,20 @@
         self.call(Method::POST, path, body.into()).await
     }
 
+    /// Puts `body` as JSON to `path` and reads the answer as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer, it is not a success or has another shape.
+    pub async fn put<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, Error> {
+        let body = serde_json::to_vec(body).map_err(|error| failure(path, error))?;
+        self.call(Method::PUT, path, body.into()).await
+    }
+
     /// Changes the faults that `patch` names.
     ///
     /// # Errors
--- a/crates/testkit/tests/platform.rs
+++ b/crates/testkit/tests/platform.rs
@@ -6,7 +6,7 @@
 use berylgw_testkit::control;
 use berylgw_testkit::launch::{self, Process};
 use berylgw_testkit::platform::Calls;
-use serde_json::json;
+use serde_json::{Value, json};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -194,9 +194,49 @@
     assert_eq!(rows, expected);
 }
 
-/// Guards against a process that outlives its stop signal.
+/// Guards against a stop signal right after the listening line that kills the
+/// process before its signal handlers are installed.
 #[tokio::test]
 async fn process_stops() {
-    let (mut process, _, _) = platform(&[]).await;
-    assert!(process.stop().await.unwrap().success());
+    for _ in 0..20 {
+        let mut process = launch::start("fake-platform", [""; 0]).unwrap();
+        process.address("platform").await.unwrap();
+        let status = process.stop().await.unwrap();
+        assert!(status.success(), "{status}");
+    }
+}
+
+/// Guards against a host list without lag, and against one that never catches
+/// up.
+#[tokio::test]
+async fn hosts_lag() {
+    let host = json!({"address": "127.0.0.1:1", "domain": "d", "state": "live"});
+    for (lag, seen) in [("0", 1), ("600000", 0)] {
+        let (process, client, _) = platform(&["--host-lag-ms", lag]).await;
+        let address = process.address("platform").await.unwrap();
+        let register = control::Client::new(address);
+        register.put::<Value>("/v1/hosts/a", &host).await.unwrap();
+        assert_eq!(client.hosts().await.unwrap().len(), seen);
+    }
+}
+
+/// Guards against lost answers that differ between runs with the same seed.
+#[tokio::test]
+async fn lost_answers_repeat() {
+    let mut runs = Vec::new();
+    for _ in 0..2 {
+        let (_process, client, control) = platform(&["--seed", "7"]).await;
+        control
+            .fault(json!({"lose_probability": 0.5}))
+            .await
+            .unwrap();
+        let mut lost = Vec::new();
+        for name in 0..20 {
+            let update = client.put("config", &name.to_string(), 0, &1).await;
+            lost.push(matches!(update, Update::Unknown(_)));
+        }
+        runs.push(lost);
+    }
+    assert_eq!(runs[0], runs[1]);
+    assert!(runs[0].contains(&true) && runs[0].contains(&false));
 }
