Run all demo calls and allow proxies in front of agents

The demo stopped at its first failed check, so one missing part hid the rest, and tests had no way to put a fault between entries and agents.

The demo now makes all calls, stops the processes and lists the failures.

--- a/crates/testkit/src/bin/berylgw-demo.rs
+++ b/crates/testkit/src/bin/berylgw-demo.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 use std::net::SocketAddr;
 
-use berylgw_core::outcome::Outcome;
+use berylgw_core::outcome::{Outcome, Reason, Refusal};
 use berylgw_testkit::answer;
 use berylgw_testkit::client::{self, Call, Client};
 use berylgw_testkit::cluster::{Cluster, Extra};
@@ -19,6 +19,7 @@
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let mut args = pico_args::Arguments::from_env();
+    let proxied = args.contains("--proxied");
     let sheet: Option<String> = args.opt_value_from_str("--sheet")?;
     if let Some(argument) = args.finish().first() {
         return Err(format!("unexpected argument {argument:?}").into());
@@ -26,7 +27,10 @@
     let sheet = std::fs::read_to_string(sheet.as_deref().unwrap_or("examples/sheet.csv"))?;
     let mut stop = std::pin::pin!(stop_signal()?);
     // Dropping the cluster kills its processes, so an interrupted demo leaves none.
-    let extra = Extra::default();
+    let extra = Extra {
+        proxied,
+        ..Extra::default()
+    };
     let mut cluster = tokio::select! {
         cluster = Cluster::start(&sheet, &extra) => cluster?,
         () = &mut stop => return Ok(()),
@@ -36,36 +40,93 @@
         cluster.entries.len(),
         cluster.agents.len(),
     );
-    tokio::select! {
-        done = calls(&cluster) => done?,
+    let failures = tokio::select! {
+        failures = calls(&cluster) => failures,
         () = &mut stop => return Ok(()),
-    }
+    };
     cluster.stop().await?;
     println!("all entries and agents exited with status 0");
-    Ok(())
+    if failures.is_empty() {
+        Ok(())
+    } else {
+        Err(failures.join("; ").into())
+    }
 }
 
-async fn calls(cluster: &Cluster) -> Result<(), Box<dyn Error>> {
-    let wash = entry(cluster, "wash-shed", "grower-redhill").await?;
-    prompt(&wash, "draft-llm", "Draft a pickup note for twelve crates.").await?;
-    book(&wash, "yard-app", "bookings", "pickup-1").await?;
-    let works = entry(cluster, "ikeja", "contractor-okafor").await?;
-    prompt(
-        &works,
-        "drafting-llm",
-        "Draft a road permit for Allen Avenue.",
-    )
-    .await?;
-    book(&works, "permit-app", "payments", "fee-1").await?;
-    let refused = wash.chat("drafting-llm", "hello", TOKENS).await;
-    let refusal = refused.err();
-    let Some(refusal) = refusal.as_ref().and_then(client::Error::refusal) else {
-        return Err("a call without a grant was not refused".into());
+/// Makes all calls and returns what went wrong.
+async fn calls(cluster: &Cluster) -> Vec<String> {
+    let wash = wash_calls(cluster).await;
+    let works = works_calls(cluster).await;
+    wash.into_iter().chain(works).collect()
+}
+
+async fn wash_calls(cluster: &Cluster) -> Vec<String> {
+    let client = match entry(cluster, "wash-shed", "grower-redhill").await {
+        Ok(client) => client,
+        Err(error) => return vec![error.to_string()],
     };
-    println!("grower-redhill -> drafting-llm: {refusal}");
+    failures([
+        prompt(
+            &client,
+            "draft-llm",
+            "Draft a pickup note for twelve crates.",
+        )
+        .await,
+        book(&client, "yard-app", "bookings", "pickup-1").await,
+        ungranted(&client, "drafting-llm").await,
+    ])
+}
+
+async fn works_calls(cluster: &Cluster) -> Vec<String> {
+    let client = match entry(cluster, "ikeja", "contractor-okafor").await {
+        Ok(client) => client,
+        Err(error) => return vec![error.to_string()],
+    };
+    failures([
+        prompt(
+            &client,
+            "drafting-llm",
+            "Draft a road permit for Allen Avenue.",
+        )
+        .await,
+        book(&client, "permit-app", "payments", "fee-1").await,
+    ])
+}
+
+fn failures<const N: usize>(results: [Result<(), Box<dyn Error>>; N]) -> Vec<String> {
+    let errors = results.into_iter().filter_map(Result::err);
+    errors.map(|error| error.to_string()).collect()
+}
+
+/// Calls a service that the client account does not have in the sheet.
+async fn ungranted(client: &Client, model: &str) -> Result<(), Box<dyn Error>> {
+    let refused = retried_until(Reason::UnknownService, async || {
+        client.chat(model, "hello", TOKENS).await
+    });
+    println!("{model} without a grant: {}", refused.await?);
     Ok(())
 }
 
+/// Repeats a call until it is refused for `reason`.
+async fn retried_until<T>(
+    reason: Reason,
+    call: impl AsyncFn() -> Result<T, client::Error>,
+) -> Result<Refusal, Box<dyn Error>> {
+    for _ in 0..ATTEMPTS {
+        let Err(error) = call().await else {
+            return Err("the call was not refused".into());
+        };
+        let Some(refusal) = error.refusal() else {
+            return Err(error.into());
+        };
+        if refusal.reason == reason {
+            return Ok(refusal.clone());
+        }
+        tokio::time::sleep(refusal.retry_after).await;
+    }
+    Err(format!("the call was not refused for {reason}").into())
+}
+
 /// Asks an entry of the failure domain which address to use.
 async fn entry(cluster: &Cluster, domain: &str, account: &str) -> Result<Client, Box<dyn Error>> {
     let known = cluster
@@ -95,7 +156,7 @@
     for (form, answer) in [("whole", whole), ("stream", streamed)] {
         println!("{model} ({form}): {}", answer.text);
         if answer.text != expected {
-            return Err(format!("expected {expected}").into());
+            return Err(format!("{model}: expected {expected}").into());
         }
     }
     Ok(())
@@ -120,7 +181,7 @@
     let second: Value = retried(async || client.call(call.clone()).await).await?;
     println!("{service}: {first}, sent again: {second}");
     if first != second {
-        return Err("the request ran twice".into());
+        return Err(format!("{service}: the request ran twice").into());
     }
     Ok(())
 }
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// Extra command line arguments of the fakes.
+/// Extra command line arguments of the fakes, and proxies.
 #[derive(Clone, Debug, Default)]
 pub struct Extra {
     /// Arguments of the fake platform.
@@ -41,6 +41,8 @@
     pub engine: Vec<String>,
     /// Arguments of each fake service.
     pub service: Vec<String>,
+    /// Whether a fault proxy stands in front of each agent.
+    pub proxied: bool,
 }
 
 /// A process of the product.
@@ -52,10 +54,22 @@
     pub domain: Arc<str>,
     /// Address in the sheet: of callers for an entry, gRPC for an agent.
     pub address: SocketAddr,
+    /// Fault proxy that listens on the address, if there is one.
+    pub proxy: Option<Fake>,
     /// The process.
     pub process: Process,
 }
 
+impl Member {
+    async fn behind_proxy(mut self) -> Result<Member, Error> {
+        let args = ["--upstream".to_owned(), self.address.to_string()];
+        let proxy = start_fake(&self.name, "fault-proxy", &args).await?;
+        self.address = proxy.process.address("proxy").await?;
+        self.proxy = Some(proxy);
+        Ok(self)
+    }
+}
+
 /// A fake with the servers it plays.
 #[derive(Debug)]
 pub struct Fake {
@@ -100,7 +114,14 @@
         let platform = platform_fake.process.address("platform").await?;
         let fakes = start_fakes(&plan, extra).await?;
         let entries = start_entries(&plan, &scratch, platform).await?;
-        let agents = start_agents(&plan, &scratch, &entries, &fakes).await?;
+        let mut agents = Vec::new();
+        for agent in start_agents(&plan, &scratch, &entries, &fakes).await? {
+            agents.push(if extra.proxied {
+                agent.behind_proxy().await?
+            } else {
+                agent
+            });
+        }
         let mut addresses = Vec::new();
         for member in &entries {
             let peer = member.process.address("peers").await?;
@@ -292,6 +313,7 @@
         name: host.name.clone(),
         domain: host.domain.clone(),
         address: process.address(interface).await?,
+        proxy: None,
         process,
     })
 }
