--- /dev/null
+++ b/crates/agent/src/call.rs
@@ -0,0 +1,301 @@
+//! One request while the server may hold it.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_core::service::Kind;
+use berylgw_wire as wire;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, Response};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+
+use crate::forward::{Error, Server, head_of};
+use crate::gate::Place;
+use crate::run::{Answer, Dropped};
+use crate::sse;
+
+/// Time allowed for one cancel call.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause before a cancel call that failed is repeated.
+const CANCEL_PAUSE: Duration = Duration::from_millis(250);
+
+/// Retry time after a failure of the server.
+const RETRY_FAILED: Duration = Duration::from_millis(250);
+
+/// Largest result kept for `Seal`, in bytes.
+pub const MAX_RESULT: usize = 16 << 10;
+
+/// A request that has been passed on to the server.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub server: Server,
+    pub place: Place,
+    pub kind: Kind,
+    pub engine_id: String,
+    pub deadline: Instant,
+    pub started: Instant,
+}
+
+type Sending = Pin<Box<dyn Future<Output = Result<Response<Incoming>, Error>> + Send>>;
+
+/// What is left of a call that its entry has given up.
+enum Rest {
+    Head(Sending),
+    Body(Incoming, Kept),
+}
+
+/// Why a call ended before the whole answer was passed on.
+enum End {
+    Dropped,
+    Late,
+    Broken,
+    Corrupt(&'static str),
+}
+
+/// The answer as far as it is kept for `Seal`.
+struct Kept {
+    head: wire::AnswerHead,
+    body: BytesMut,
+    fits: bool,
+}
+
+impl Call {
+    /// Passes the request on and its answer back.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal that has to end the stream.
+    pub async fn run(
+        self,
+        request: Request<Full<Bytes>>,
+        answer: &mut Answer,
+    ) -> Result<(), Refusal> {
+        let server = self.server.clone();
+        let mut sending: Sending = Box::pin(async move { server.send(request).await });
+        let sent = tokio::select! {
+            sent = &mut sending => sent,
+            Dropped = answer.beat() => {
+                self.give_up(Rest::Head(sending));
+                return Ok(());
+            }
+            () = sleep_until(self.deadline) => {
+                self.give_up(Rest::Head(sending));
+                return Err(Refusal::unknown(Reason::Deadline, RETRY_FAILED));
+            }
+        };
+        let response = match sent {
+            Ok(response) => response,
+            Err(error) => return Err(self.failed(&error)),
+        };
+        self.pass_back(response, answer).await
+    }
+
+    async fn pass_back(
+        self,
+        response: Response<Incoming>,
+        answer: &mut Answer,
+    ) -> Result<(), Refusal> {
+        let mut kept = Kept::new(&response);
+        let events = self.kind == Kind::Model && is_event_stream(&response);
+        let mut body = response.into_body();
+        let end = match answer.head(kept.head.clone()).await {
+            Ok(()) => copy(&mut body, &mut kept, events, self.deadline, answer).await,
+            Err(Dropped) => Err(End::Dropped),
+        };
+        let Err(end) = end else {
+            self.complete(kept);
+            // An entry that drops the stream now has lost only the final frame.
+            let _ = answer.finish().await;
+            return Ok(());
+        };
+        match end {
+            End::Dropped => {
+                self.give_up(Rest::Body(body, kept));
+                Ok(())
+            }
+            End::Late => {
+                self.give_up(Rest::Body(body, kept));
+                Err(Refusal::unknown(Reason::Deadline, RETRY_FAILED))
+            }
+            End::Corrupt(message) => {
+                self.give_up(Rest::Body(body, kept));
+                Err(server_failed().with_message(message))
+            }
+            End::Broken => {
+                self.place.broken();
+                Err(server_failed().with_message("the server's answer was cut short"))
+            }
+        }
+    }
+
+    /// Accounts for a request that got no head.
+    fn failed(self, error: &Error) -> Refusal {
+        if matches!(error, Error::Connect(_)) {
+            self.place.not_run();
+            return Refusal::not_run(Reason::ServerFailed, RETRY_FAILED)
+                .with_message(error.to_string());
+        }
+        self.place.broken();
+        server_failed().with_message(error.to_string())
+    }
+
+    fn complete(self, kept: Kept) {
+        let healthy = kept.head.status < 500;
+        self.place
+            .completed(healthy.then(|| self.started.elapsed()), kept.result());
+    }
+
+    /// Keeps the place until the server does not hold the request any more.
+    fn give_up(self, rest: Rest) {
+        tokio::spawn(self.wind_up(rest));
+    }
+
+    async fn wind_up(self, rest: Rest) {
+        if self.kind == Kind::Plain {
+            self.read_to_end(rest).await;
+            return;
+        }
+        let server = self.server.clone();
+        let engine_id = self.engine_id.clone();
+        tokio::select! {
+            () = self.read_to_end(rest) => {}
+            () = cancel(&server, &engine_id) => {}
+        }
+    }
+
+    async fn read_to_end(self, rest: Rest) {
+        let (mut body, mut kept) = match rest {
+            Rest::Body(body, kept) => (body, kept),
+            Rest::Head(sending) => match sending.await {
+                Ok(response) => {
+                    let kept = Kept::new(&response);
+                    (response.into_body(), kept)
+                }
+                Err(error) => {
+                    self.failed(&error);
+                    return;
+                }
+            },
+        };
+        // A service that has sent a head only writes; closing its connection
+        // ends that. Before the head it may work on, so there is no limit.
+        let limit = self.deadline.max(Instant::now() + CANCEL_TIMEOUT);
+        let read = timeout_at(limit, async {
+            while let Some(frame) = body.frame().await {
+                if let Ok(data) = frame?.into_data() {
+                    kept.push(&data);
+                }
+            }
+            Ok::<(), hyper::Error>(())
+        });
+        match read.await {
+            Ok(Ok(())) => self.complete(kept),
+            Ok(Err(_)) => self.place.broken(),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Copies the body into data frames.
+async fn copy(
+    body: &mut Incoming,
+    kept: &mut Kept,
+    events: bool,
+    deadline: Instant,
+    answer: &mut Answer,
+) -> Result<(), End> {
+    let mut splitter = sse::Splitter::default();
+    let mut done = false;
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            Dropped = answer.beat() => return Err(End::Dropped),
+            () = sleep_until(deadline) => return Err(End::Late),
+        };
+        let Some(frame) = frame else { break };
+        let Ok(data) = frame.map_err(|_| End::Broken)?.into_data() else {
+            continue;
+        };
+        kept.push(&data);
+        if !events {
+            pass(answer, data, deadline).await?;
+            continue;
+        }
+        splitter.push(&data);
+        while let Some(event) = splitter.next() {
+            done |= sse::is_done(&event);
+            pass(answer, event, deadline).await?;
+        }
+        if splitter.pending() > sse::MAX_EVENT {
+            return Err(End::Corrupt("an event of the server's answer is too long"));
+        }
+    }
+    // A body without length ends where its connection ends, even in mid-answer.
+    if events && (!done || splitter.pending() > 0) {
+        return Err(End::Broken);
+    }
+    Ok(())
+}
+
+async fn pass(answer: &mut Answer, data: Bytes, deadline: Instant) -> Result<(), End> {
+    if data.is_empty() {
+        return Ok(());
+    }
+    match timeout_at(deadline, answer.data(data)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(Dropped)) => Err(End::Dropped),
+        Err(_) => Err(End::Late),
+    }
+}
+
+/// Repeats the cancel call until the engine confirms it.
+async fn cancel(server: &Server, engine_id: &str) {
+    loop {
+        match timeout(CANCEL_TIMEOUT, server.cancel(engine_id)).await {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => tracing::warn!(engine_id, %error, "cancel call failed"),
+            Err(_) => tracing::warn!(engine_id, "cancel call timed out"),
+        }
+        sleep(CANCEL_PAUSE).await;
+    }
+}
+
+fn server_failed() -> Refusal {
+    Refusal::unknown(Reason::ServerFailed, RETRY_FAILED)
+}
+
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let content_type = response.headers().get(CONTENT_TYPE);
+    let text = content_type.and_then(|value| value.to_str().ok());
+    response.status().is_success() && text.is_some_and(|text| text.starts_with("text/event-stream"))
+}
+
+impl Kept {
+    fn new(response: &Response<Incoming>) -> Self {
+        Kept {
+            head: head_of(response),
+            body: BytesMut::new(),
+            fits: true,
+        }
+    }
+
+    fn push(&mut self, data: &[u8]) {
+        self.fits &= self.body.len() + data.len() <= MAX_RESULT;
+        if self.fits {
+            self.body.extend_from_slice(data);
+        }
+    }
+
+    fn result(self) -> Option<wire::Result> {
+        self.fits.then(|| wire::Result {
+            status: self.head.status,
+            headers: self.head.headers,
+            body: self.body.freeze(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control.rs
@@ -0,0 +1,300 @@
+//! The control thread: configuration and load reports.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::config::{Snapshot, Version, View};
+use berylgw_wire as wire;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+use tonic::transport::{Channel, Endpoint};
+use wire::sync_client::SyncClient;
+
+use crate::convert;
+use crate::forward::Server;
+use crate::gate::Gate;
+use crate::metrics::Metrics;
+
+/// Entries followed at the same time.
+const HOMES: usize = 2;
+
+/// Time without a message after which an entry is replaced.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// Pause between attempts to follow entries.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between load reports of the server.
+const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time allowed for a connection or a single pull.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest message from an entry, in bytes: a view of several 1 MiB objects.
+const MAX_MESSAGE: usize = 64 << 20;
+
+/// What the control thread publishes.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    /// All configuration objects.
+    pub view: View,
+    /// What they resolve to.
+    pub snapshot: Snapshot,
+    /// Entry addresses that can be followed.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// Asks the control thread to pull from an entry that knows a newer version.
+#[derive(Clone, Debug)]
+pub struct Hint {
+    /// Name of the entry.
+    pub entry: Arc<str>,
+    /// Version it knows.
+    pub version: Version,
+}
+
+/// What the control thread works with.
+#[derive(Debug)]
+pub struct Inputs {
+    /// Peer addresses from the settings.
+    pub entries: Vec<SocketAddr>,
+    /// Receives configuration and load reports.
+    pub gate: Arc<Gate>,
+    /// Address of the local server.
+    pub server: SocketAddr,
+    /// Gauges to refresh.
+    pub metrics: Arc<Metrics>,
+    /// Where to publish.
+    pub published: watch::Sender<Arc<Published>>,
+    /// Versions seen in requests.
+    pub hints: mpsc::Receiver<Hint>,
+    /// Ends the thread when set.
+    pub stop: watch::Receiver<bool>,
+}
+
+struct Control {
+    seeds: Vec<SocketAddr>,
+    learned: Vec<SocketAddr>,
+    followed: [Option<SocketAddr>; HOMES],
+    next: usize,
+    view: View,
+    gate: Arc<Gate>,
+    published: watch::Sender<Arc<Published>>,
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// Fails if the thread or its runtime cannot be made.
+pub fn spawn(inputs: Inputs) -> std::io::Result<std::thread::JoinHandle<()>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, run(inputs));
+        })
+}
+
+async fn run(inputs: Inputs) {
+    let mut stop = inputs.stop;
+    let mut hints = inputs.hints;
+    let control = Rc::new(RefCell::new(Control {
+        seeds: inputs.entries,
+        learned: Vec::new(),
+        followed: [None; HOMES],
+        next: 0,
+        view: View::new(),
+        gate: inputs.gate.clone(),
+        published: inputs.published,
+    }));
+    for home in 0..HOMES {
+        tokio::task::spawn_local(follow(control.clone(), home));
+    }
+    tokio::task::spawn_local(watch_load(
+        inputs.gate,
+        Server::new(inputs.server),
+        inputs.metrics,
+    ));
+    loop {
+        tokio::select! {
+            _ = stop.wait_for(|stop| *stop) => return,
+            hint = hints.recv() => {
+                let Some(hint) = hint else { return };
+                tokio::task::spawn_local(catch_up(control.clone(), hint));
+            }
+        }
+    }
+}
+
+/// Follows one entry after the other.
+async fn follow(control: Rc<RefCell<Control>>, home: usize) {
+    loop {
+        let Some(address) = control.borrow_mut().choose(home) else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        if let Err(error) = follow_entry(&control, address).await {
+            tracing::info!(%address, %error, "entry is not followed any more");
+        }
+        control.borrow_mut().followed[home] = None;
+        sleep(PAUSE).await;
+    }
+}
+
+async fn follow_entry(
+    control: &Rc<RefCell<Control>>,
+    address: SocketAddr,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let mut client = connect(address).await?;
+    let mut since = control.borrow().view.version();
+    let request = control.borrow().request(since);
+    let mut stream = timeout(SILENCE, client.follow(request))
+        .await??
+        .into_inner();
+    loop {
+        let message = timeout(SILENCE, stream.message()).await??;
+        let Some(reply) = message else {
+            return Err("stream ended".into());
+        };
+        control.borrow_mut().merge(since, &reply);
+        since = since.max(Version::from(reply.version));
+    }
+}
+
+async fn catch_up(control: Rc<RefCell<Control>>, hint: Hint) {
+    let since = control.borrow().view.version();
+    if since >= hint.version {
+        return;
+    }
+    let addresses = control.borrow().addresses_of(&hint.entry);
+    for address in addresses {
+        let pull = async {
+            let mut client = connect(address).await.ok()?;
+            let request = control.borrow().request(since);
+            Some(client.pull(request).await.ok()?.into_inner())
+        };
+        let Ok(Some(reply)) = timeout(CALL_TIMEOUT, pull).await else {
+            continue;
+        };
+        control.borrow_mut().merge(since, &reply);
+        if control.borrow().view.version() >= hint.version {
+            return;
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SyncClient<Channel>, tonic::transport::Error> {
+    let channel = Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(CALL_TIMEOUT)
+        .connect()
+        .await?;
+    Ok(SyncClient::new(channel).max_decoding_message_size(MAX_MESSAGE))
+}
+
+async fn watch_load(gate: Arc<Gate>, server: Server, metrics: Arc<Metrics>) {
+    loop {
+        match timeout(CALL_TIMEOUT, server.load()).await {
+            Ok(Ok(report)) => gate.report(report),
+            Ok(Err(error)) => tracing::debug!(%error, "no load report"),
+            Err(_) => tracing::debug!("load report timed out"),
+        }
+        gate.tick();
+        metrics.refresh(&gate);
+        sleep(LOAD_INTERVAL).await;
+    }
+}
+
+impl Control {
+    /// The next candidate that no other home follows.
+    fn choose(&mut self, home: usize) -> Option<SocketAddr> {
+        let candidates = self.candidates();
+        for _ in 0..candidates.len() {
+            let address = candidates[self.next % candidates.len()];
+            self.next += 1;
+            if !self.followed.contains(&Some(address)) {
+                self.followed[home] = Some(address);
+                return Some(address);
+            }
+        }
+        None
+    }
+
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.learned.clone();
+        addresses.extend(
+            self.seeds
+                .iter()
+                .filter(|seed| !self.learned.contains(seed)),
+        );
+        addresses
+    }
+
+    /// Addresses to pull from: that of the named entry first.
+    fn addresses_of(&self, entry: &str) -> Vec<SocketAddr> {
+        let published = self.published.borrow();
+        let entries = &published.snapshot.sheet.entries;
+        let named = entries.iter().find(|known| *known.name == *entry);
+        let mut addresses: Vec<_> = named.map(|entry| entry.peer_address).into_iter().collect();
+        for address in self.candidates() {
+            if !addresses.contains(&address) {
+                addresses.push(address);
+            }
+        }
+        addresses
+    }
+
+    fn request(&self, since: Version) -> wire::PullRequest {
+        wire::PullRequest {
+            sender: Some(self.gate.sender(self.view.version())),
+            since: since.into(),
+        }
+    }
+
+    fn merge(&mut self, since: Version, reply: &wire::PullReply) {
+        self.gate.merge_suspects(&reply.suspects);
+        let learned: Vec<SocketAddr> = reply
+            .entries
+            .iter()
+            .filter_map(|address| address.parse().ok())
+            .collect();
+        let entries_changed = !learned.is_empty() && learned != self.learned;
+        if entries_changed {
+            self.learned = learned;
+        }
+        let objects: Option<Vec<_>> = reply.objects.iter().map(convert::object).collect();
+        let Some(objects) = objects else {
+            tracing::error!("configuration object is not UTF-8");
+            return;
+        };
+        let advanced = self
+            .view
+            .merge(since, Version::from(reply.version), &objects);
+        if advanced || entries_changed {
+            self.publish();
+        }
+    }
+
+    fn publish(&self) {
+        let snapshot = match self.view.snapshot() {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                tracing::error!(%error, "configuration cannot be resolved");
+                return;
+            }
+        };
+        let published = Arc::new(Published {
+            view: self.view.clone(),
+            snapshot,
+            entries: self.candidates(),
+        });
+        self.gate.configure(published.clone());
+        self.published.send_replace(published);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/dispatch.rs
@@ -0,0 +1,133 @@
+//! The `Agent` interface.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::config::Version;
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_wire as wire;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status};
+
+use crate::control::{Hint, Published};
+use crate::forward::Server;
+use crate::gate::Gate;
+use crate::metrics::Metrics;
+use crate::run;
+
+/// Frames that wait for the entry to read them.
+const FRAMES_BUFFERED: usize = 16;
+
+/// Wait for a configuration that the sender has and the agent has not.
+const CATCH_UP: Duration = Duration::from_secs(1);
+
+/// Serves the `Agent` interface.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The decision core.
+    pub gate: Arc<Gate>,
+    /// The local server.
+    pub server: Server,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// The newest configuration.
+    pub published: watch::Receiver<Arc<Published>>,
+    /// Tells the control thread about newer versions.
+    pub hints: mpsc::Sender<Hint>,
+}
+
+impl Service {
+    /// Waits briefly for the configuration version of the sender.
+    async fn catch_up(&self, sender: Option<&wire::Sender>) {
+        let Some(sender) = sender else { return };
+        let version = Version::from(sender.config_version);
+        if self.published.borrow().snapshot.version >= version {
+            return;
+        }
+        let hint = Hint {
+            entry: sender.name.as_str().into(),
+            version,
+        };
+        // When the channel is full, the control thread is already pulling.
+        let _ = self.hints.try_send(hint);
+        let mut published = self.published.clone();
+        let caught_up = published.wait_for(|published| published.snapshot.version >= version);
+        let _ = timeout(CATCH_UP, caught_up).await;
+    }
+
+    async fn serve(self, request: wire::DispatchRequest, frames: mpsc::Sender<run::Frame>) {
+        let mut answer = run::Answer::new(&request, self.gate.clone(), frames);
+        tokio::select! {
+            () = self.catch_up(request.sender.as_ref()) => {}
+            () = answer.dropped() => return,
+        }
+        let refusal = match self.gate.admit(&request) {
+            Ok(admitted) => run::run(&self, request, admitted, &mut answer).await.err(),
+            Err(refusal) => Some(refusal),
+        };
+        if let Some(refusal) = refusal {
+            self.metrics.refused(refusal.reason);
+            answer.refuse(&refusal).await;
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl wire::agent_server::Agent for Service {
+    type DispatchStream = ReceiverStream<run::Frame>;
+
+    async fn dispatch(
+        &self,
+        request: Request<wire::DispatchRequest>,
+    ) -> Result<Response<Self::DispatchStream>, Status> {
+        let (sender, receiver) = mpsc::channel(FRAMES_BUFFERED);
+        tokio::spawn(self.clone().serve(request.into_inner(), sender));
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+
+    async fn probe(
+        &self,
+        request: Request<wire::ProbeRequest>,
+    ) -> Result<Response<wire::ProbeReply>, Status> {
+        if let Some(sender) = &request.get_ref().sender {
+            self.hint(sender);
+        }
+        Ok(Response::new(wire::ProbeReply {
+            sender: Some(self.gate.current_sender()),
+            load: Some(self.gate.load()),
+            suspects: self.gate.suspects(),
+        }))
+    }
+
+    async fn seal(
+        &self,
+        _request: Request<wire::SealRequest>,
+    ) -> Result<Response<wire::SealReply>, Status> {
+        Err(Status::unimplemented("seal"))
+    }
+
+    async fn issue_ticket(
+        &self,
+        _request: Request<wire::TicketRequest>,
+    ) -> Result<Response<wire::TicketReply>, Status> {
+        let refusal = Refusal::not_run(Reason::TicketInvalid, Duration::ZERO);
+        Ok(Response::new(wire::TicketReply {
+            sender: Some(self.gate.current_sender()),
+            refusal: Some(crate::convert::refusal(&refusal)),
+            ..Default::default()
+        }))
+    }
+}
+
+impl Service {
+    fn hint(&self, sender: &wire::Sender) {
+        let version = Version::from(sender.config_version);
+        if self.published.borrow().snapshot.version >= version {
+            return;
+        }
+        let entry = sender.name.as_str().into();
+        let _ = self.hints.try_send(Hint { entry, version });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/forward.rs
@@ -0,0 +1,231 @@
+//! Calls to the local engine or service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use berylgw_core::admission::Report;
+use berylgw_wire as wire;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde_json::Value;
+
+/// Largest load report or cancel answer read, in bytes.
+const MAX_REPORT: usize = 64 << 10;
+
+/// Time after which an idle connection is closed.
+const POOL_IDLE: Duration = Duration::from_secs(10);
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection could be made; the server has seen nothing.
+    #[error("no connection to the backend server: {0}")]
+    Connect(#[source] hyper_util::client::legacy::Error),
+    /// The connection broke before the head of the answer.
+    #[error("connection to the backend server broke: {0}")]
+    Broken(#[source] hyper_util::client::legacy::Error),
+    /// The request cannot be expressed in HTTP or is not the JSON it should be.
+    #[error("request cannot be passed on: {0}")]
+    Invalid(String),
+    /// The server answered something else than expected.
+    #[error("unexpected answer: {0}")]
+    Answer(String),
+}
+
+/// The local engine or service.
+///
+/// Cloning is cheap and shares connections. The HTTP client closes a
+/// connection whose answer was not read to its end.
+#[derive(Clone, Debug)]
+pub struct Server {
+    address: SocketAddr,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+#[derive(Deserialize)]
+struct Load {
+    in_flight: u32,
+    #[serde(default)]
+    queued: u32,
+    #[serde(default)]
+    cold: bool,
+    as_of_ms: u64,
+}
+
+impl Server {
+    /// A client of the server at `address`, for use in one runtime.
+    pub fn new(address: SocketAddr) -> Self {
+        let http = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(POOL_IDLE)
+            .pool_timer(hyper_util::rt::TokioTimer::new())
+            .build_http();
+        Server { address, http }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server cannot be reached or breaks the connection.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        self.http.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Error::Connect(error)
+            } else {
+                Error::Broken(error)
+            }
+        })
+    }
+
+    /// Reads the server's load report.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer or it is not a load report.
+    pub async fn load(&self) -> Result<Report, Error> {
+        let (status, body) = self.call(Method::GET, "/load").await?;
+        if status != StatusCode::OK {
+            return Err(Error::Answer(format!("status {status} for a load report")));
+        }
+        let load: Load =
+            serde_json::from_slice(&body).map_err(|error| Error::Answer(error.to_string()))?;
+        Ok(Report {
+            in_flight: load.in_flight.saturating_add(load.queued),
+            cold: load.cold,
+            as_of_ms: load.as_of_ms,
+        })
+    }
+
+    /// Asks an engine to cancel a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not confirm that it does not hold the request.
+    pub async fn cancel(&self, engine_id: &str) -> Result<(), Error> {
+        let (status, _) = self
+            .call(Method::POST, &format!("/cancel/{engine_id}"))
+            .await?;
+        // An engine that does not know the request does not hold it.
+        if status.is_success() || status == StatusCode::NOT_FOUND {
+            return Ok(());
+        }
+        Err(Error::Answer(format!("status {status} for a cancel call")))
+    }
+
+    /// The request to a plain service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if method, path or a header is not valid in HTTP.
+    pub fn plain_request(
+        &self,
+        request: &wire::DispatchRequest,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let method = Method::from_bytes(request.method.as_bytes())
+            .map_err(|error| Error::Invalid(error.to_string()))?;
+        let mut built = self.request(method, &request.path, request.body.clone())?;
+        for header in &request.headers {
+            let (name, value) = header_of(header)?;
+            if !HOP_HEADERS.contains(&name.as_str()) {
+                built.headers_mut().append(name, value);
+            }
+        }
+        Ok(built)
+    }
+
+    /// The request to a model engine: the caller's JSON with added fields.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not a JSON object.
+    pub fn model_request(
+        &self,
+        request: &wire::DispatchRequest,
+        engine_id: &str,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let invalid = |error: serde_json::Error| Error::Invalid(error.to_string());
+        let mut body: serde_json::Map<String, Value> =
+            serde_json::from_slice(&request.body).map_err(invalid)?;
+        body.insert("request_id".to_owned(), engine_id.into());
+        body.insert("response_id".to_owned(), request.request_id.clone().into());
+        body.insert("resume_from".to_owned(), request.resume_from.into());
+        let bytes = serde_json::to_vec(&body).map_err(invalid)?;
+        let mut built = self.request(Method::POST, "/v1/chat/completions", bytes.into())?;
+        let json = HeaderValue::from_static("application/json");
+        built.headers_mut().insert(CONTENT_TYPE, json);
+        Ok(built)
+    }
+
+    async fn call(&self, method: Method, path: &str) -> Result<(StatusCode, Bytes), Error> {
+        let request = self.request(method, path, Bytes::new())?;
+        let response = self.send(request).await?;
+        let status = response.status();
+        let body = http_body_util::Limited::new(response.into_body(), MAX_REPORT)
+            .collect()
+            .await
+            .map_err(|error| Error::Answer(error.to_string()))?;
+        Ok((status, body.to_bytes()))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let path = if path.starts_with('/') { path } else { "/" };
+        let uri: Uri = format!("http://{}{path}", self.address)
+            .parse()
+            .map_err(|error: hyper::http::uri::InvalidUri| Error::Invalid(error.to_string()))?;
+        Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Full::new(body))
+            .map_err(|error| Error::Invalid(error.to_string()))
+    }
+}
+
+/// The head of an answer without the headers of the connection.
+pub fn head_of(response: &Response<Incoming>) -> wire::AnswerHead {
+    let kept = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
+    wire::AnswerHead {
+        status: u32::from(response.status().as_u16()),
+        headers: kept
+            .map(|(name, value)| wire::Header {
+                name: name.as_str().to_owned(),
+                value: Bytes::copy_from_slice(value.as_bytes()),
+            })
+            .collect(),
+    }
+}
+
+fn header_of(header: &wire::Header) -> Result<(HeaderName, HeaderValue), Error> {
+    let name = HeaderName::from_bytes(header.name.as_bytes())
+        .map_err(|error| Error::Invalid(error.to_string()))?;
+    let value = HeaderValue::from_bytes(&header.value)
+        .map_err(|error| Error::Invalid(error.to_string()))?;
+    Ok((name, value))
+}
--- /dev/null
+++ b/crates/agent/src/gate.rs
@@ -0,0 +1,484 @@
+//! The decision core applied to the requests of all entries.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use berylgw_core::admission::{self, Action, Decision, Limits, Report};
+use berylgw_core::clock::Instant;
+use berylgw_core::config::Version;
+use berylgw_core::drain;
+use berylgw_core::fair::Queue;
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_core::quarantine::{self, Verdict};
+use berylgw_core::service::Kind;
+use berylgw_runtime::clock::Clock;
+use berylgw_wire as wire;
+use tokio::sync::{Notify, oneshot};
+
+use crate::control::Published;
+use crate::convert::millis;
+use crate::settings::Settings;
+
+/// Retry time for refusals that another backend server can take at once.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+
+/// Shared state of all requests of one agent.
+///
+/// Every operation holds the lock for a short computation without input or
+/// output.
+pub struct Gate {
+    name: Arc<str>,
+    domain: Arc<str>,
+    incarnation: u64,
+    clock: Clock,
+    state: Mutex<State>,
+    idle: Notify,
+}
+
+struct State {
+    published: Arc<Published>,
+    configured_at: Instant,
+    leaving: bool,
+    admission: admission::State,
+    quarantine: quarantine::Table,
+    cohort: Cohort,
+    waiters: Vec<Waiter>,
+    next_id: u64,
+    crashes: u64,
+}
+
+struct Waiter {
+    id: u64,
+    grant: oneshot::Sender<Result<(), Refusal>>,
+}
+
+/// Requests passed on, and those among them whose connections broke together.
+#[derive(Default)]
+struct Cohort {
+    forwarded: Vec<Forwarded>,
+    /// Requests in flight at the first break that have not broken yet.
+    intact: Vec<u64>,
+    broken: Vec<u64>,
+}
+
+#[derive(Clone, Copy)]
+struct Forwarded {
+    id: u64,
+    fingerprint: u64,
+}
+
+/// What the metrics show.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// Load as entries see it.
+    pub load: wire::Load,
+    /// Configuration version in force.
+    pub config_version: u64,
+    /// Time since it came into force.
+    pub config_age: Duration,
+    /// Crashes of the server noticed.
+    pub crashes: u64,
+    /// Suspected or convicted fingerprints.
+    pub suspects: usize,
+}
+
+/// A request that was let in: its place, and word when it may be passed on.
+#[derive(Debug)]
+pub struct Admitted {
+    /// The place in the queue, later at the server.
+    pub place: Place,
+    /// Resolves when the request may run or is given up.
+    pub grant: oneshot::Receiver<Result<(), Refusal>>,
+    /// Kind of the service.
+    pub kind: Kind,
+    /// Time of the caller's deadline.
+    pub deadline: Instant,
+}
+
+/// A place in the queue or at the server, given back when dropped.
+#[derive(Debug)]
+pub struct Place {
+    gate: Arc<Gate>,
+    id: u64,
+    fingerprint: u64,
+    alone: bool,
+}
+
+impl fmt::Debug for Gate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gate")
+            .field("name", &self.name)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Gate {
+    /// The gate of a new incarnation.
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+        let queue = Queue::new(settings.queue.total, settings.queue.per_account);
+        let limits = Limits { warm: 0, cold: 0 };
+        let lag = Duration::from_millis(settings.server.report_lag_ms);
+        let conviction = Duration::from_millis(settings.quarantine.conviction_ms);
+        Gate {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            incarnation,
+            clock: Clock::start(),
+            state: Mutex::new(State {
+                published: Arc::default(),
+                configured_at: Instant::ORIGIN,
+                leaving: false,
+                admission: admission::State::new(limits, queue, lag),
+                quarantine: quarantine::Table::new(conviction, settings.quarantine.capacity),
+                cohort: Cohort::default(),
+                waiters: Vec::new(),
+                next_id: 0,
+                crashes: 0,
+            }),
+            idle: Notify::new(),
+        }
+    }
+
+    /// The process clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Identity of this agent in messages.
+    pub fn sender(&self, version: Version) -> wire::Sender {
+        wire::Sender {
+            name: self.name.to_string(),
+            incarnation: self.incarnation,
+            config_version: version.into(),
+        }
+    }
+
+    /// Identity of this agent with the configuration version in force.
+    pub fn current_sender(&self) -> wire::Sender {
+        let version = self.lock().published.snapshot.version;
+        self.sender(version)
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, published: Arc<Published>) {
+        let mut state = self.lock();
+        state.configured_at = self.clock.now();
+        state.published = published;
+        if let Some(server) = state.published.snapshot.server(&self.name) {
+            let limits = Limits {
+                warm: server.limit,
+                cold: server.cold_limit,
+            };
+            state.admission.set_limits(limits);
+        }
+        self.settle(&mut state);
+    }
+
+    /// Takes in a load report of the server.
+    pub fn report(&self, report: Report) {
+        let mut state = self.lock();
+        state.admission.report(report);
+        self.settle(&mut state);
+    }
+
+    /// Gives up queued requests whose deadline has passed.
+    pub fn tick(&self) {
+        self.settle(&mut self.lock());
+    }
+
+    /// Takes in suspects that other processes know.
+    pub fn merge_suspects(&self, suspects: &[wire::Suspect]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for suspect in suspects {
+            let suspect = quarantine::Suspect {
+                fingerprint: suspect.fingerprint,
+                crashes: suspect.crashes,
+                convicted: Duration::from_millis(suspect.convicted_ms),
+            };
+            state.quarantine.merge(now, suspect);
+        }
+    }
+
+    /// Suspected and convicted fingerprints.
+    pub fn suspects(&self) -> Vec<wire::Suspect> {
+        let suspects = self.lock().quarantine.suspects(self.clock.now());
+        let wire = suspects.iter().map(|suspect| wire::Suspect {
+            fingerprint: suspect.fingerprint,
+            crashes: suspect.crashes,
+            convicted_ms: millis(suspect.convicted),
+        });
+        wire.collect()
+    }
+
+    /// Load as entries see it.
+    pub fn load(&self) -> wire::Load {
+        self.load_of(&self.lock())
+    }
+
+    /// What the metrics show.
+    pub fn status(&self) -> Status {
+        let now = self.clock.now();
+        let state = self.lock();
+        Status {
+            load: self.load_of(&state),
+            config_version: state.published.snapshot.version.into(),
+            config_age: now.since(state.configured_at),
+            crashes: state.crashes,
+            suspects: state.quarantine.suspects(now).len(),
+        }
+    }
+
+    /// Refuses new work and everything that is queued.
+    pub fn leave(&self) {
+        let mut state = self.lock();
+        state.leaving = true;
+        self.settle(&mut state);
+    }
+
+    /// Waits until no request is held or queued.
+    pub async fn idle(&self) {
+        loop {
+            let notified = self.idle.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            {
+                let state = self.lock();
+                if state.admission.held() == 0 && state.admission.queued() == 0 {
+                    return;
+                }
+            }
+            notified.await;
+        }
+    }
+
+    /// Lets a request in or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a refusal that is `not run`.
+    pub fn admit(self: &Arc<Self>, request: &wire::DispatchRequest) -> Result<Admitted, Refusal> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        self.check_version(&state, request)?;
+        self.check_open(&state)?;
+        let kind = self.check_service(&state, request)?;
+        let verdict = state.quarantine.verdict(now, request.fingerprint);
+        if let Verdict::Convicted(rest) = verdict {
+            return Err(Refusal::not_run(Reason::Quarantined, rest));
+        }
+        let id = state.next_id;
+        state.next_id += 1;
+        let deadline = now + Duration::from_millis(request.timeout_ms);
+        let alone = request.isolate || verdict == Verdict::Suspected;
+        let account: Arc<str> = request.account.as_str().into();
+        let known = state.published.snapshot.account(&account);
+        let Some((weight, concurrency)) = known.map(|known| (known.weight, known.concurrency))
+        else {
+            return Err(Refusal::not_run(Reason::UnknownService, RETRY_ELSEWHERE));
+        };
+        let offered = admission::Request {
+            id,
+            account,
+            weight,
+            concurrency,
+            deadline,
+            alone,
+        };
+        if let Decision::Refused(refusal) = state.admission.offer(now, offered) {
+            return Err(refusal);
+        }
+        let (sender, grant) = oneshot::channel();
+        state.waiters.push(Waiter { id, grant: sender });
+        self.settle(&mut state);
+        Ok(Admitted {
+            place: Place {
+                gate: self.clone(),
+                id,
+                fingerprint: request.fingerprint,
+                alone,
+            },
+            grant,
+            kind,
+            deadline,
+        })
+    }
+
+    fn check_version(&self, state: &State, request: &wire::DispatchRequest) -> Result<(), Refusal> {
+        let theirs = request
+            .sender
+            .as_ref()
+            .map_or(0, |sender| sender.config_version);
+        // A newer version that has not arrived here in time is refused as well.
+        if Version::from(theirs) == state.published.snapshot.version {
+            return Ok(());
+        }
+        Err(Refusal::not_run(Reason::StaleConfig, RETRY_ELSEWHERE))
+    }
+
+    fn check_open(&self, state: &State) -> Result<(), Refusal> {
+        if self.drain_state(state) == drain::State::Open {
+            return Ok(());
+        }
+        Err(Refusal::not_run(Reason::Draining, RETRY_ELSEWHERE))
+    }
+
+    fn check_service(
+        &self,
+        state: &State,
+        request: &wire::DispatchRequest,
+    ) -> Result<Kind, Refusal> {
+        let snapshot = &state.published.snapshot;
+        let own = snapshot.server(&self.name).map(|server| &server.service);
+        let same = own.is_some_and(|service| **service == *request.service);
+        let granted = snapshot.grants(&request.account, &request.service);
+        match snapshot.service(&request.service) {
+            Some(service) if same && granted => Ok(service.kind),
+            _ => Err(Refusal::not_run(Reason::UnknownService, RETRY_ELSEWHERE)),
+        }
+    }
+
+    fn drain_state(&self, state: &State) -> drain::State {
+        let snapshot = &state.published.snapshot;
+        drain::state(snapshot, &self.name, &self.domain, state.leaving)
+    }
+
+    fn load_of(&self, state: &State) -> wire::Load {
+        wire::Load {
+            in_flight: state.admission.held(),
+            queued: state.admission.queued(),
+            limit: state.admission.limit(),
+            service_time_us: state.admission.service_time().as_micros() as u64,
+            cold: state.admission.is_cold(),
+            draining: self.drain_state(state) != drain::State::Open,
+        }
+    }
+
+    /// Carries out what the decision core asks for after a change.
+    fn settle(&self, state: &mut State) {
+        let mut actions = Vec::new();
+        if self.drain_state(state) != drain::State::Open {
+            actions = state.admission.refuse_queued(Reason::Draining);
+        }
+        actions.extend(state.admission.advance(self.clock.now()));
+        for action in actions {
+            let (id, word) = match action {
+                Action::Run(id) => (id, Ok(())),
+                Action::Refuse(id, refusal) => (id, Err(refusal)),
+            };
+            let Some(index) = state.waiters.iter().position(|waiter| waiter.id == id) else {
+                continue;
+            };
+            // A receiver that is gone gives its place back when it is dropped.
+            let _ = state.waiters.swap_remove(index).grant.send(word);
+        }
+        if state.admission.held() == 0 && state.admission.queued() == 0 {
+            self.idle.notify_waiters();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Place {
+    /// Notes that the request is being passed on to the server.
+    pub fn forwarded(&self) {
+        let mut state = self.gate.lock();
+        state.cohort.forwarded.push(Forwarded {
+            id: self.id,
+            fingerprint: self.fingerprint,
+        });
+    }
+
+    /// Notes that the server has not seen the request.
+    pub fn not_run(&self) {
+        let mut state = self.gate.lock();
+        state.cohort.forwarded.retain(|held| held.id != self.id);
+    }
+
+    /// Notes that the server answered to the end, with its service time if it
+    /// answered well and with the result if it is short enough to keep.
+    pub fn completed(&self, service_time: Option<Duration>, result: Option<wire::Result>) {
+        let mut state = self.gate.lock();
+        state.cohort.clear_suspicion();
+        if let Some(service_time) = service_time {
+            state.admission.complete(service_time);
+        }
+        if self.alone {
+            state.quarantine.acquit(self.fingerprint);
+        }
+        let _ = result;
+    }
+
+    /// Notes that the server broke the connection.
+    pub fn broken(&self) {
+        let now = self.gate.clock.now();
+        let mut state = self.gate.lock();
+        let crashed = state.cohort.break_one(self.id);
+        state.note_crash(now, crashed);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        state.admission.withdraw(self.id);
+        state.admission.release(self.id);
+        state.waiters.retain(|waiter| waiter.id != self.id);
+        state.cohort.forwarded.retain(|held| held.id != self.id);
+        let crashed = state.cohort.leave(self.id);
+        state.note_crash(self.gate.clock.now(), crashed);
+        self.gate.settle(&mut state);
+    }
+}
+
+impl State {
+    fn note_crash(&mut self, now: Instant, fingerprints: Option<Vec<u64>>) {
+        let Some(fingerprints) = fingerprints else {
+            return;
+        };
+        self.quarantine.crash(now, &fingerprints);
+        self.admission.fall_back();
+        self.crashes += 1;
+        tracing::warn!(suspects = fingerprints.len(), "backend server crashed");
+    }
+}
+
+impl Cohort {
+    /// Removes a request that is no witness of a crash any more.
+    fn leave(&mut self, id: u64) -> Option<Vec<u64>> {
+        let index = self.intact.iter().position(|&known| known == id)?;
+        self.intact.swap_remove(index);
+        if !self.intact.is_empty() || self.broken.is_empty() {
+            return None;
+        }
+        Some(std::mem::take(&mut self.broken))
+    }
+
+    /// Returns all fingerprints once every request of the cohort has broken.
+    fn break_one(&mut self, id: u64) -> Option<Vec<u64>> {
+        if self.intact.is_empty() {
+            self.broken.clear();
+            self.intact = self.forwarded.iter().map(|held| held.id).collect();
+        }
+        // A request that was passed on after the first break is no witness.
+        let index = self.intact.iter().position(|&known| known == id)?;
+        self.intact.swap_remove(index);
+        let held = self.forwarded.iter().find(|held| held.id == id)?;
+        self.broken.push(held.fingerprint);
+        if !self.intact.is_empty() {
+            return None;
+        }
+        Some(std::mem::take(&mut self.broken))
+    }
+
+    /// A whole answer shows that the server did not crash.
+    fn clear_suspicion(&mut self) {
+        self.intact.clear();
+        self.broken.clear();
+    }
+}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,26 @@
+//! Agent process on a backend server host.
+//!
+//! The agent is the only path to its local engine or plain service and has
+//! final authority over what the server receives.
+//!
+//! - [`settings`] describes the settings file.
+//! - [`control`] follows the configuration on a thread of its own and
+//!   publishes immutable [`control::Published`] values.
+//! - [`gate`] applies the decision core to every request.
+//! - [`dispatch`] serves the `Agent` interface, [`sync`] the `Sync` interface.
+//! - [`run`] takes a request from the queue to its last frame, [`call`] holds it
+//!   while it is at the server, [`forward`] speaks HTTP with the server.
+//! - [`process`] runs everything until a graceful shutdown has finished.
+
+pub mod call;
+pub mod control;
+pub mod convert;
+pub mod dispatch;
+pub mod forward;
+pub mod gate;
+pub mod metrics;
+pub mod process;
+pub mod run;
+pub mod settings;
+pub mod sse;
+pub mod sync;
--- /dev/null
+++ b/crates/agent/src/process.rs
@@ -0,0 +1,119 @@
+//! Start, run and graceful shutdown of an agent.
+
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+
+use berylgw_wire as wire;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport;
+use wire::agent_server::AgentServer;
+use wire::sync_server::SyncServer;
+
+use crate::control::{self, Published};
+use crate::forward::Server;
+use crate::gate::Gate;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::{dispatch, sync};
+
+/// Versions that wait for the control thread.
+const HINTS_BUFFERED: usize = 16;
+
+/// Largest request, in bytes.
+const MAX_REQUEST: usize = 64 << 20;
+
+/// Why an agent could not start or run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listener or thread could not be made.
+    #[error("cannot start: {0}")]
+    Start(#[from] io::Error),
+    /// The gRPC server failed.
+    #[error("gRPC server failed: {0}")]
+    Serve(#[from] transport::Error),
+    /// A metric could not be registered.
+    #[error("cannot register metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Runs an agent until `stop` resolves and its running work has finished.
+///
+/// # Errors
+///
+/// Fails if a listener cannot be bound.
+pub async fn run(settings: Settings, stop: impl Future<Output = ()>) -> Result<(), Error> {
+    let listener = TcpListener::bind(settings.listen.agent).await?;
+    serve(settings, listener, stop).await
+}
+
+/// Like [`run`], with a gRPC listener that is already bound.
+///
+/// # Errors
+///
+/// Fails if another listener cannot be bound.
+pub async fn serve(
+    settings: Settings,
+    listener: TcpListener,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let gate = Arc::new(Gate::new(&settings, rand::random()));
+    let metrics = Arc::new(Metrics::new()?);
+    let (publish, published) = watch::channel(Arc::new(Published::default()));
+    let (hints, hinted) = mpsc::channel(HINTS_BUFFERED);
+    let (stopping, stopped) = watch::channel(false);
+    let control = control::spawn(control::Inputs {
+        entries: settings.entries.clone(),
+        gate: gate.clone(),
+        server: settings.server.address,
+        metrics: metrics.clone(),
+        published: publish,
+        hints: hinted,
+        stop: stopped.clone(),
+    })?;
+    let service = dispatch::Service {
+        gate: gate.clone(),
+        server: Server::new(settings.server.address),
+        metrics: metrics.clone(),
+        published: published.clone(),
+        hints,
+    };
+    let sync = sync::Service {
+        published,
+        gate: gate.clone(),
+    };
+    let scraped = berylgw_runtime::metrics::serve(
+        settings.listen.metrics,
+        metrics.registry.clone(),
+        until(stopped.clone()),
+    );
+    let scraped = tokio::spawn(scraped);
+    berylgw_runtime::log::listening("agent", listener.local_addr()?);
+    let agent = AgentServer::new(service).max_decoding_message_size(MAX_REQUEST);
+    let served = transport::Server::builder()
+        .add_service(agent)
+        .add_service(SyncServer::new(sync))
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), until(stopped));
+    let leave = async {
+        stop.await;
+        tracing::info!("leaving");
+        gate.leave();
+        gate.idle().await;
+        stopping.send_replace(true);
+    };
+    let (served, ()) = tokio::join!(served, leave);
+    served?;
+    scraped.await.map_err(io::Error::other)??;
+    control
+        .join()
+        .map_err(|_| io::Error::other("the control thread panicked"))?;
+    tracing::info!("stopped");
+    Ok(())
+}
+
+async fn until(mut stopped: watch::Receiver<bool>) {
+    // A closed channel means that the process is ending as well.
+    let _ = stopped.wait_for(|stopped| *stopped).await;
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,176 @@
+//! The course of one request from its place in the queue to its last frame.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_core::service::Kind;
+use berylgw_wire as wire;
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, Interval, MissedTickBehavior, interval, timeout_at};
+use tonic::Status;
+use wire::answer_frame::Kind as FrameKind;
+
+use crate::call::Call;
+use crate::convert;
+use crate::dispatch::Service;
+use crate::gate::{Admitted, Gate};
+
+/// A frame as tonic sends it.
+pub type Frame = Result<wire::AnswerFrame, Status>;
+
+/// Time between heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Retry time after a failure of the server.
+const RETRY_FAILED: Duration = Duration::from_millis(250);
+
+/// The frames of one answer.
+#[derive(Debug)]
+pub struct Answer {
+    request_id: String,
+    attempt: u32,
+    gate: Arc<Gate>,
+    frames: mpsc::Sender<Frame>,
+    sequence: u64,
+    bytes: u64,
+    beat: Interval,
+}
+
+/// Marks that the entry does not read the answer any more.
+#[derive(Clone, Copy, Debug)]
+pub struct Dropped;
+
+impl Answer {
+    /// An answer to `request`, sent through `frames`.
+    pub fn new(
+        request: &wire::DispatchRequest,
+        gate: Arc<Gate>,
+        frames: mpsc::Sender<Frame>,
+    ) -> Self {
+        let mut beat = interval(HEARTBEAT);
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        beat.reset();
+        Answer {
+            request_id: request.request_id.clone(),
+            attempt: request.attempt,
+            gate,
+            frames,
+            sequence: 0,
+            bytes: 0,
+            beat,
+        }
+    }
+
+    /// Resolves when the entry has dropped the stream.
+    pub async fn dropped(&self) {
+        self.frames.closed().await;
+    }
+
+    /// Ends the stream with a refusal.
+    pub async fn refuse(&mut self, refusal: &Refusal) {
+        let kind = FrameKind::Refusal(convert::refusal(refusal));
+        let _ = self.send(kind, true).await;
+    }
+
+    pub(crate) async fn head(&mut self, head: wire::AnswerHead) -> Result<(), Dropped> {
+        self.send(FrameKind::Head(head), true).await?;
+        self.sequence += 1;
+        Ok(())
+    }
+
+    pub(crate) async fn data(&mut self, data: Bytes) -> Result<(), Dropped> {
+        let length = data.len() as u64;
+        self.send(FrameKind::Data(data), false).await?;
+        self.sequence += 1;
+        self.bytes += length;
+        Ok(())
+    }
+
+    pub(crate) async fn finish(&mut self) -> Result<(), Dropped> {
+        let last = wire::AnswerFinal {
+            frames: self.sequence,
+            bytes: self.bytes,
+        };
+        self.send(FrameKind::Final(last), true).await
+    }
+
+    /// Sends heartbeats until the entry drops the stream.
+    pub(crate) async fn beat(&mut self) -> Dropped {
+        loop {
+            tokio::select! {
+                () = self.frames.closed() => return Dropped,
+                _ = self.beat.tick() => {}
+            }
+            let frame = self.frame(FrameKind::Heartbeat(wire::Heartbeat {}), false);
+            // When the entry has frames to read, it needs no heartbeat.
+            let _ = self.frames.try_send(Ok(frame));
+        }
+    }
+
+    async fn send(&mut self, kind: FrameKind, with_load: bool) -> Result<(), Dropped> {
+        let frame = self.frame(kind, with_load);
+        self.beat.reset();
+        self.frames.send(Ok(frame)).await.map_err(|_| Dropped)
+    }
+
+    fn frame(&self, kind: FrameKind, with_load: bool) -> wire::AnswerFrame {
+        wire::AnswerFrame {
+            request_id: self.request_id.clone(),
+            attempt: self.attempt,
+            sequence: self.sequence,
+            sender: Some(self.gate.current_sender()),
+            load: with_load.then(|| self.gate.load()),
+            kind: Some(kind),
+        }
+    }
+}
+
+/// Runs a request that was let in.
+///
+/// # Errors
+///
+/// Fails with the refusal that has to end the stream.
+pub async fn run(
+    service: &Service,
+    request: wire::DispatchRequest,
+    admitted: Admitted,
+    answer: &mut Answer,
+) -> Result<(), Refusal> {
+    let Admitted {
+        place,
+        grant,
+        kind,
+        deadline,
+    } = admitted;
+    let deadline = Instant::now() + service.gate.clock().until(deadline);
+    tokio::select! {
+        word = timeout_at(deadline, grant) => match word {
+            Ok(Ok(word)) => word?,
+            // The place is given back before the request is passed on.
+            Ok(Err(_)) | Err(_) => {
+                return Err(Refusal::not_run(Reason::Deadline, RETRY_FAILED));
+            }
+        },
+        Dropped = answer.beat() => return Ok(()),
+    }
+    let engine_id = format!("{}.{}", request.request_id, request.attempt);
+    let built = match kind {
+        Kind::Model => service.server.model_request(&request, &engine_id),
+        Kind::Plain => service.server.plain_request(&request),
+    };
+    let built = built.map_err(|error| {
+        Refusal::not_run(Reason::InvalidRequest, RETRY_FAILED).with_message(error.to_string())
+    })?;
+    place.forwarded();
+    let call = Call {
+        server: service.server.clone(),
+        place,
+        kind,
+        engine_id,
+        deadline,
+        started: Instant::now(),
+    };
+    call.run(built, answer).await
+}
--- /dev/null
+++ b/crates/agent/src/settings.rs
@@ -0,0 +1,168 @@
+//! The settings file `agent.yaml`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use berylgw_runtime::settings::{Error, Finding};
+use serde::Deserialize;
+
+/// Settings of an agent.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of its backend server in the configuration sheet.
+    pub name: Arc<str>,
+    /// Failure domain of the host.
+    pub domain: Arc<str>,
+    /// Listener addresses.
+    pub listen: Listen,
+    /// Peer addresses of entries to follow.
+    pub entries: Vec<SocketAddr>,
+    /// The local engine or service.
+    pub server: Server,
+    /// Bounds of the queue.
+    #[serde(default)]
+    pub queue: Queue,
+    /// Memory of claims.
+    #[serde(default)]
+    pub claims: Claims,
+    /// Tickets.
+    #[serde(default)]
+    pub tickets: Tickets,
+    /// Poison requests.
+    #[serde(default)]
+    pub quarantine: Quarantine,
+}
+
+/// Listener addresses.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// gRPC.
+    pub agent: SocketAddr,
+    /// Prometheus.
+    pub metrics: SocketAddr,
+}
+
+/// The local engine or service.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Its HTTP address.
+    pub address: SocketAddr,
+    /// Greatest age of a load report, in milliseconds.
+    #[serde(default = "report_lag_ms")]
+    pub report_lag_ms: u64,
+}
+
+fn report_lag_ms() -> u64 {
+    1_000
+}
+
+/// Bounds of the queue.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Queue {
+    /// Requests in total.
+    pub total: usize,
+    /// Requests of one client account.
+    pub per_account: usize,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Queue {
+            total: 256,
+            per_account: 64,
+        }
+    }
+}
+
+/// Memory of claims.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Claims {
+    /// Time for which a claim that has ended or is sealed is remembered.
+    pub retention_ms: u64,
+    /// Claims remembered at the same time.
+    pub capacity: usize,
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Claims {
+            retention_ms: 600_000,
+            capacity: 4_096,
+        }
+    }
+}
+
+/// Tickets.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tickets {
+    /// Time from issue to expiry.
+    pub lifetime_ms: u64,
+    /// Tickets remembered at the same time.
+    pub capacity: usize,
+}
+
+impl Default for Tickets {
+    fn default() -> Self {
+        Tickets {
+            lifetime_ms: 300_000,
+            capacity: 65_536,
+        }
+    }
+}
+
+/// Poison requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Quarantine {
+    /// Time for which a convicted request is refused.
+    pub conviction_ms: u64,
+    /// Fingerprints remembered at the same time.
+    pub capacity: usize,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        Quarantine {
+            conviction_ms: 600_000,
+            capacity: 1_024,
+        }
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Fails with all findings if the file cannot be used.
+pub fn load(path: &Path) -> Result<Settings, Error> {
+    berylgw_runtime::settings::load(path, check)
+}
+
+fn check(settings: &Settings) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    if settings.name.is_empty() {
+        findings.push(Finding::new("name", "must not be empty"));
+    }
+    if settings.entries.is_empty() {
+        findings.push(Finding::new("entries", "at least one address is needed"));
+    }
+    for (field, value) in [
+        ("queue.total", settings.queue.total),
+        ("queue.per_account", settings.queue.per_account),
+        ("claims.capacity", settings.claims.capacity),
+        ("tickets.capacity", settings.tickets.capacity),
+        ("quarantine.capacity", settings.quarantine.capacity),
+    ] {
+        if value == 0 {
+            findings.push(Finding::new(field, "must be at least 1"));
+        }
+    }
+    findings
+}
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,1 +1,356 @@
 //! Limits and cold-start ramp of one backend server, decided by its agent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::fair::{Full, Queue};
+use crate::outcome::{Reason, Refusal};
+
+/// Factor by which service time has to rise above its baseline to fall back.
+const RISE_FACTOR: u32 = 4;
+
+/// Rise below which service time is noise.
+const RISE_FLOOR: Duration = Duration::from_millis(200);
+
+/// Samples needed before the baseline of service time is used.
+const BASELINE_SAMPLES: u32 = 8;
+
+/// Retry time given when nothing better is known.
+const DEFAULT_RETRY: Duration = Duration::from_millis(250);
+
+/// Number of requests a backend server may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// When warm.
+    pub warm: u32,
+    /// In cold start.
+    pub cold: u32,
+}
+
+/// A request that asks to be run.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Identifies the request within the agent.
+    pub id: u64,
+    /// Name of the client account.
+    pub account: Arc<str>,
+    /// Weight of the client account.
+    pub weight: u32,
+    /// Requests of the account the server may hold.
+    pub concurrency: u32,
+    /// Time at which the answer is of no use any more.
+    pub deadline: Instant,
+    /// Whether it has to run alone.
+    pub alone: bool,
+}
+
+/// Answer to an offered request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It waits for a place; [`State::advance`] says when it has one.
+    Queued,
+    /// It is not run.
+    Refused(Refusal),
+}
+
+/// What happens to a queued request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// The request holds a place and has to be passed on now.
+    Run(u64),
+    /// The request is given up.
+    Refuse(u64, Refusal),
+}
+
+/// A load report of the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Requests it held at the time of the report.
+    pub in_flight: u32,
+    /// Whether it is in cold start.
+    pub cold: bool,
+    /// Time of the report by the server's own clock, in milliseconds.
+    pub as_of_ms: u64,
+}
+
+/// Work from before the agent's start that the server may still hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Earlier {
+    /// No report yet.
+    Unknown,
+    /// Reports up to this time by the server's clock may predate the start.
+    Waiting { after_ms: u64 },
+    /// At most this many.
+    AtMost(u32),
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    id: u64,
+    account: Arc<str>,
+    alone: bool,
+}
+
+/// Requests held and queued for one backend server.
+#[derive(Clone, Debug)]
+pub struct State {
+    limits: Limits,
+    current: u32,
+    completed: u32,
+    reported_cold: bool,
+    earlier: Earlier,
+    report_lag: Duration,
+    running: Vec<Running>,
+    waiting: Vec<Request>,
+    queue: Queue,
+    service_time: Duration,
+    baseline: Duration,
+    samples: u32,
+}
+
+impl State {
+    /// State after the start of an agent: cold, with unknown earlier work.
+    ///
+    /// A load report describes the server at most `report_lag` ago.
+    pub fn new(limits: Limits, queue: Queue, report_lag: Duration) -> Self {
+        State {
+            limits,
+            current: limits.cold.min(limits.warm),
+            completed: 0,
+            reported_cold: false,
+            earlier: Earlier::Unknown,
+            report_lag,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            queue,
+            service_time: Duration::ZERO,
+            baseline: Duration::ZERO,
+            samples: 0,
+        }
+    }
+
+    /// Requests of this agent that the server holds or may still hold.
+    pub fn held(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Requests that wait for a place.
+    pub fn queued(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
+    /// The current limit.
+    pub fn limit(&self) -> u32 {
+        self.current
+    }
+
+    /// Whether the limit is below the warm limit.
+    pub fn is_cold(&self) -> bool {
+        self.reported_cold || self.current < self.limits.warm
+    }
+
+    /// Exponentially weighted service time.
+    pub fn service_time(&self) -> Duration {
+        self.service_time
+    }
+
+    /// Takes over new limits from the configuration.
+    pub fn set_limits(&mut self, limits: Limits) {
+        if limits == self.limits {
+            return;
+        }
+        let cold = limits.cold.min(limits.warm);
+        let was_cold = self.current <= self.limits.cold;
+        self.limits = limits;
+        self.current = if was_cold {
+            cold
+        } else {
+            self.current.clamp(cold, limits.warm)
+        };
+    }
+
+    /// Decides on a request that has just arrived.
+    pub fn offer(&mut self, now: Instant, request: Request) -> Decision {
+        let left = request.deadline.since(now);
+        if left.is_zero() || left < self.expected_wait() + self.service_time {
+            let refusal = Refusal::not_run(Reason::Deadline, self.retry_after());
+            return Decision::Refused(refusal);
+        }
+        if let Err(full) = self
+            .queue
+            .push(request.id, &request.account, request.weight)
+        {
+            let reason = match full {
+                Full::Total => Reason::QueueFull,
+                Full::Account => Reason::ConcurrencyLimited,
+            };
+            return Decision::Refused(Refusal::not_run(reason, self.retry_after()));
+        }
+        self.insert_waiting(request);
+        Decision::Queued
+    }
+
+    /// Starts or gives up queued requests.
+    pub fn advance(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let late: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|request| request.deadline <= now)
+            .map(|request| request.id)
+            .collect();
+        for id in late {
+            self.withdraw(id);
+            let refusal = Refusal::not_run(Reason::Deadline, self.retry_after());
+            actions.push(Action::Refuse(id, refusal));
+        }
+        while let Some(id) = self.start_one(now) {
+            actions.push(Action::Run(id));
+        }
+        actions
+    }
+
+    /// Refuses everything that is queued.
+    pub fn refuse_queued(&mut self, reason: Reason) -> Vec<Action> {
+        let ids: Vec<u64> = self.waiting.iter().map(|request| request.id).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            self.withdraw(id);
+            actions.push(Action::Refuse(id, Refusal::not_run(reason, DEFAULT_RETRY)));
+        }
+        actions
+    }
+
+    /// Removes a queued request; returns whether it was queued.
+    pub fn withdraw(&mut self, id: u64) -> bool {
+        let queued = self.queue.remove(id);
+        self.waiting.retain(|request| request.id != id);
+        queued
+    }
+
+    /// Records the service time of a request that was answered well.
+    pub fn complete(&mut self, service_time: Duration) {
+        self.sample(service_time);
+        self.completed += 1;
+        if self.reported_cold || self.completed < self.current {
+            return;
+        }
+        self.completed = 0;
+        let step = (self.current / 2).max(1);
+        self.current = (self.current + step).min(self.limits.warm);
+    }
+
+    /// Frees the place of a request that the server does not hold any more.
+    pub fn release(&mut self, id: u64) {
+        self.running.retain(|running| running.id != id);
+    }
+
+    /// Falls back to the cold limit at once.
+    pub fn fall_back(&mut self) {
+        self.current = self.limits.cold.min(self.limits.warm);
+        self.completed = 0;
+        self.samples = 0;
+        self.baseline = Duration::ZERO;
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, report: Report) {
+        if report.cold {
+            self.fall_back();
+        }
+        self.reported_cold = report.cold;
+        let lag_ms = self.report_lag.as_millis() as u64;
+        self.earlier = match self.earlier {
+            Earlier::Unknown => Earlier::Waiting {
+                after_ms: report.as_of_ms + lag_ms,
+            },
+            // The clock of a restarted server starts again.
+            Earlier::Waiting { after_ms } if report.as_of_ms + lag_ms < after_ms => {
+                Earlier::Waiting {
+                    after_ms: report.as_of_ms + lag_ms,
+                }
+            }
+            Earlier::Waiting { after_ms } if report.as_of_ms <= after_ms => {
+                Earlier::Waiting { after_ms }
+            }
+            Earlier::Waiting { .. } => Earlier::AtMost(report.in_flight),
+            // Reports include the agent's own work, so they only bound it.
+            Earlier::AtMost(count) => Earlier::AtMost(count.min(report.in_flight)),
+        };
+    }
+
+    fn start_one(&mut self, now: Instant) -> Option<u64> {
+        let Earlier::AtMost(earlier) = self.earlier else {
+            return None;
+        };
+        let occupied = self.held() + earlier;
+        if occupied >= self.current || self.running.iter().any(|running| running.alone) {
+            return None;
+        }
+        let running = &self.running;
+        let waiting = &self.waiting;
+        let below = |account: &str| {
+            let count = running.iter().filter(|held| *held.account == *account);
+            let request = waiting.iter().find(|request| *request.account == *account);
+            request.is_some_and(|request| (count.count() as u32) < request.concurrency)
+        };
+        let first = self
+            .queue
+            .items()
+            .iter()
+            .find(|item| below(&item.account))?;
+        let index = self.waiting_index(first.id)?;
+        let request = &self.waiting[index];
+        // A suspect at the head waits until the server is empty.
+        if request.deadline <= now || (request.alone && occupied > 0) {
+            return None;
+        }
+        let item = self.queue.pop(below)?;
+        let request = self.waiting.remove(index);
+        self.running.push(Running {
+            id: item.id,
+            account: item.account,
+            alone: request.alone,
+        });
+        Some(item.id)
+    }
+
+    fn insert_waiting(&mut self, request: Request) {
+        let index = self.waiting.partition_point(|known| known.id < request.id);
+        self.waiting.insert(index, request);
+    }
+
+    fn waiting_index(&self, id: u64) -> Option<usize> {
+        self.waiting
+            .binary_search_by(|request| request.id.cmp(&id))
+            .ok()
+    }
+
+    fn expected_wait(&self) -> Duration {
+        let ahead = self.held() + self.queued() + 1;
+        let rounds = ahead
+            .saturating_sub(self.current)
+            .div_ceil(self.current.max(1));
+        self.service_time * rounds
+    }
+
+    fn retry_after(&self) -> Duration {
+        self.expected_wait().max(DEFAULT_RETRY)
+    }
+
+    fn sample(&mut self, service_time: Duration) {
+        if self.samples == 0 {
+            self.service_time = service_time;
+            self.baseline = service_time;
+        }
+        self.samples += 1;
+        self.service_time = (self.service_time * 3 + service_time) / 4;
+        let threshold = (self.baseline * RISE_FACTOR).max(self.baseline + RISE_FLOOR);
+        if self.samples > BASELINE_SAMPLES && self.service_time > threshold {
+            self.fall_back();
+            return;
+        }
+        self.baseline = (self.baseline * 31 + service_time) / 32;
+    }
+}
--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -1,1 +1,148 @@
 //! Weighted fair queueing by client account.
+
+use std::sync::Arc;
+
+/// Virtual time that one request takes at weight 1.
+const COST: u64 = 1 << 32;
+
+/// Why a request could not be queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Full {
+    /// The queue holds as much as it may in total.
+    Total,
+    /// The client account has as much queued as it may.
+    Account,
+}
+
+/// One queued request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Identifies the request.
+    pub id: u64,
+    /// Name of the client account.
+    pub account: Arc<str>,
+    start: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Share {
+    account: Arc<str>,
+    finish: u64,
+    queued: usize,
+}
+
+/// A start-time fair queue, sorted by start tag and arrival.
+///
+/// ```
+/// use berylgw_core::fair::Queue;
+///
+/// let mut queue = Queue::new(8, 4);
+/// queue.push(1, &"a".into(), 1).unwrap();
+/// queue.push(2, &"a".into(), 1).unwrap();
+/// queue.push(3, &"b".into(), 1).unwrap();
+/// let order: Vec<u64> = std::iter::from_fn(|| queue.pop(|_| true)).map(|item| item.id).collect();
+/// assert_eq!(order, [1, 3, 2]);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Queue {
+    total: usize,
+    per_account: usize,
+    virtual_time: u64,
+    items: Vec<Item>,
+    shares: Vec<Share>,
+}
+
+impl Queue {
+    /// An empty queue that holds `total` requests, `per_account` of each account.
+    pub fn new(total: usize, per_account: usize) -> Self {
+        Queue {
+            total,
+            per_account,
+            virtual_time: 0,
+            items: Vec::new(),
+            shares: Vec::new(),
+        }
+    }
+
+    /// Number of queued requests.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// The queued requests in service order.
+    pub fn items(&self) -> &[Item] {
+        &self.items
+    }
+
+    /// Queues a request of an account with this weight.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the queue or the account's part of it is full.
+    pub fn push(&mut self, id: u64, account: &Arc<str>, weight: u32) -> Result<(), Full> {
+        if self.items.len() >= self.total {
+            return Err(Full::Total);
+        }
+        let per_account = self.per_account;
+        let virtual_time = self.virtual_time;
+        let share = self.share(account);
+        if share.queued >= per_account {
+            return Err(Full::Account);
+        }
+        let start = share.finish.max(virtual_time);
+        share.finish = start + COST / u64::from(weight.max(1));
+        share.queued += 1;
+        let index = self.items.partition_point(|item| item.start <= start);
+        let account = account.clone();
+        self.items.insert(index, Item { id, account, start });
+        Ok(())
+    }
+
+    /// Takes the first request whose account `may_run` accepts.
+    pub fn pop(&mut self, may_run: impl Fn(&str) -> bool) -> Option<Item> {
+        let index = self.items.iter().position(|item| may_run(&item.account))?;
+        let item = self.items.remove(index);
+        self.virtual_time = self.virtual_time.max(item.start);
+        self.leave(&item.account);
+        Some(item)
+    }
+
+    /// Removes a request; returns whether it was queued.
+    pub fn remove(&mut self, id: u64) -> bool {
+        let Some(index) = self.items.iter().position(|item| item.id == id) else {
+            return false;
+        };
+        let item = self.items.remove(index);
+        self.leave(&item.account);
+        true
+    }
+
+    fn leave(&mut self, account: &Arc<str>) {
+        self.share(account).queued -= 1;
+        let virtual_time = self.virtual_time;
+        // A finish tag in the past has no effect on the next start tag.
+        self.shares
+            .retain(|share| share.queued > 0 || share.finish > virtual_time);
+    }
+
+    fn share(&mut self, account: &Arc<str>) -> &mut Share {
+        let found = self
+            .shares
+            .binary_search_by(|share| share.account.cmp(account));
+        let index = found.unwrap_or_else(|index| {
+            let share = Share {
+                account: account.clone(),
+                finish: 0,
+                queued: 0,
+            };
+            self.shares.insert(index, share);
+            index
+        });
+        &mut self.shares[index]
+    }
+}
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,1 +1,187 @@
 //! Detection of requests that crash the backend servers that run them.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// Crashes after which a request is convicted.
+const CONVICTING_CRASHES: u32 = 2;
+
+/// What is known about one fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// Fingerprint of client account and body.
+    pub fingerprint: u64,
+    /// Crashes it was in flight at.
+    pub crashes: u32,
+    /// Remaining time of the conviction, zero while it is only suspected.
+    pub convicted: Duration,
+}
+
+/// How to treat a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is known against it.
+    Clear,
+    /// It has to run alone.
+    Suspected,
+    /// It is refused for this long.
+    Convicted(Duration),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    fingerprint: u64,
+    crashes: u32,
+    until: Instant,
+}
+
+/// Suspected and convicted fingerprints, sorted.
+///
+/// ```
+/// use berylgw_core::clock::Instant;
+/// use berylgw_core::quarantine::{Table, Verdict};
+/// use std::time::Duration;
+///
+/// let now = Instant::ORIGIN;
+/// let mut table = Table::new(Duration::from_secs(600), 8);
+/// table.crash(now, &[7]);
+/// assert_eq!(table.verdict(now, 7), Verdict::Suspected);
+/// table.crash(now, &[7]);
+/// assert_eq!(table.verdict(now, 7), Verdict::Convicted(Duration::from_secs(600)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Table {
+    records: Vec<Record>,
+    conviction: Duration,
+    capacity: usize,
+}
+
+impl Table {
+    /// An empty table of at most `capacity` fingerprints.
+    ///
+    /// Convictions and suspicions end after `conviction` without a crash.
+    pub fn new(conviction: Duration, capacity: usize) -> Self {
+        Table {
+            records: Vec::new(),
+            conviction,
+            capacity,
+        }
+    }
+
+    /// Records a crash with these fingerprints in flight.
+    pub fn crash(&mut self, now: Instant, in_flight: &[u64]) {
+        let mut fingerprints = in_flight.to_vec();
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        for fingerprint in fingerprints {
+            let crashes = self.crashes(now, fingerprint) + 1;
+            let until = now + self.conviction;
+            self.put(
+                now,
+                Record {
+                    fingerprint,
+                    crashes,
+                    until,
+                },
+            );
+        }
+    }
+
+    /// Merges what another process knows.
+    ///
+    /// Crash counts are not added up, because both may count the same crash.
+    pub fn merge(&mut self, now: Instant, suspect: Suspect) {
+        let known = self.crashes(now, suspect.fingerprint);
+        let crashes = if suspect.convicted.is_zero() {
+            suspect.crashes.min(CONVICTING_CRASHES - 1)
+        } else {
+            suspect.crashes.max(CONVICTING_CRASHES)
+        };
+        // A repeated report does not prolong what is already known.
+        if crashes <= known {
+            return;
+        }
+        let rest = if suspect.convicted.is_zero() {
+            self.conviction
+        } else {
+            suspect.convicted.min(self.conviction)
+        };
+        let record = Record {
+            fingerprint: suspect.fingerprint,
+            crashes,
+            until: now + rest,
+        };
+        self.put(now, record);
+    }
+
+    /// How to treat a request with this fingerprint.
+    pub fn verdict(&self, now: Instant, fingerprint: u64) -> Verdict {
+        let Some(record) = self.live(now, fingerprint) else {
+            return Verdict::Clear;
+        };
+        if record.crashes < CONVICTING_CRASHES {
+            return Verdict::Suspected;
+        }
+        Verdict::Convicted(record.until.since(now))
+    }
+
+    /// Clears a suspect that ran alone without a crash.
+    pub fn acquit(&mut self, fingerprint: u64) {
+        self.records.retain(|record| {
+            record.fingerprint != fingerprint || record.crashes >= CONVICTING_CRASHES
+        });
+    }
+
+    /// Everything known, for other processes.
+    pub fn suspects(&self, now: Instant) -> Vec<Suspect> {
+        let live = self.records.iter().filter(|record| record.until > now);
+        live.map(|record| Suspect {
+            fingerprint: record.fingerprint,
+            crashes: record.crashes,
+            convicted: if record.crashes >= CONVICTING_CRASHES {
+                record.until.since(now)
+            } else {
+                Duration::ZERO
+            },
+        })
+        .collect()
+    }
+
+    fn crashes(&self, now: Instant, fingerprint: u64) -> u32 {
+        self.live(now, fingerprint)
+            .map_or(0, |record| record.crashes)
+    }
+
+    fn live(&self, now: Instant, fingerprint: u64) -> Option<&Record> {
+        let index = self.index(fingerprint).ok()?;
+        Some(&self.records[index]).filter(|record| record.until > now)
+    }
+
+    fn index(&self, fingerprint: u64) -> Result<usize, usize> {
+        self.records
+            .binary_search_by(|record| record.fingerprint.cmp(&fingerprint))
+    }
+
+    fn put(&mut self, now: Instant, record: Record) {
+        if let Ok(index) = self.index(record.fingerprint) {
+            self.records[index] = record;
+            return;
+        }
+        self.records.retain(|known| known.until > now);
+        if self.records.len() >= self.capacity {
+            self.evict();
+        }
+        let index = self.index(record.fingerprint).unwrap_or_else(|index| index);
+        self.records.insert(index, record);
+    }
+
+    /// Gives up the oldest suspicion; convictions go last.
+    fn evict(&mut self) {
+        let oldest = (0..self.records.len())
+            .min_by_key(|&index| (self.records[index].crashes, self.records[index].until));
+        if let Some(index) = oldest {
+            self.records.remove(index);
+        }
+    }
+}
