Run claims and tickets at most once on the agent

Cause: a non-idempotent request must run at most once even when entries repeat, race or lose an answer, and a poison request must not take down one server after the other.

A request that cannot be estimated in time runs anyway on an idle server, because otherwise a high estimate would never be corrected.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::forward::{Error, Server, head_of};
-use crate::gate::Place;
+use crate::place::Place;
 use crate::run::{Answer, Dropped};
 use crate::sse;
 
@@ -134,7 +134,7 @@
     }
 
     /// Accounts for a request that got no head.
-    fn failed(self, error: &Error) -> Refusal {
+    fn failed(mut self, error: &Error) -> Refusal {
         if matches!(error, Error::Connect(_)) {
             self.place.not_run();
             return Refusal::not_run(Reason::ServerFailed, RETRY_FAILED)
@@ -144,7 +144,7 @@
         server_failed().with_message(error.to_string())
     }
 
-    fn complete(self, kept: Kept) {
+    fn complete(mut self, kept: Kept) {
         let healthy = kept.head.status < 500;
         self.place
             .completed(healthy.then(|| self.started.elapsed()), kept.result());
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use berylgw_core::config::Version;
-use berylgw_core::outcome::{Reason, Refusal};
 use berylgw_wire as wire;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -12,6 +11,7 @@
 use tonic::{Request, Response, Status};
 
 use crate::control::{Hint, Published};
+use crate::convert;
 use crate::forward::Server;
 use crate::gate::Gate;
 use crate::metrics::Metrics;
@@ -103,21 +103,33 @@
 
     async fn seal(
         &self,
-        _request: Request<wire::SealRequest>,
+        request: Request<wire::SealRequest>,
     ) -> Result<Response<wire::SealReply>, Status> {
-        Err(Status::unimplemented("seal"))
+        let Some(claim) = &request.get_ref().claim else {
+            return Err(Status::invalid_argument("claim is missing"));
+        };
+        Ok(Response::new(self.gate.seal(claim)))
     }
 
     async fn issue_ticket(
         &self,
-        _request: Request<wire::TicketRequest>,
+        request: Request<wire::TicketRequest>,
     ) -> Result<Response<wire::TicketReply>, Status> {
-        let refusal = Refusal::not_run(Reason::TicketInvalid, Duration::ZERO);
-        Ok(Response::new(wire::TicketReply {
+        let mut reply = wire::TicketReply {
             sender: Some(self.gate.current_sender()),
-            refusal: Some(crate::convert::refusal(&refusal)),
             ..Default::default()
-        }))
+        };
+        match self.gate.issue_ticket(request.get_ref()) {
+            Ok((ticket, lifetime)) => {
+                reply.ticket = ticket.to_string();
+                reply.expires_ms = convert::millis(lifetime);
+            }
+            Err(refusal) => {
+                self.metrics.refused(refusal.reason);
+                reply.refusal = Some(convert::refusal(&refusal));
+            }
+        }
+        Ok(Response::new(reply))
     }
 }
 
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -12,12 +12,15 @@
 use berylgw_core::outcome::{Reason, Refusal};
 use berylgw_core::quarantine::{self, Verdict};
 use berylgw_core::service::Kind;
+use berylgw_core::ticket::Subject;
 use berylgw_runtime::clock::Clock;
 use berylgw_wire as wire;
 use tokio::sync::{Notify, oneshot};
 
 use crate::control::Published;
 use crate::convert::millis;
+use crate::once::{Once, key_of};
+use crate::place::{Cohort, Place};
 use crate::settings::Settings;
 
 /// Retry time for refusals that another backend server can take at once.
@@ -36,38 +39,24 @@
     idle: Notify,
 }
 
-struct State {
+pub(crate) struct State {
     published: Arc<Published>,
     configured_at: Instant,
     leaving: bool,
-    admission: admission::State,
-    quarantine: quarantine::Table,
-    cohort: Cohort,
-    waiters: Vec<Waiter>,
+    pub(crate) admission: admission::State,
+    pub(crate) quarantine: quarantine::Table,
+    pub(crate) cohort: Cohort,
+    pub(crate) waiters: Vec<Waiter>,
     next_id: u64,
-    crashes: u64,
+    pub(crate) crashes: u64,
+    pub(crate) once: Once,
 }
 
-struct Waiter {
-    id: u64,
+pub(crate) struct Waiter {
+    pub(crate) id: u64,
     grant: oneshot::Sender<Result<(), Refusal>>,
 }
 
-/// Requests passed on, and those among them whose connections broke together.
-#[derive(Default)]
-struct Cohort {
-    forwarded: Vec<Forwarded>,
-    /// Requests in flight at the first break that have not broken yet.
-    intact: Vec<u64>,
-    broken: Vec<u64>,
-}
-
-#[derive(Clone, Copy)]
-struct Forwarded {
-    id: u64,
-    fingerprint: u64,
-}
-
 /// What the metrics show.
 #[derive(Clone, Debug)]
 pub struct Status {
@@ -96,15 +85,6 @@
     pub deadline: Instant,
 }
 
-/// A place in the queue or at the server, given back when dropped.
-#[derive(Debug)]
-pub struct Place {
-    gate: Arc<Gate>,
-    id: u64,
-    fingerprint: u64,
-    alone: bool,
-}
-
 impl fmt::Debug for Gate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Gate")
@@ -136,6 +116,7 @@
                 waiters: Vec::new(),
                 next_id: 0,
                 crashes: 0,
+                once: Once::new(settings, incarnation),
             }),
             idle: Notify::new(),
         }
@@ -264,7 +245,16 @@
         let mut state = self.lock();
         self.check_version(&state, request)?;
         self.check_open(&state)?;
-        let kind = self.check_service(&state, request)?;
+        let kind = self.check_service(&state, &request.account, &request.service)?;
+        if request.isolate {
+            // Its sender knows of a crash that has not been reported here yet.
+            let suspect = quarantine::Suspect {
+                fingerprint: request.fingerprint,
+                crashes: 1,
+                convicted: Duration::ZERO,
+            };
+            state.quarantine.merge(now, suspect);
+        }
         let verdict = state.quarantine.verdict(now, request.fingerprint);
         if let Verdict::Convicted(rest) = verdict {
             return Err(Refusal::not_run(Reason::Quarantined, rest));
@@ -272,7 +262,7 @@
         let id = state.next_id;
         state.next_id += 1;
         let deadline = now + Duration::from_millis(request.timeout_ms);
-        let alone = request.isolate || verdict == Verdict::Suspected;
+        let alone = verdict == Verdict::Suspected;
         let account: Arc<str> = request.account.as_str().into();
         let known = state.published.snapshot.account(&account);
         let Some((weight, concurrency)) = known.map(|known| (known.weight, known.concurrency))
@@ -287,25 +277,62 @@
             deadline,
             alone,
         };
+        let subject = self.subject(&request.account, &request.service);
+        let permit = state.once.reserve(now, &subject, request)?;
         if let Decision::Refused(refusal) = state.admission.offer(now, offered) {
+            state.once.give_back(&permit);
             return Err(refusal);
         }
         let (sender, grant) = oneshot::channel();
         state.waiters.push(Waiter { id, grant: sender });
         self.settle(&mut state);
         Ok(Admitted {
-            place: Place {
-                gate: self.clone(),
-                id,
-                fingerprint: request.fingerprint,
-                alone,
-            },
+            place: Place::new(self.clone(), id, request.fingerprint, alone, permit),
             grant,
             kind,
             deadline,
         })
     }
 
+    /// Reports what happened to a claim, or promises never to run it.
+    pub fn seal(&self, claim: &wire::Claim) -> wire::SealReply {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let key = key_of(claim);
+        let (outcome, result) = state.once.claims.seal(now, &key, claim.token);
+        wire::SealReply {
+            sender: Some(self.sender(state.published.snapshot.version)),
+            outcome: outcome as i32,
+            result,
+        }
+    }
+
+    /// Issues a ticket and returns it with its lifetime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server takes no work of the account and service.
+    pub fn issue_ticket(
+        &self,
+        request: &wire::TicketRequest,
+    ) -> Result<(Arc<str>, Duration), Refusal> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        self.check_open(&state)?;
+        self.check_service(&state, &request.account, &request.service)?;
+        let subject = self.subject(&request.account, &request.service);
+        let token = state.once.tickets.issue(now, &subject, &request.key)?;
+        Ok((token, state.once.tickets.lifetime()))
+    }
+
+    fn subject(&self, account: &str, service: &str) -> Subject {
+        Subject {
+            server: self.name.clone(),
+            account: account.into(),
+            service: service.into(),
+        }
+    }
+
     fn check_version(&self, state: &State, request: &wire::DispatchRequest) -> Result<(), Refusal> {
         let theirs = request
             .sender
@@ -325,16 +352,12 @@
         Err(Refusal::not_run(Reason::Draining, RETRY_ELSEWHERE))
     }
 
-    fn check_service(
-        &self,
-        state: &State,
-        request: &wire::DispatchRequest,
-    ) -> Result<Kind, Refusal> {
+    fn check_service(&self, state: &State, account: &str, service: &str) -> Result<Kind, Refusal> {
         let snapshot = &state.published.snapshot;
         let own = snapshot.server(&self.name).map(|server| &server.service);
-        let same = own.is_some_and(|service| **service == *request.service);
-        let granted = snapshot.grants(&request.account, &request.service);
-        match snapshot.service(&request.service) {
+        let same = own.is_some_and(|own| **own == *service);
+        let granted = snapshot.grants(account, service);
+        match snapshot.service(service) {
             Some(service) if same && granted => Ok(service.kind),
             _ => Err(Refusal::not_run(Reason::UnknownService, RETRY_ELSEWHERE)),
         }
@@ -357,7 +380,7 @@
     }
 
     /// Carries out what the decision core asks for after a change.
-    fn settle(&self, state: &mut State) {
+    pub(crate) fn settle(&self, state: &mut State) {
         let mut actions = Vec::new();
         if self.drain_state(state) != drain::State::Open {
             actions = state.admission.refuse_queued(Reason::Draining);
@@ -379,106 +402,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl Place {
-    /// Notes that the request is being passed on to the server.
-    pub fn forwarded(&self) {
-        let mut state = self.gate.lock();
-        state.cohort.forwarded.push(Forwarded {
-            id: self.id,
-            fingerprint: self.fingerprint,
-        });
-    }
-
-    /// Notes that the server has not seen the request.
-    pub fn not_run(&self) {
-        let mut state = self.gate.lock();
-        state.cohort.forwarded.retain(|held| held.id != self.id);
-    }
-
-    /// Notes that the server answered to the end, with its service time if it
-    /// answered well and with the result if it is short enough to keep.
-    pub fn completed(&self, service_time: Option<Duration>, result: Option<wire::Result>) {
-        let mut state = self.gate.lock();
-        state.cohort.clear_suspicion();
-        if let Some(service_time) = service_time {
-            state.admission.complete(service_time);
-        }
-        if self.alone {
-            state.quarantine.acquit(self.fingerprint);
-        }
-        let _ = result;
-    }
-
-    /// Notes that the server broke the connection.
-    pub fn broken(&self) {
-        let now = self.gate.clock.now();
-        let mut state = self.gate.lock();
-        let crashed = state.cohort.break_one(self.id);
-        state.note_crash(now, crashed);
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let mut state = self.gate.lock();
-        state.admission.withdraw(self.id);
-        state.admission.release(self.id);
-        state.waiters.retain(|waiter| waiter.id != self.id);
-        state.cohort.forwarded.retain(|held| held.id != self.id);
-        let crashed = state.cohort.leave(self.id);
-        state.note_crash(self.gate.clock.now(), crashed);
-        self.gate.settle(&mut state);
-    }
-}
-
-impl State {
-    fn note_crash(&mut self, now: Instant, fingerprints: Option<Vec<u64>>) {
-        let Some(fingerprints) = fingerprints else {
-            return;
-        };
-        self.quarantine.crash(now, &fingerprints);
-        self.admission.fall_back();
-        self.crashes += 1;
-        tracing::warn!(suspects = fingerprints.len(), "backend server crashed");
-    }
-}
-
-impl Cohort {
-    /// Removes a request that is no witness of a crash any more.
-    fn leave(&mut self, id: u64) -> Option<Vec<u64>> {
-        let index = self.intact.iter().position(|&known| known == id)?;
-        self.intact.swap_remove(index);
-        if !self.intact.is_empty() || self.broken.is_empty() {
-            return None;
-        }
-        Some(std::mem::take(&mut self.broken))
-    }
-
-    /// Returns all fingerprints once every request of the cohort has broken.
-    fn break_one(&mut self, id: u64) -> Option<Vec<u64>> {
-        if self.intact.is_empty() {
-            self.broken.clear();
-            self.intact = self.forwarded.iter().map(|held| held.id).collect();
-        }
-        // A request that was passed on after the first break is no witness.
-        let index = self.intact.iter().position(|&known| known == id)?;
-        self.intact.swap_remove(index);
-        let held = self.forwarded.iter().find(|held| held.id == id)?;
-        self.broken.push(held.fingerprint);
-        if !self.intact.is_empty() {
-            return None;
-        }
-        Some(std::mem::take(&mut self.broken))
-    }
-
-    /// A whole answer shows that the server did not crash.
-    fn clear_suspicion(&mut self) {
-        self.intact.clear();
-        self.broken.clear();
-    }
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,18 +7,22 @@
 //! - [`control`] follows the configuration on a thread of its own and
 //!   publishes immutable [`control::Published`] values.
 //! - [`gate`] applies the decision core to every request.
+//! - [`once`] keeps claims ([`claim`]) and tickets, so that they run at most once.
 //! - [`dispatch`] serves the `Agent` interface, [`sync`] the `Sync` interface.
 //! - [`run`] takes a request from the queue to its last frame, [`call`] holds it
 //!   while it is at the server, [`forward`] speaks HTTP with the server.
 //! - [`process`] runs everything until a graceful shutdown has finished.
 
 pub mod call;
+pub mod claim;
 pub mod control;
 pub mod convert;
 pub mod dispatch;
 pub mod forward;
 pub mod gate;
 pub mod metrics;
+pub mod once;
+pub mod place;
 pub mod process;
 pub mod run;
 pub mod settings;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -139,7 +139,7 @@
     answer: &mut Answer,
 ) -> Result<(), Refusal> {
     let Admitted {
-        place,
+        mut place,
         grant,
         kind,
         deadline,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -7,6 +7,8 @@
 use berylgw_runtime::settings::{Error, Finding};
 use serde::Deserialize;
 
+use crate::call::MAX_RESULT;
+
 /// Settings of an agent.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -87,13 +89,16 @@
     pub retention_ms: u64,
     /// Claims remembered at the same time.
     pub capacity: usize,
+    /// Memory of kept results, in bytes.
+    pub result_bytes: usize,
 }
 
 impl Default for Claims {
     fn default() -> Self {
         Claims {
             retention_ms: 600_000,
-            capacity: 4_096,
+            capacity: 65_536,
+            result_bytes: 32 << 20,
         }
     }
 }
@@ -153,6 +158,10 @@
     if settings.entries.is_empty() {
         findings.push(Finding::new("entries", "at least one address is needed"));
     }
+    if settings.claims.result_bytes < MAX_RESULT {
+        let message = format!("must be at least {MAX_RESULT}");
+        findings.push(Finding::new("claims.result_bytes", message));
+    }
     for (field, value) in [
         ("queue.total", settings.queue.total),
         ("queue.per_account", settings.queue.per_account),
--- /dev/null
+++ b/crates/agent/tests/claim.rs
@@ -0,0 +1,138 @@
+//! Claims of one agent incarnation.
+
+use std::time::Duration;
+
+use berylgw_agent::claim::{Bounds, Key, Register};
+use berylgw_core::clock::Instant;
+use berylgw_core::outcome::{Outcome, Reason};
+use berylgw_wire as wire;
+
+const RETENTION: Duration = Duration::from_secs(600);
+
+fn register(capacity: usize) -> Register {
+    Register::new(Bounds {
+        retention: RETENTION,
+        capacity,
+        result_bytes: 64 << 10,
+    })
+}
+
+fn key(name: &str) -> Key {
+    Key {
+        partition: "p".into(),
+        key: name.to_owned().into(),
+    }
+}
+
+fn result(length: usize) -> wire::Result {
+    wire::Result {
+        status: 200,
+        body: vec![b'x'; length].into(),
+        ..Default::default()
+    }
+}
+
+/// A time at which claims of an earlier incarnation are over.
+fn settled() -> Instant {
+    Instant::ORIGIN + RETENTION
+}
+
+/// Guards against two runs of a claim and against a false outcome after one.
+#[test]
+fn reserve_seen_claim() {
+    let now = settled();
+    let mut register = register(8);
+    register.reserve(now, &key("k"), 5).unwrap();
+    let again = register.reserve(now, &key("k"), 6).unwrap_err();
+    assert_eq!(again.outcome, Outcome::Unknown);
+    register.start(now, &key("k"));
+    assert_eq!(register.seal(now, &key("k"), 5).0, wire::Outcome::Unknown);
+    register.finish(now, &key("k"), Some(result(3)));
+    let done = (wire::Outcome::Done, Some(result(3)));
+    assert_eq!(register.seal(now, &key("k"), 5), done);
+}
+
+/// Guards against running the claims of an owner that was replaced.
+#[test]
+fn reserve_stale_token() {
+    let now = settled();
+    let mut register = register(8);
+    register.reserve(now, &key("k"), 5).unwrap();
+    let refusal = register.reserve(now, &key("other"), 4).unwrap_err();
+    assert_eq!(refusal.reason, Reason::StaleToken);
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+}
+
+/// Guards against running a claim after the promise never to do so.
+#[test]
+fn seal_unseen_claim() {
+    let now = settled();
+    let mut register = register(8);
+    assert_eq!(register.seal(now, &key("k"), 5).0, wire::Outcome::NotRun);
+    assert_eq!(register.seal(now, &key("k"), 5).0, wire::Outcome::NotRun);
+    let refusal = register.reserve(now, &key("k"), 5).unwrap_err();
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+}
+
+/// Guards against `not run` for a claim that an earlier incarnation ran.
+#[test]
+fn seal_after_restart() {
+    let now = Instant::ORIGIN + Duration::from_secs(1);
+    let mut register = register(8);
+    assert_eq!(register.seal(now, &key("k"), 5).0, wire::Outcome::Unknown);
+    assert!(register.reserve(now, &key("k"), 5).is_err());
+}
+
+/// Guards against a lost answer that is reported as done or not run.
+#[test]
+fn seal_lost_answer() {
+    let now = settled();
+    let mut register = register(8);
+    register.reserve(now, &key("k"), 5).unwrap();
+    register.start(now, &key("k"));
+    register.finish(now, &key("k"), None);
+    assert_eq!(register.seal(now, &key("k"), 5).0, wire::Outcome::Unknown);
+}
+
+/// Guards against forgetting a claim early, and against `not run` for one that
+/// was forgotten.
+#[test]
+fn reserve_memory_full() {
+    let now = settled();
+    let mut register = register(2);
+    for name in ["a", "b"] {
+        register.reserve(now, &key(name), 5).unwrap();
+        register.start(now, &key(name));
+        register.finish(now, &key(name), None);
+    }
+    let refusal = register.reserve(now, &key("c"), 5).unwrap_err();
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    let later = now + RETENTION;
+    register.reserve(later, &key("c"), 5).unwrap();
+    assert_eq!(register.seal(later, &key("a"), 5).0, wire::Outcome::Unknown);
+    assert_eq!(register.seal(later, &key("b"), 5).0, wire::Outcome::Unknown);
+}
+
+/// Guards against results that take more memory than they may.
+#[test]
+fn reserve_results_full() {
+    let now = settled();
+    let mut register = register(100);
+    let mut kept = 0;
+    loop {
+        let name = format!("k{kept}");
+        if register.reserve(now, &key(&name), 5).is_err() {
+            break;
+        }
+        register.start(now, &key(&name));
+        register.finish(now, &key(&name), Some(result(16 << 10)));
+        kept += 1;
+    }
+    assert_eq!(kept, 4);
+    let later = now + RETENTION;
+    register.reserve(later, &key("next"), 5).unwrap();
+    assert_eq!(
+        register.seal(later, &key("k0"), 5).0,
+        wire::Outcome::Unknown
+    );
+}
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -173,7 +173,14 @@
     /// Decides on a request that has just arrived.
     pub fn offer(&mut self, now: Instant, request: Request) -> Decision {
         let left = request.deadline.since(now);
-        if left.is_zero() || left < self.expected_wait() + self.service_time {
+        // An idle server runs anything, so that an estimate that is too high
+        // is corrected by new samples.
+        let needed = if self.held() + self.queued() == 0 {
+            Duration::ZERO
+        } else {
+            self.expected_wait() + self.service_time
+        };
+        if left.is_zero() || left < needed {
             let refusal = Refusal::not_run(Reason::Deadline, self.retry_after());
             return Decision::Refused(refusal);
         }
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,256 @@
+//! Limits, ramp and queue of one backend server.
+
+use std::time::Duration;
+
+use berylgw_core::admission::{Action, Decision, Limits, Report, Request, State};
+use berylgw_core::clock::Instant;
+use berylgw_core::fair::Queue;
+use berylgw_core::outcome::{Outcome, Reason};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const LAG: Duration = Duration::from_secs(1);
+
+fn request(id: u64) -> Request {
+    Request {
+        id,
+        account: "a".into(),
+        weight: 1,
+        concurrency: 1_000,
+        deadline: Instant::from_millis(u64::from(u32::MAX)),
+        alone: false,
+    }
+}
+
+fn report(as_of_ms: u64, in_flight: u32) -> Report {
+    Report {
+        in_flight,
+        cold: false,
+        as_of_ms,
+    }
+}
+
+fn state(warm: u32, cold: u32) -> State {
+    State::new(Limits { warm, cold }, Queue::new(1_000, 1_000), LAG)
+}
+
+/// A state whose earlier work is known to be over.
+fn ready(warm: u32, cold: u32) -> State {
+    let mut state = state(warm, cold);
+    state.report(report(0, 0));
+    state.report(report(2_000, 0));
+    state
+}
+
+fn started(state: &mut State, now: Instant) -> Vec<u64> {
+    let mut ids = Vec::new();
+    for action in state.advance(now) {
+        if let Action::Run(id) = action {
+            ids.push(id);
+        }
+    }
+    ids
+}
+
+/// Guards against work on top of what the server still holds from before a
+/// restart of the agent.
+#[test]
+fn advance_earlier_work_unknown() {
+    let now = Instant::ORIGIN;
+    let mut state = state(4, 4);
+    for id in 0..4 {
+        assert_eq!(state.offer(now, request(id)), Decision::Queued);
+    }
+    assert!(started(&mut state, now).is_empty());
+    state.report(report(5_000, 0));
+    assert!(started(&mut state, now).is_empty());
+    // This report may still be older than the restart.
+    state.report(report(6_000, 0));
+    assert!(started(&mut state, now).is_empty());
+    state.report(report(6_001, 3));
+    assert_eq!(started(&mut state, now), [0]);
+    state.report(report(7_000, 1));
+    assert_eq!(started(&mut state, now), [1, 2]);
+}
+
+/// Guards against trusting the old clock of a server that restarted.
+#[test]
+fn report_server_clock_restarts() {
+    let mut state = state(2, 2);
+    state.report(report(900_000, 2));
+    state.report(report(10, 0));
+    state.offer(Instant::ORIGIN, request(1));
+    assert!(started(&mut state, Instant::ORIGIN).is_empty());
+    state.report(report(1_011, 0));
+    assert_eq!(started(&mut state, Instant::ORIGIN), [1]);
+}
+
+/// Guards against a ramp that does not follow completed work or is not lost at
+/// once when the server reports cold.
+#[test]
+fn complete_ramp() {
+    let mut state = ready(8, 2);
+    let service_time = Duration::from_millis(10);
+    let mut limits = vec![state.limit()];
+    for _ in 0..30 {
+        state.complete(service_time);
+        if limits.last() != Some(&state.limit()) {
+            limits.push(state.limit());
+        }
+    }
+    assert_eq!(limits, [2, 3, 4, 6, 8]);
+    let cold = Report {
+        cold: true,
+        ..report(3_000, 0)
+    };
+    state.report(cold);
+    assert_eq!(state.limit(), 2);
+    for _ in 0..30 {
+        state.complete(service_time);
+    }
+    assert_eq!(state.limit(), 2);
+}
+
+/// Guards against full load on a server that has suddenly become slow.
+#[test]
+fn complete_service_time_rises() {
+    let mut state = ready(8, 2);
+    for _ in 0..30 {
+        state.complete(Duration::from_millis(100));
+    }
+    assert_eq!(state.limit(), 8);
+    state.complete(Duration::from_secs(5));
+    assert_eq!(state.limit(), 2);
+}
+
+/// Guards against holding a request that cannot be answered in time.
+#[test]
+fn offer_deadline_cannot_be_met() {
+    let now = Instant::ORIGIN;
+    let mut state = ready(1, 1);
+    state.complete(Duration::from_millis(100));
+    state.offer(now, request(1));
+    assert_eq!(started(&mut state, now), [1]);
+    let hurried = Request {
+        deadline: Instant::from_millis(150),
+        ..request(2)
+    };
+    let Decision::Refused(refusal) = state.offer(now, hurried) else {
+        panic!("the request was queued");
+    };
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    assert!(!refusal.retry_after.is_zero());
+}
+
+/// Guards against an estimate that refuses everything and is never corrected.
+#[test]
+fn offer_idle_server() {
+    let now = Instant::ORIGIN;
+    let mut state = ready(1, 1);
+    state.complete(Duration::from_secs(60));
+    let short = Request {
+        deadline: Instant::from_millis(1_000),
+        ..request(1)
+    };
+    assert_eq!(state.offer(now, short), Decision::Queued);
+    assert_eq!(started(&mut state, now), [1]);
+}
+
+/// Guards against a suspect that runs beside other requests.
+#[test]
+fn advance_suspect_alone() {
+    let now = Instant::ORIGIN;
+    let mut state = ready(4, 4);
+    state.offer(now, request(1));
+    let suspect = Request {
+        alone: true,
+        ..request(2)
+    };
+    state.offer(now, suspect);
+    state.offer(now, request(3));
+    assert_eq!(started(&mut state, now), [1]);
+    state.release(1);
+    assert_eq!(started(&mut state, now), [2]);
+    assert!(started(&mut state, now).is_empty());
+    state.release(2);
+    assert_eq!(started(&mut state, now), [3]);
+}
+
+/// Guards against one account that takes more places than its concurrency.
+#[test]
+fn advance_account_concurrency() {
+    let now = Instant::ORIGIN;
+    let mut state = ready(4, 4);
+    for id in 0..3 {
+        let limited = Request {
+            concurrency: 1,
+            ..request(id)
+        };
+        state.offer(now, limited);
+    }
+    let other = Request {
+        account: "b".into(),
+        ..request(9)
+    };
+    state.offer(now, other);
+    assert_eq!(started(&mut state, now), [0, 9]);
+}
+
+/// Guards against any schedule in which the server holds more than its limit.
+#[test]
+fn advance_random_schedules() {
+    for seed in 0..200 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        run_schedule(&mut random, seed);
+    }
+}
+
+fn run_schedule(random: &mut ChaCha8Rng, seed: u64) {
+    let warm = random.random_range(1..9);
+    let cold = random.random_range(1..=warm);
+    let mut state = state(warm, cold);
+    // Work of an earlier agent, and reports as old as the lag allows.
+    let mut earlier: u32 = random.random_range(0..=warm);
+    let mut running: Vec<u64> = Vec::new();
+    let mut reports: Vec<Report> = Vec::new();
+    for step in 0..400u64 {
+        let now = Instant::from_millis(step * 100);
+        match random.random_range(0..6) {
+            0 | 1 => {
+                state.offer(now, request(step));
+            }
+            2 if !running.is_empty() => {
+                let index = random.random_range(0..running.len());
+                state.complete(Duration::from_millis(random.random_range(1..2_000)));
+                state.release(running.swap_remove(index));
+            }
+            3 => earlier = earlier.saturating_sub(random.random_range(0..2)),
+            4 => {
+                let oldest = reports.len().saturating_sub(10);
+                if let Some(report) = reports[oldest..].first() {
+                    state.report(*report);
+                }
+            }
+            _ => {
+                state.withdraw(random.random_range(0..=step));
+            }
+        }
+        reports.push(Report {
+            in_flight: earlier + running.len() as u32,
+            cold: random.random_range(0..40) == 0,
+            as_of_ms: 50_000 + step * 100,
+        });
+        let new = started(&mut state, now);
+        let some = !new.is_empty();
+        running.extend(new);
+        let held = earlier + running.len() as u32;
+        assert!(state.limit() <= warm, "seed {seed}, step {step}");
+        assert!(!some || held <= state.limit(), "seed {seed}, step {step}");
+        assert_eq!(
+            state.held() as usize,
+            running.len(),
+            "seed {seed}, step {step}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ticket.rs
@@ -0,0 +1,90 @@
+//! Tickets of one agent incarnation.
+
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::outcome::Outcome;
+use berylgw_core::ticket::{Book, Subject};
+
+const LIFETIME: Duration = Duration::from_secs(60);
+
+fn subject(account: &str) -> Subject {
+    Subject {
+        server: "s".into(),
+        account: account.into(),
+        service: "svc".into(),
+    }
+}
+
+fn book(incarnation: u64) -> Book {
+    Book::new([incarnation as u8; 32], incarnation, LIFETIME, 4)
+}
+
+/// Guards against a ticket that runs twice or is said not to have run.
+#[test]
+fn reserve_used_ticket() {
+    let now = Instant::ORIGIN;
+    let mut book = book(1);
+    let token = book.issue(now, &subject("a"), b"key").unwrap();
+    let serial = book.reserve(now, &subject("a"), &token, None).unwrap();
+    let refusal = book.reserve(now, &subject("a"), &token, None).unwrap_err();
+    assert_eq!(refusal.outcome, Outcome::Unknown);
+    book.give_back(serial);
+    let serial = book.reserve(now, &subject("a"), &token, None).unwrap();
+    book.spend(serial);
+    let late = now + Duration::from_secs(3_600);
+    for time in [now, now + LIFETIME, late] {
+        let refusal = book.reserve(time, &subject("a"), &token, None).unwrap_err();
+        assert_eq!(refusal.outcome, Outcome::Unknown);
+    }
+}
+
+/// Guards against a false `unknown` for a ticket that provably never runs.
+#[test]
+fn reserve_expired_ticket() {
+    let mut book = book(1);
+    let token = book.issue(Instant::ORIGIN, &subject("a"), b"key").unwrap();
+    let after = Instant::ORIGIN + LIFETIME;
+    let refusal = book
+        .reserve(after, &subject("a"), &token, None)
+        .unwrap_err();
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+}
+
+/// Guards against tickets that serve another account, key or incarnation.
+#[test]
+fn reserve_foreign_ticket() {
+    let now = Instant::ORIGIN;
+    let mut first = book(1);
+    let token = first.issue(now, &subject("a"), b"key").unwrap();
+    let mut second = book(2);
+    second.issue(now, &subject("a"), b"key").unwrap();
+    let forged = token.replacen("0.", "1.", 1);
+    for refusal in [
+        second.reserve(now, &subject("a"), &token, None),
+        first.reserve(now, &subject("b"), &token, None),
+        first.reserve(now, &subject("a"), &token, Some(b"other")),
+        first.reserve(now, &subject("a"), &forged, None),
+        first.reserve(now, &subject("a"), "x.y", None),
+    ] {
+        assert_eq!(refusal.unwrap_err().outcome, Outcome::Unknown);
+    }
+    assert!(
+        first
+            .reserve(now, &subject("a"), &token, Some(b"key"))
+            .is_ok()
+    );
+}
+
+/// Guards against forgetting used tickets when memory is full.
+#[test]
+fn issue_capacity() {
+    let now = Instant::ORIGIN;
+    let mut book = book(1);
+    for _ in 0..4 {
+        book.issue(now, &subject("a"), b"key").unwrap();
+    }
+    assert!(book.issue(now, &subject("a"), b"key").is_err());
+    let later = now + Duration::from_secs(3_600);
+    assert!(book.issue(later, &subject("a"), b"key").is_ok());
+}
