Test heartbeats and deadlines of running requests

Cause: neither was covered by a test.

Change: adds dispatch_heartbeat and dispatch_deadline_passes.

--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -6,6 +6,7 @@
 
 use berylgw_core::service::Kind;
 use berylgw_wire::Outcome;
+use berylgw_wire::answer_frame::Kind as FrameKind;
 use support::{data, last, refusal, request, system};
 
 /// Guards against wrong fields towards the engine and wrong frame counts.
@@ -133,3 +134,41 @@
     assert!(last(&support::collect(stream).await).is_some());
     agent.ended.await.unwrap().unwrap();
 }
+
+/// Guards against a connection that looks silent while the server works.
+#[tokio::test]
+async fn dispatch_heartbeat() {
+    let (_entry, backend, agent) = system(Kind::Plain, 8, 2).await;
+    let mut stream = agent.dispatch(request(1, "r", "hold")).await;
+    let frame = stream.message().await.unwrap().unwrap();
+    assert!(matches!(frame.kind, Some(FrameKind::Heartbeat(_))));
+    assert_eq!(frame.sequence, 0);
+    backend.release.notify_one();
+    assert!(last(&support::collect(stream).await).is_some());
+}
+
+/// Guards against an answer that is held after the deadline, and against a free
+/// place while the service still works on a request that was given up.
+#[tokio::test]
+async fn dispatch_deadline_passes() {
+    let (_entry, backend, agent) = system(Kind::Plain, 8, 2).await;
+    let mut sent = request(1, "r", "hold");
+    sent.timeout_ms = 500;
+    let late = Some(("deadline".to_owned(), Outcome::Unknown));
+    let never_started = Some(("deadline".to_owned(), Outcome::NotRun));
+    // The agent may need longer than that to learn that the server is empty.
+    loop {
+        let ended = refusal(&agent.frames(sent.clone()).await);
+        if ended == late {
+            break;
+        }
+        assert_eq!(ended, never_started);
+    }
+    agent
+        .probe_until(|reply| reply.load.unwrap().in_flight == 1)
+        .await;
+    backend.release.notify_one();
+    agent
+        .probe_until(|reply| reply.load.unwrap().in_flight == 0)
+        .await;
+}
