--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -1,1 +1,61 @@
 //! Entry addresses handed to callers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::config::Snapshot;
+
+/// Address of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Address {
+    /// Address for callers (HTTP).
+    pub address: SocketAddr,
+    /// Failure domain of the entry.
+    pub domain: Arc<str>,
+}
+
+/// Lists the entries that accept callers, nearest to `domain` first.
+///
+/// `leaving` holds the sorted names of hosts about to stop. `turn` rotates
+/// entries that are equally near, so that callers spread over them.
+pub fn addresses(
+    snapshot: &Snapshot,
+    leaving: &[Arc<str>],
+    domain: &str,
+    turn: usize,
+) -> Vec<Address> {
+    let region = region_of(snapshot, domain);
+    let mut near = [Vec::new(), Vec::new(), Vec::new()];
+    for entry in &snapshot.sheet.entries {
+        if snapshot.is_out(&entry.domain) || leaving.binary_search(&entry.name).is_ok() {
+            continue;
+        }
+        let tier = if *entry.domain == *domain {
+            0
+        } else if region.is_some() && region_of(snapshot, &entry.domain) == region {
+            1
+        } else {
+            2
+        };
+        near[tier].push(Address {
+            address: entry.address,
+            domain: entry.domain.clone(),
+        });
+    }
+    for tier in &mut near {
+        let count = tier.len().max(1);
+        tier.rotate_left(turn % count);
+    }
+    near.into_iter().flatten().collect()
+}
+
+/// Region of a failure domain, if the sheet has it.
+pub fn region_of<'a>(snapshot: &'a Snapshot, domain: &str) -> Option<&'a Arc<str>> {
+    let domains = &snapshot.sheet.domains;
+    let index = domains
+        .binary_search_by(|known| (*known.name).cmp(domain))
+        .ok()?;
+    Some(&domains[index].region)
+}
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,1 +1,490 @@
 //! Selection of a backend server for a request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use sha2::{Digest, Sha256};
+
+use crate::clock::Instant;
+use crate::config::Snapshot;
+use crate::directory::region_of;
+
+/// Servers sampled from each near set.
+const SAMPLES: usize = 2;
+
+/// Draws per wanted sample; draws that hit an unusable server are repeated.
+const DRAWS_PER_SAMPLE: usize = 4;
+
+/// Age after which a reported load is no longer believed.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+
+/// Time for which a draining server is passed over after it said so.
+const DRAIN_LIFETIME: Duration = Duration::from_secs(2);
+
+/// First and longest time for which an unreachable server is passed over.
+const BACKOFF_MIN: Duration = Duration::from_millis(200);
+const BACKOFF_MAX: Duration = Duration::from_secs(10);
+
+/// Load above the mean at which affinity moves on to the next server.
+const AFFINITY_SLACK: f64 = 1.25;
+
+/// Extra cost of a server in another failure domain.
+const REMOTE_DOMAIN_COST: f64 = 0.125;
+
+/// Identifies a backend server in a [`Table`]; stays valid across updates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    index: u32,
+    generation: u32,
+}
+
+/// Load of a backend server as its agent reported it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Requests running or queued.
+    pub in_flight: u32,
+    /// Requests the server can hold now.
+    pub limit: u32,
+    /// Service time of a request.
+    pub service_time: Duration,
+    /// The agent accepts no new work.
+    pub draining: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    generation: u32,
+    present: bool,
+    name: Arc<str>,
+    address: SocketAddr,
+    group: usize,
+    local: bool,
+    limit: u32,
+    outstanding: u32,
+    reported: Option<(Instant, Load)>,
+    counted: u32,
+    draining_until: Instant,
+    backoff_until: Instant,
+    failures: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Group {
+    service: Arc<str>,
+    /// Near servers with the hash of their name.
+    region: Vec<(u64, Key)>,
+    local: Vec<Key>,
+    remote: Vec<Key>,
+    load: u64,
+    service_time: f64,
+    used: bool,
+}
+
+/// A request to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Service it is for.
+    pub service: &'a str,
+    /// Hash of client account and prompt prefix, see [`affinity`].
+    pub affinity: Option<u64>,
+    /// Servers that were tried before.
+    pub tried: &'a [Key],
+}
+
+/// Routing estimates of all backend servers, owned by one entry.
+#[derive(Clone, Debug)]
+pub struct Table {
+    domain: Arc<str>,
+    slots: Vec<Slot>,
+    free: Vec<u32>,
+    groups: Vec<Group>,
+}
+
+/// Hash of a prompt prefix, salted by client account: accounts that send the
+/// same prefix do not learn from the service time that the other did.
+pub fn affinity(account: &str, prefix: &[u8]) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update((account.len() as u64).to_be_bytes());
+    hash.update(account.as_bytes());
+    hash.update(prefix);
+    first_word(&hash.finalize())
+}
+
+fn first_word(digest: &[u8]) -> u64 {
+    digest
+        .iter()
+        .take(8)
+        .fold(0, |word, byte| (word << 8) | u64::from(*byte))
+}
+
+/// The splitmix64 finalizer.
+fn mix(mut word: u64) -> u64 {
+    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
+
+impl Table {
+    /// Makes an empty table for an entry in `domain`.
+    pub fn new(domain: &str) -> Self {
+        Table {
+            domain: domain.into(),
+            slots: Vec::new(),
+            free: Vec::new(),
+            groups: Vec::new(),
+        }
+    }
+
+    /// Follows a configuration change; estimates of remaining servers are kept.
+    pub fn update(&mut self, snapshot: &Snapshot) {
+        self.retire();
+        let region = region_of(snapshot, &self.domain);
+        let mut names: Vec<(Arc<str>, u32)> = Vec::new();
+        for (index, slot) in self.slots.iter().enumerate() {
+            if !slot.name.is_empty() {
+                names.push((slot.name.clone(), index as u32));
+            }
+        }
+        names.sort();
+        self.groups.clear();
+        for service in &snapshot.sheet.services {
+            self.groups.push(Group {
+                service: service.name.clone(),
+                ..Group::default()
+            });
+        }
+        for server in &snapshot.sheet.servers {
+            if snapshot.is_out(&server.domain) {
+                continue;
+            }
+            let by_name = |group: &Group| group.service.cmp(&server.service);
+            let Ok(group) = self.groups.binary_search_by(by_name) else {
+                continue;
+            };
+            let known = names
+                .iter()
+                .skip(names.partition_point(|(name, _)| *name < server.name))
+                .take_while(|(name, _)| *name == server.name)
+                .map(|(_, index)| *index)
+                .find(|&index| self.slots[index as usize].address == server.address);
+            let index = known.unwrap_or_else(|| self.allocate(server));
+            let slot = &mut self.slots[index as usize];
+            slot.present = true;
+            slot.group = group;
+            slot.limit = server.limit.max(1);
+            slot.local = *server.domain == *self.domain;
+            let key = Key {
+                index,
+                generation: slot.generation,
+            };
+            let (local, counted) = (slot.local, slot.counted);
+            let place = &mut self.groups[group];
+            if local {
+                place.local.push(key);
+            }
+            if local || (region.is_some() && region_of(snapshot, &server.domain) == region) {
+                let hash = first_word(&Sha256::digest(server.name.as_bytes()));
+                place.region.push((hash, key));
+                place.load += u64::from(counted);
+            } else {
+                place.remote.push(key);
+            }
+        }
+        self.release_absent();
+    }
+
+    /// Chooses a backend server, `None` if none is usable.
+    pub fn pick(&self, request: Request<'_>, now: Instant, rng: &mut impl Rng) -> Option<Key> {
+        let group = self.group(request.service)?;
+        if let Some(hash) = request.affinity
+            && let Some(key) = self.preferred(group, hash, request.tried, now)
+        {
+            return Some(key);
+        }
+        let near = |index: usize| group.region[index].1;
+        let local = self.sample(group.local.len(), |i| group.local[i], request, now, rng);
+        let region = self.sample(group.region.len(), near, request, now, rng);
+        let best = [local, region]
+            .into_iter()
+            .flatten()
+            .min_by(|a, b| self.cost(*a, now).total_cmp(&self.cost(*b, now)));
+        let best = best.or_else(|| {
+            let usable = |key: &Key| self.usable(*key, request.tried, now);
+            group.region.iter().map(|(_, key)| *key).find(usable)
+        });
+        // Another region is the last resort: its delay is far above that of a queue.
+        let remote = || self.sample(group.remote.len(), |i| group.remote[i], request, now, rng);
+        best.or_else(remote)
+    }
+
+    /// Counts a dispatch to the server.
+    pub fn dispatched(&mut self, key: Key) {
+        self.change(key, |slot| slot.outstanding += 1);
+        let group = self.slot(key).map(|slot| slot.group);
+        if let Some(group) = group.and_then(|group| self.groups.get_mut(group)) {
+            group.used = true;
+        }
+    }
+
+    /// Counts the end of a dispatch.
+    pub fn finished(&mut self, key: Key) {
+        self.change(key, |slot| {
+            slot.outstanding = slot.outstanding.saturating_sub(1)
+        });
+    }
+
+    /// Takes a load report of the server's agent, which proves that it is reachable.
+    pub fn reported(&mut self, key: Key, load: Load, now: Instant) {
+        let Some(group) = self.slot(key).map(|slot| slot.group) else {
+            return;
+        };
+        if let Some(group) = self.groups.get_mut(group) {
+            let sample = load.service_time.as_secs_f64();
+            let smooth = group.service_time * 0.95 + sample * 0.05;
+            group.service_time = if group.service_time == 0.0 {
+                sample
+            } else {
+                smooth
+            };
+        }
+        self.change(key, |slot| {
+            slot.failures = 0;
+            slot.backoff_until = now;
+            slot.draining_until = if load.draining {
+                now + DRAIN_LIFETIME
+            } else {
+                now
+            };
+            slot.reported = Some((now, load));
+        });
+    }
+
+    /// Notes that the server could not be reached or went silent.
+    pub fn failed(&mut self, key: Key, now: Instant) {
+        self.change(key, |slot| {
+            let wait = BACKOFF_MIN * (1 << slot.failures.min(6));
+            slot.failures += 1;
+            slot.backoff_until = now + wait.min(BACKOFF_MAX);
+        });
+    }
+
+    /// Notes that the server refused work because it is full or leaving.
+    pub fn refused(&mut self, key: Key, draining: bool, now: Instant) {
+        self.change(key, |slot| {
+            if draining {
+                slot.draining_until = now + DRAIN_LIFETIME;
+                return;
+            }
+            let mut load = slot.reported.map(|(_, load)| load).unwrap_or_default();
+            load.limit = if load.limit == 0 {
+                slot.limit
+            } else {
+                load.limit
+            };
+            load.in_flight = load.in_flight.max(load.limit);
+            slot.reported = Some((now, load));
+        });
+    }
+
+    /// Name and agent address of a server.
+    pub fn server(&self, key: Key) -> Option<(&Arc<str>, SocketAddr)> {
+        self.slot(key).map(|slot| (&slot.name, slot.address))
+    }
+
+    /// Draws `count` servers to probe from each service used since the last
+    /// call, at most `limit` in all.
+    pub fn probe_targets(&mut self, count: usize, limit: usize, rng: &mut impl Rng) -> Vec<Key> {
+        let mut keys = Vec::new();
+        let groups = self.groups.len();
+        let first = rng.random_range(0..groups.max(1));
+        for offset in 0..groups {
+            let group = &mut self.groups[(first + offset) % groups];
+            if !std::mem::take(&mut group.used) {
+                continue;
+            }
+            for _ in 0..count.min(group.region.len()) {
+                keys.push(group.region[rng.random_range(0..group.region.len())].1);
+            }
+            if keys.len() >= limit {
+                break;
+            }
+        }
+        keys.truncate(limit);
+        keys.sort();
+        keys.dedup();
+        keys
+    }
+
+    fn preferred(&self, group: &Group, hash: u64, tried: &[Key], now: Instant) -> Option<Key> {
+        let mean = (group.load + 1) as f64 / group.region.len().max(1) as f64;
+        let bound = (mean * AFFINITY_SLACK).max(1.0);
+        let mut best = None;
+        for &(server, key) in &group.region {
+            let weight = mix(server ^ hash);
+            if best.is_some_and(|(top, _)| weight <= top) || !self.usable(key, tried, now) {
+                continue;
+            }
+            let Some(slot) = self.slot(key) else { continue };
+            let held = slot.held(now);
+            if f64::from(held) < bound && held < slot.bound(now) {
+                best = Some((weight, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn sample(
+        &self,
+        count: usize,
+        at: impl Fn(usize) -> Key,
+        request: Request<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Key> {
+        if count == 0 {
+            return None;
+        }
+        let mut best: Option<(f64, Key)> = None;
+        let mut found = 0;
+        for _ in 0..SAMPLES * DRAWS_PER_SAMPLE {
+            let key = at(rng.random_range(0..count));
+            if !self.usable(key, request.tried, now) {
+                continue;
+            }
+            let cost = self.cost(key, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+            found += 1;
+            if found == SAMPLES {
+                break;
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn usable(&self, key: Key, tried: &[Key], now: Instant) -> bool {
+        let Some(slot) = self.slot(key) else {
+            return false;
+        };
+        slot.present
+            && slot.draining_until <= now
+            && slot.backoff_until <= now
+            && !tried.contains(&key)
+    }
+
+    fn cost(&self, key: Key, now: Instant) -> f64 {
+        let Some(slot) = self.slot(key) else {
+            return f64::INFINITY;
+        };
+        let load = f64::from(slot.held(now) + 1) / f64::from(slot.bound(now));
+        let usual = self
+            .groups
+            .get(slot.group)
+            .map_or(0.0, |group| group.service_time);
+        let own = slot
+            .reported
+            .map_or(0.0, |(_, load)| load.service_time.as_secs_f64());
+        let known = usual > 0.0 && own > 0.0;
+        let slowness = if known {
+            (own / usual).clamp(0.5, 2.0)
+        } else {
+            1.0
+        };
+        let distance = if slot.local { 0.0 } else { REMOTE_DOMAIN_COST };
+        load * slowness + distance
+    }
+
+    fn change(&mut self, key: Key, act: impl FnOnce(&mut Slot)) {
+        let Some(slot) = self.slots.get_mut(key.index as usize) else {
+            return;
+        };
+        if slot.generation != key.generation {
+            return;
+        }
+        act(slot);
+        let reported = slot.reported.map_or(0, |(_, load)| load.in_flight);
+        let before = std::mem::replace(&mut slot.counted, reported.max(slot.outstanding));
+        let (after, place) = (slot.counted, slot.group);
+        if !slot.present {
+            return;
+        }
+        if let Some(group) = self.groups.get_mut(place) {
+            group.load = (group.load + u64::from(after)).saturating_sub(u64::from(before));
+        }
+    }
+
+    fn slot(&self, key: Key) -> Option<&Slot> {
+        let slot = self.slots.get(key.index as usize)?;
+        (slot.generation == key.generation).then_some(slot)
+    }
+
+    fn group(&self, service: &str) -> Option<&Group> {
+        let index = self
+            .groups
+            .binary_search_by(|group| (*group.service).cmp(service))
+            .ok()?;
+        Some(&self.groups[index])
+    }
+
+    fn retire(&mut self) {
+        for slot in &mut self.slots {
+            slot.present = false;
+        }
+    }
+
+    fn allocate(&mut self, server: &crate::backend::Server) -> u32 {
+        let fresh = |generation| Slot {
+            generation,
+            present: true,
+            name: server.name.clone(),
+            address: server.address,
+            group: 0,
+            local: false,
+            limit: server.limit.max(1),
+            outstanding: 0,
+            reported: None,
+            counted: 0,
+            draining_until: Instant::ORIGIN,
+            backoff_until: Instant::ORIGIN,
+            failures: 0,
+        };
+        if let Some(index) = self.free.pop() {
+            let slot = &mut self.slots[index as usize];
+            *slot = fresh(slot.generation + 1);
+            return index;
+        }
+        self.slots.push(fresh(0));
+        (self.slots.len() - 1) as u32
+    }
+
+    fn release_absent(&mut self) {
+        for (index, slot) in self.slots.iter_mut().enumerate() {
+            if slot.present || slot.outstanding > 0 || slot.name.is_empty() {
+                continue;
+            }
+            slot.name = "".into();
+            slot.generation += 1;
+            self.free.push(index as u32);
+        }
+    }
+}
+
+impl Slot {
+    fn report(&self, now: Instant) -> Option<Load> {
+        let (at, load) = self.reported?;
+        (now.since(at) <= REPORT_LIFETIME).then_some(load)
+    }
+
+    fn held(&self, now: Instant) -> u32 {
+        let reported = self.report(now).map_or(0, |load| load.in_flight);
+        reported.max(self.outstanding)
+    }
+
+    fn bound(&self, now: Instant) -> u32 {
+        let reported = self.report(now).map_or(self.limit, |load| load.limit);
+        reported.clamp(1, self.limit)
+    }
+}
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -1,1 +1,255 @@
 //! Reassembly of answer frames and resumption of streams.
+
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+use crate::error::{Error, Kind, Result};
+
+/// Identity and place of an answer frame.
+#[derive(Clone, Copy, Debug)]
+pub struct Place<'a> {
+    /// Request the frame belongs to.
+    pub request_id: &'a str,
+    /// Dispatch the frame belongs to.
+    pub attempt: u32,
+    /// Position in the answer.
+    pub sequence: u64,
+}
+
+/// What an answer frame carries, as far as its order matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Status and headers.
+    Head,
+    /// This many payload bytes.
+    Data(usize),
+    /// End of the answer.
+    Final {
+        /// Frames before this one, without heartbeats.
+        frames: u64,
+        /// Payload bytes before this one.
+        bytes: u64,
+    },
+    /// The agent gave up on the request.
+    Refusal,
+    /// Sign of life.
+    Heartbeat,
+}
+
+/// What to do with a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Hand its content on.
+    Deliver,
+    /// Ignore it.
+    Drop,
+    /// The answer is complete.
+    Complete,
+}
+
+/// Checks that the frames of one attempt are complete and in order.
+#[derive(Clone, Debug)]
+pub struct Reader {
+    request_id: String,
+    attempt: u32,
+    sequence: u64,
+    bytes: u64,
+    complete: bool,
+}
+
+impl Reader {
+    /// Makes a reader for one attempt of a request.
+    pub fn new(request_id: &str, attempt: u32) -> Self {
+        Reader {
+            request_id: request_id.to_owned(),
+            attempt,
+            sequence: 0,
+            bytes: 0,
+            complete: false,
+        }
+    }
+
+    /// Takes the next frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the frame is of another request or a later attempt, leaves a
+    /// gap, contradicts the counts or comes after the end.
+    pub fn accept(&mut self, place: Place<'_>, part: Part) -> Result<Step> {
+        if place.request_id != self.request_id {
+            return Err(self.fault(format!("frame of request {:?}", place.request_id)));
+        }
+        if place.attempt < self.attempt {
+            return Ok(Step::Drop);
+        }
+        if place.attempt > self.attempt {
+            return Err(self.fault(format!("frame of attempt {}", place.attempt)));
+        }
+        if self.complete {
+            return Err(self.fault("frame after the final frame".to_owned()));
+        }
+        if place.sequence != self.sequence {
+            return Err(self.fault(format!("frame has sequence {}", place.sequence)));
+        }
+        if matches!(part, Part::Head) != (self.sequence == 0) && counts_in_order(part) {
+            return Err(self.fault("head frame missing or repeated".to_owned()));
+        }
+        self.advance(part)
+    }
+
+    /// Checks that the answer is complete when its connection ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the final frame is missing.
+    pub fn finish(&self) -> Result<()> {
+        if self.complete {
+            return Ok(());
+        }
+        Err(self.fault("final frame missing".to_owned()))
+    }
+
+    fn advance(&mut self, part: Part) -> Result<Step> {
+        match part {
+            Part::Heartbeat => return Ok(Step::Drop),
+            Part::Data(bytes) => self.bytes += bytes as u64,
+            Part::Final { frames, bytes } => {
+                if frames != self.sequence || bytes != self.bytes {
+                    let counts = format!("final frame counts {frames} frames, {bytes} bytes");
+                    return Err(self.fault(counts));
+                }
+                self.complete = true;
+                return Ok(Step::Complete);
+            }
+            Part::Refusal => self.complete = true,
+            Part::Head => {}
+        }
+        self.sequence += 1;
+        Ok(Step::Deliver)
+    }
+
+    fn fault(&self, message: String) -> Error {
+        let place = format!(
+            "answer {} attempt {} frame {} byte {}",
+            self.request_id, self.attempt, self.sequence, self.bytes
+        );
+        Error::new(Kind::Invalid, place, message)
+    }
+}
+
+fn counts_in_order(part: Part) -> bool {
+    matches!(part, Part::Head | Part::Data(_) | Part::Final { .. })
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Map<String, Value>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Event {
+    Token,
+    Finish,
+    Done,
+    Other,
+}
+
+/// Position of a chat completion stream, across attempts.
+#[derive(Clone, Debug, Default)]
+pub struct Resume {
+    tokens: u64,
+    resumed: bool,
+    finished: bool,
+    trailed: bool,
+    skip_trailer: bool,
+    done: bool,
+}
+
+impl Resume {
+    /// Token events handed on so far.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Whether the stream's end marker was handed on.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Starts a further attempt after events were handed on.
+    pub fn resume(&mut self) {
+        self.resumed = true;
+        self.skip_trailer = self.trailed;
+    }
+
+    /// Whether to hand on this event.
+    ///
+    /// A resumed attempt repeats the events before the first token and after
+    /// the last one; the caller gets them once.
+    pub fn wants(&self, event: &[u8]) -> bool {
+        match classify(event) {
+            Event::Token => true,
+            Event::Finish => !self.finished,
+            Event::Done => !self.done,
+            Event::Other if self.resumed => self.finished && !self.skip_trailer,
+            Event::Other => true,
+        }
+    }
+
+    /// Counts an event as handed on.
+    pub fn delivered(&mut self, event: &[u8]) {
+        match classify(event) {
+            Event::Token => self.tokens += 1,
+            Event::Finish => self.finished = true,
+            Event::Done => self.done = true,
+            Event::Other => self.trailed = self.finished,
+        }
+    }
+}
+
+fn classify(event: &[u8]) -> Event {
+    let Some(data) = event.trim_ascii().strip_prefix(b"data:") else {
+        return Event::Other;
+    };
+    let data = data.trim_ascii();
+    if data == b"[DONE]" {
+        return Event::Done;
+    }
+    let Ok(chunk) = serde_json::from_slice::<Chunk>(data) else {
+        return Event::Other;
+    };
+    let has_token = chunk
+        .choices
+        .iter()
+        .any(|choice| has_content(&choice.delta));
+    let has_finish = chunk
+        .choices
+        .iter()
+        .any(|choice| choice.finish_reason.is_some());
+    match (has_token, has_finish) {
+        (true, _) => Event::Token,
+        (false, true) => Event::Finish,
+        (false, false) => Event::Other,
+    }
+}
+
+fn has_content(delta: &Map<String, Value>) -> bool {
+    delta.iter().any(|(name, value)| {
+        let empty = match value {
+            Value::Null => true,
+            Value::String(text) => text.is_empty(),
+            Value::Array(items) => items.is_empty(),
+            Value::Object(fields) => fields.is_empty(),
+            _ => false,
+        };
+        name != "role" && !empty
+    })
+}
--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,305 @@
+//! One dispatch of a request to one agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_core::route::{Key, Load};
+use berylgw_core::stream::{Part, Place, Reader, Step};
+use berylgw_wire as wire;
+use bytes::Bytes;
+use tonic::{Status, Streaming};
+use wire::answer_frame::Kind;
+
+use crate::answer::Pushed;
+use crate::dispatch::{Driver, Mode};
+use crate::shared::Shared;
+
+const RETRY_SOON: Duration = Duration::from_millis(500);
+
+/// How an attempt ended.
+pub enum End {
+    /// The whole answer was handed on.
+    Complete,
+    /// The caller went away.
+    CallerGone,
+    /// The caller reads too slowly; resume when it has caught up.
+    Suspended,
+    /// The attempt failed.
+    Failed(Fault),
+}
+
+/// Why an attempt failed; the refusal's outcome says whether it may have run.
+pub struct Fault {
+    pub refusal: Refusal,
+    pub retry: bool,
+    /// Configuration version the agent asked for.
+    pub stale: Option<u64>,
+}
+
+impl Fault {
+    fn new(refusal: Refusal, retry: bool) -> Self {
+        Fault {
+            refusal,
+            retry,
+            stale: None,
+        }
+    }
+
+    fn lost(reason: Reason, message: String) -> Self {
+        let refusal = Refusal::unknown(reason, RETRY_SOON).with_message(message);
+        Fault::new(refusal, reason != Reason::AnswerCorrupt)
+    }
+
+    fn unreachable(message: String) -> Self {
+        let refusal = Refusal::not_run(Reason::AgentUnreachable, RETRY_SOON);
+        Fault::new(refusal.with_message(message), true)
+    }
+}
+
+/// Counts a dispatch in the routing table while it lives.
+struct Counted {
+    shared: Arc<Shared>,
+    key: Key,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.shared.table().finished(self.key);
+    }
+}
+
+pub fn load(load: &wire::Load) -> Load {
+    Load {
+        in_flight: load.in_flight.saturating_add(load.queued),
+        limit: load.limit,
+        service_time: Duration::from_micros(load.service_time_us),
+        draining: load.draining,
+    }
+}
+
+/// Runs one attempt on the server.
+pub async fn run(driver: &mut Driver, key: Key, address: SocketAddr) -> End {
+    let shared = driver.shared.clone();
+    shared.table().dispatched(key);
+    let _counted = Counted {
+        shared: shared.clone(),
+        key,
+    };
+    let end = exchange(driver, key, address).await;
+    let End::Failed(fault) = &end else {
+        return end;
+    };
+    match fault.refusal.reason {
+        Reason::AgentUnreachable | Reason::ConnectionLost => {
+            shared.pool.evict(address);
+            let now = shared.now();
+            shared.table().failed(key, now);
+        }
+        Reason::ServerFull | Reason::QueueFull => {
+            let now = shared.now();
+            shared.table().refused(key, false, now);
+        }
+        Reason::Draining | Reason::ShuttingDown => {
+            let now = shared.now();
+            shared.table().refused(key, true, now);
+        }
+        _ => {}
+    }
+    end
+}
+
+async fn exchange(driver: &mut Driver, key: Key, address: SocketAddr) -> End {
+    let shared = driver.shared.clone();
+    let channel = match shared.pool.get(address).await {
+        Ok(channel) => channel,
+        Err(error) => return End::Failed(Fault::unreachable(error.to_string())),
+    };
+    let mut client = wire::agent_client::AgentClient::new(channel)
+        .max_decoding_message_size(shared.settings.limits.answer_bytes.max(4 << 20));
+    let request = driver.request();
+    let silence = shared.settings.limits.progress();
+    let answer = tokio::select! {
+        answer = tokio::time::timeout(silence, client.dispatch(request)) => answer,
+        () = driver.sink.closed() => return End::CallerGone,
+    };
+    let frames = match answer {
+        Ok(Ok(response)) => response.into_inner(),
+        Ok(Err(status)) if never_sent(&status) => {
+            return End::Failed(Fault::unreachable(status.message().to_owned()));
+        }
+        Ok(Err(status)) => return lost(&status),
+        Err(_) => return silent(),
+    };
+    read(driver, key, address, frames).await
+}
+
+async fn read(
+    driver: &mut Driver,
+    key: Key,
+    address: SocketAddr,
+    mut frames: Streaming<wire::AnswerFrame>,
+) -> End {
+    let shared = driver.shared.clone();
+    let silence = shared.settings.limits.progress();
+    let mut reader = Reader::new(&driver.call.id, driver.attempt);
+    loop {
+        let wait = silence.min(shared.clock.until(driver.call.deadline));
+        let frame = tokio::select! {
+            frame = tokio::time::timeout(wait, frames.message()) => frame,
+            () = driver.sink.closed() => return End::CallerGone,
+        };
+        let frame = match frame {
+            Ok(Ok(Some(frame))) => frame,
+            Ok(Ok(None)) => return corrupt(reader.finish().err()),
+            Ok(Err(status)) => return lost(&status),
+            Err(_) if shared.clock.until(driver.call.deadline).is_zero() => return late(),
+            Err(_) => return silent(),
+        };
+        shared.saw(address, frame.sender.as_ref());
+        if let Some(report) = &frame.load {
+            let now = shared.now();
+            shared.table().reported(key, load(report), now);
+        }
+        let Some(kind) = frame.kind else {
+            return corrupt(None);
+        };
+        let place = Place {
+            request_id: &frame.request_id,
+            attempt: frame.attempt,
+            sequence: frame.sequence,
+        };
+        match reader.accept(place, part(&kind)) {
+            Ok(Step::Drop) => continue,
+            Ok(Step::Complete) => return End::Complete,
+            Ok(Step::Deliver) => {}
+            Err(error) => return corrupt(Some(error)),
+        }
+        let ended = match kind {
+            Kind::Head(head) => driver
+                .head(head)
+                .err()
+                .map(|message| End::Failed(Fault::lost(Reason::ServerFailed, message))),
+            Kind::Data(data) => deliver(driver, data).await,
+            Kind::Refusal(refusal) => Some(refused(&refusal, frame.sender.as_ref())),
+            Kind::Final(_) | Kind::Heartbeat(_) => None,
+        };
+        if let Some(end) = ended {
+            return end;
+        }
+        if shared.clock.until(driver.call.deadline).is_zero() {
+            return late();
+        }
+    }
+}
+
+fn part(kind: &Kind) -> Part {
+    match kind {
+        Kind::Head(_) => Part::Head,
+        Kind::Data(data) => Part::Data(data.len()),
+        Kind::Final(end) => Part::Final {
+            frames: end.frames,
+            bytes: end.bytes,
+        },
+        Kind::Refusal(_) => Part::Refusal,
+        Kind::Heartbeat(_) => Part::Heartbeat,
+    }
+}
+
+async fn deliver(driver: &mut Driver, data: Bytes) -> Option<End> {
+    let limits = &driver.shared.settings.limits;
+    match driver.mode {
+        Mode::Collect => {
+            if driver.collected.len() + data.len() > limits.answer_bytes {
+                let message = "the answer is larger than the entry collects".to_owned();
+                let mut fault = Fault::lost(Reason::ServerFailed, message);
+                fault.retry = false;
+                return Some(End::Failed(fault));
+            }
+            driver.collected.extend_from_slice(&data);
+            None
+        }
+        Mode::Events => {
+            if !driver.resume.wants(&data) {
+                return None;
+            }
+            match driver.sink.push(data.clone()) {
+                Pushed::Kept => driver.resume.delivered(&data),
+                Pushed::Full => return Some(End::Suspended),
+                Pushed::Closed => return Some(End::CallerGone),
+            }
+            None
+        }
+        Mode::Pass => {
+            let patience = Duration::from_millis(limits.slow_reader_ms);
+            match driver.sink.push_patiently(data, patience).await {
+                Pushed::Kept => None,
+                Pushed::Closed => Some(End::CallerGone),
+                Pushed::Full => {
+                    let refusal = Refusal::unknown(Reason::SlowReader, RETRY_SOON);
+                    Some(End::Failed(Fault::new(refusal, false)))
+                }
+            }
+        }
+    }
+}
+
+fn refused(refusal: &wire::Refusal, sender: Option<&wire::Sender>) -> End {
+    let refusal = Refusal::from(refusal);
+    let elsewhere = matches!(
+        refusal.reason,
+        Reason::ServerFull
+            | Reason::QueueFull
+            | Reason::Draining
+            | Reason::StaleConfig
+            | Reason::ShuttingDown
+            | Reason::AgentUnreachable
+            | Reason::ConnectionLost
+            | Reason::ServerFailed
+            | Reason::NoServer
+    );
+    let stale = (refusal.reason == Reason::StaleConfig)
+        .then(|| sender.map(|sender| sender.config_version))
+        .flatten();
+    End::Failed(Fault {
+        refusal,
+        retry: elsewhere,
+        stale,
+    })
+}
+
+/// Whether the connection failed before the request was sent on it.
+fn never_sent(status: &Status) -> bool {
+    let mut source: Option<&(dyn std::error::Error + 'static)> = std::error::Error::source(status);
+    while let Some(error) = source {
+        if error.is::<tonic::ConnectError>() {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
+fn lost(status: &Status) -> End {
+    let message = format!("connection to the agent lost: {}", status.message());
+    End::Failed(Fault::lost(Reason::ConnectionLost, message))
+}
+
+fn silent() -> End {
+    let message = "no frame from the agent within the progress timeout".to_owned();
+    End::Failed(Fault::lost(Reason::ConnectionLost, message))
+}
+
+fn late() -> End {
+    let refusal = Refusal::unknown(Reason::Deadline, RETRY_SOON);
+    End::Failed(Fault::new(refusal, false))
+}
+
+fn corrupt(error: Option<berylgw_core::Error>) -> End {
+    let message = error.map_or_else(
+        || "answer frame without content".to_owned(),
+        |error| error.to_string(),
+    );
+    End::Failed(Fault::lost(Reason::AnswerCorrupt, message))
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,286 @@
+//! HTTP interface for callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::{Body, Bytes};
+use axum::extract::{Query, Request, State};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Response, header};
+use axum::middleware::{self, Next};
+use axum::routing::{get, post};
+use berylgw_core::client::{Account, token_digest};
+use berylgw_core::directory::{self, Address};
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_core::{route, service};
+use berylgw_wire as wire;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::dispatch::{self, Admitted, Call, Mode};
+use crate::render;
+use crate::shared::{Current, Shared};
+
+/// Bytes of the messages that decide on prefix affinity.
+const PREFIX_BYTES: usize = 1_024;
+
+const CONFIG_RETRY: Duration = Duration::from_secs(1);
+
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const TICKET: HeaderName = HeaderName::from_static("berylgw-ticket");
+
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// Routes of the callers' interface.
+pub fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/directory", get(serve_directory))
+        .route("/v1/chat/completions", post(serve_chat))
+        .fallback(serve_plain)
+        .layer(middleware::from_fn_with_state(
+            shared.clone(),
+            announce_stop,
+        ))
+        .with_state(shared)
+}
+
+/// Tells callers of a stopping entry not to reuse the connection.
+async fn announce_stop(
+    State(shared): State<Arc<Shared>>,
+    request: Request,
+    next: Next,
+) -> Response<Body> {
+    let http1 = request.version() < axum::http::Version::HTTP_2;
+    let mut response = next.run(request).await;
+    if http1 && *shared.stopping.borrow() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+fn refuse(reason: Reason, message: &str) -> Refusal {
+    Refusal::not_run(reason, Duration::ZERO).with_message(message)
+}
+
+fn new_id(shared: &Shared) -> String {
+    format!("{:032x}", shared.rng().random::<u128>())
+}
+
+fn authenticate<'a>(current: &'a Current, headers: &HeaderMap) -> Result<&'a Account> {
+    if current.snapshot.sheet.accounts.is_empty() {
+        let refusal = Refusal::not_run(Reason::NoServer, CONFIG_RETRY);
+        return Err(refusal.with_message("this entry has no configuration yet"));
+    }
+    let token = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    token
+        .and_then(|token| current.snapshot.authenticate(&token_digest(token)))
+        .ok_or_else(|| refuse(Reason::Unauthenticated, "a valid bearer token is required"))
+}
+
+/// The service, if the account may use it; both refusals read the same.
+fn authorize(
+    current: &Current,
+    account: &Account,
+    name: &str,
+    kind: service::Kind,
+) -> Result<Arc<str>> {
+    let snapshot = &current.snapshot;
+    let service = snapshot.service(name);
+    let granted = snapshot.grants(&account.name, name);
+    match service {
+        Some(service) if granted && service.kind == kind => Ok(service.name.clone()),
+        _ => {
+            let message = "the service does not exist or this account may not use it";
+            Err(refuse(Reason::UnknownService, message))
+        }
+    }
+}
+
+fn admit(shared: &Arc<Shared>, current: &Current, account: &Account) -> Result<Admitted> {
+    let now = shared.now();
+    let entries = current.live_entries();
+    shared.limits().enter(account, entries, now)?;
+    shared.metrics.requests.inc();
+    shared.metrics.in_flight.inc();
+    Ok(Admitted {
+        shared: shared.clone(),
+        account: account.name.clone(),
+    })
+}
+
+async fn read_body(shared: &Shared, body: Body) -> Result<Bytes> {
+    let limit = shared.settings.limits.body_bytes;
+    let wait = Duration::from_millis(shared.settings.limits.request_ms);
+    let bytes = tokio::time::timeout(wait, axum::body::to_bytes(body, limit)).await;
+    let bytes = bytes.map_err(|_| refuse(Reason::Deadline, "the body did not arrive in time"))?;
+    bytes.map_err(|_| {
+        let message = format!("the body is incomplete or larger than {limit} bytes");
+        refuse(Reason::InvalidRequest, &message)
+    })
+}
+
+#[derive(Deserialize)]
+struct Place {
+    #[serde(default)]
+    domain: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Directory {
+    addresses: Vec<Address>,
+    lifetime_ms: u64,
+}
+
+async fn serve_directory(
+    State(shared): State<Arc<Shared>>,
+    Query(place): Query<Place>,
+    headers: HeaderMap,
+) -> Response<Body> {
+    let id = new_id(&shared);
+    let current = shared.current();
+    if let Err(refusal) = authenticate(&current, &headers) {
+        return render::refusal(&shared, &refusal, &id);
+    }
+    let domain = place.domain.as_deref().unwrap_or(&shared.settings.domain);
+    let turn = shared.rng().random_range(0..usize::from(u16::MAX));
+    let directory = Directory {
+        addresses: directory::addresses(&current.snapshot, &current.leaving, domain, turn),
+        lifetime_ms: shared.settings.limits.directory_ms,
+    };
+    let Ok(response) = render::json(&directory);
+    response
+}
+
+async fn serve_chat(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
+    let id = new_id(&shared);
+    match chat(&shared, request, &id).await {
+        Ok(answer) => render::answer(&shared, answer, &id),
+        Err(refusal) => render::refusal(&shared, &refusal, &id),
+    }
+}
+
+#[derive(Deserialize)]
+struct Chat<'a> {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(borrow)]
+    messages: &'a RawValue,
+}
+
+async fn chat(shared: &Arc<Shared>, request: Request, id: &str) -> Result<dispatch::Answer> {
+    let (head, body) = request.into_parts();
+    let current = shared.current();
+    let account = authenticate(&current, &head.headers)?;
+    let body = read_body(shared, body).await?;
+    let chat: Chat<'_> = serde_json::from_slice(&body).map_err(|error| {
+        let message = format!("not a chat completion request: {error}");
+        refuse(Reason::InvalidRequest, &message)
+    })?;
+    let service = authorize(&current, account, &chat.model, service::Kind::Model)?;
+    let admitted = admit(shared, &current, account)?;
+    let prefix = chat.messages.get().as_bytes();
+    let prefix = &prefix[..prefix.len().min(PREFIX_BYTES)];
+    let call = Call {
+        id: id.to_owned(),
+        account: account.name.clone(),
+        service,
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
+        headers: forwarded(&head.headers),
+        idempotent: true,
+        key: None,
+        mode: if chat.stream {
+            Mode::Events
+        } else {
+            Mode::Collect
+        },
+        affinity: Some(route::affinity(&account.name, prefix)),
+        fingerprint: route::affinity(&account.name, &body),
+        deadline: deadline(shared),
+        body: body.clone(),
+    };
+    dispatch::run(shared, call, admitted).await
+}
+
+async fn serve_plain(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
+    let id = new_id(&shared);
+    match plain(&shared, request, &id).await {
+        Ok(answer) => render::answer(&shared, answer, &id),
+        Err(refusal) => render::refusal(&shared, &refusal, &id),
+    }
+}
+
+async fn plain(shared: &Arc<Shared>, request: Request, id: &str) -> Result<dispatch::Answer> {
+    let (head, body) = request.into_parts();
+    let current = shared.current();
+    let account = authenticate(&current, &head.headers)?;
+    let Some((name, path)) = split(&head.uri) else {
+        return Err(refuse(Reason::InvalidRequest, "no such interface"));
+    };
+    let service = authorize(&current, account, name, service::Kind::Plain)?;
+    if head.headers.contains_key(TICKET) {
+        return Err(refuse(
+            Reason::TicketInvalid,
+            "this entry issues no tickets",
+        ));
+    }
+    let admitted = admit(shared, &current, account)?;
+    let body = read_body(shared, body).await?;
+    let key = head.headers.get(KEY);
+    let key = key.map(|key| String::from_utf8_lossy(key.as_bytes()).into_owned());
+    let call = Call {
+        id: id.to_owned(),
+        account: account.name.clone(),
+        service,
+        method: head.method.to_string(),
+        path,
+        headers: forwarded(&head.headers),
+        idempotent: matches!(head.method, Method::GET | Method::HEAD),
+        key,
+        mode: Mode::Pass,
+        affinity: None,
+        fingerprint: route::affinity(&account.name, &body),
+        deadline: deadline(shared),
+        body,
+    };
+    dispatch::run(shared, call, admitted).await
+}
+
+/// Splits `/services/{service}/{path}` into the service and the path with query.
+fn split(uri: &axum::http::Uri) -> Option<(&str, String)> {
+    let rest = uri.path().strip_prefix("/services/")?;
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let query = uri.query().map(|query| format!("?{query}"));
+    Some((name, format!("/{path}{}", query.unwrap_or_default())))
+}
+
+fn deadline(shared: &Shared) -> berylgw_core::clock::Instant {
+    shared.now() + Duration::from_millis(shared.settings.limits.request_ms)
+}
+
+/// Headers a backend server may see; the bearer token is not among them.
+fn forwarded(headers: &HeaderMap) -> Vec<wire::Header> {
+    let private = [
+        header::AUTHORIZATION,
+        header::HOST,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+    ];
+    let mut kept = Vec::new();
+    for (name, value) in headers {
+        if private.contains(name) || render::is_hop_by_hop(name) {
+            continue;
+        }
+        kept.push(wire::Header {
+            name: name.to_string(),
+            value: value.as_bytes().to_vec().into(),
+        });
+    }
+    kept
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,257 @@
+//! The control thread: owner of the configuration view.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::config::{Object, Version, View};
+use berylgw_platform::{Client, Event, Kind, List};
+use rand::Rng;
+use tokio::sync::{mpsc, watch};
+
+use crate::shared::{Current, Newer, Shared};
+use crate::sync;
+
+const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
+const PEER_INTERVAL: Duration = Duration::from_millis(500);
+const AGE_INTERVAL: Duration = Duration::from_millis(250);
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+
+/// Owner of the view; its borrow is never held across an await.
+struct Owner {
+    shared: Arc<Shared>,
+    view: View,
+    publish: watch::Sender<Current>,
+    confirmed: Instant,
+}
+
+type Handle = Rc<RefCell<Owner>>;
+
+impl Owner {
+    fn merge(&mut self, since: Version, version: Version, objects: &[Object]) {
+        self.confirmed = self.shared.now();
+        if !self.view.merge(since, version, objects) {
+            return;
+        }
+        let resolved = self.view.snapshot();
+        let metrics = &self.shared.metrics;
+        metrics.config_version.set(u64::from(version) as i64);
+        let snapshot = match resolved {
+            Ok(snapshot) => Some(Arc::new(snapshot)),
+            Err(error) => {
+                metrics.config_errors.inc();
+                tracing::error!(%error, "configuration not usable, the last one stays in force");
+                None
+            }
+        };
+        if let Some(snapshot) = &snapshot {
+            self.shared.table().update(snapshot);
+        }
+        tracing::info!(version = u64::from(version), "configuration changed");
+        let view = Arc::new(self.view.clone());
+        self.publish.send_modify(|current| {
+            current.view = view;
+            if let Some(snapshot) = snapshot {
+                current.snapshot = snapshot;
+            }
+        });
+    }
+
+    fn list(&mut self, list: &List) {
+        let objects: Vec<Object> = list.items.iter().map(object).collect();
+        // The version counts config writes only. Revisions of other kinds would
+        // make processes that differ in nothing refuse each other's work.
+        let newest = objects.iter().map(|object| object.version).max();
+        self.merge(Version::default(), newest.unwrap_or_default(), &objects);
+    }
+
+    fn put(&mut self, written: &berylgw_platform::Object) {
+        let since = self.view.version();
+        self.merge(since, written.version.into(), &[object(written)]);
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        let own = &self.shared.settings.name;
+        let current = self.publish.borrow();
+        let entries = current.snapshot.sheet.entries.iter();
+        let mut peers: Vec<_> = entries
+            .filter(|entry| entry.name != *own)
+            .map(|entry| entry.peer_address)
+            .collect();
+        if peers.is_empty() {
+            peers.clone_from(&self.shared.settings.seeds);
+        }
+        peers
+    }
+}
+
+fn object(written: &berylgw_platform::Object) -> Object {
+    Object {
+        name: written.name.clone(),
+        version: written.version.into(),
+        value: written.value.get().into(),
+    }
+}
+
+/// Runs the control loops until the process stops.
+pub async fn run(
+    shared: Arc<Shared>,
+    publish: watch::Sender<Current>,
+    newer: mpsc::UnboundedReceiver<Newer>,
+) {
+    let platform = &shared.settings.platform;
+    let timeout = Duration::from_millis(platform.timeout_ms);
+    let client = Client::new(platform.address, timeout);
+    let owner = Rc::new(RefCell::new(Owner {
+        view: View::new(),
+        publish,
+        confirmed: shared.now(),
+        shared: shared.clone(),
+    }));
+    tokio::join!(
+        watch_config(&owner, &client),
+        watch_hosts(&owner, &client),
+        pull_peers(&owner),
+        pull_newer(&owner, newer),
+        measure_age(&owner),
+    );
+}
+
+async fn watch_config(owner: &Handle, client: &Client) {
+    let mut backoff = BACKOFF_MIN;
+    let mut seen = None;
+    loop {
+        let started = seen;
+        let error = follow_config(owner, client, &mut seen).await;
+        if error.kind() == Kind::Compacted {
+            seen = None;
+        }
+        if seen > started {
+            backoff = BACKOFF_MIN;
+        }
+        tracing::warn!(%error, "configuration watch ended");
+        let jitter = owner.borrow().shared.rng().random_range(0.5..1.0);
+        tokio::time::sleep(backoff.mul_f64(jitter)).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+}
+
+/// Lists if no revision was seen, then watches until the watch fails.
+async fn follow_config(
+    owner: &Handle,
+    client: &Client,
+    seen: &mut Option<u64>,
+) -> berylgw_platform::Error {
+    let from = match *seen {
+        Some(revision) => revision,
+        None => match client.list("config").await {
+            Ok(list) => {
+                owner.borrow_mut().list(&list);
+                *seen = Some(list.revision);
+                list.revision
+            }
+            Err(error) => return error,
+        },
+    };
+    let mut watch = match client.watch("config", from).await {
+        Ok(watch) => watch,
+        Err(error) => return error,
+    };
+    loop {
+        match watch.next().await {
+            Ok(Event::Put(written)) => {
+                owner.borrow_mut().put(&written);
+                *seen = Some(written.version);
+            }
+            Ok(Event::Delete { revision, name }) => {
+                // An accepted configuration never reverts.
+                tracing::warn!(%name, revision, "deletion of a config object ignored");
+                *seen = Some(revision);
+            }
+            Ok(Event::Heartbeat { revision }) => {
+                let mut owner = owner.borrow_mut();
+                owner.confirmed = owner.shared.now();
+                *seen = Some(revision.max(seen.unwrap_or_default()));
+            }
+            Err(error) => return error,
+        }
+    }
+}
+
+async fn watch_hosts(owner: &Handle, client: &Client) {
+    let mut ticks = tokio::time::interval(HOSTS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let hosts = match client.hosts().await {
+            Ok(hosts) => hosts,
+            Err(error) => {
+                tracing::debug!(%error, "host list not read");
+                continue;
+            }
+        };
+        let mut leaving: Vec<Arc<str>> = hosts
+            .into_iter()
+            .filter(|host| &*host.state == "leaving")
+            .map(|host| host.name)
+            .collect();
+        leaving.sort();
+        owner.borrow().publish.send_if_modified(|current| {
+            let changed = *current.leaving != *leaving;
+            if changed {
+                current.leaving = leaving.into();
+            }
+            changed
+        });
+    }
+}
+
+async fn pull_peers(owner: &Handle) {
+    let mut ticks = tokio::time::interval(PEER_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let peers = owner.borrow().peers();
+        if peers.is_empty() {
+            continue;
+        }
+        let chosen = owner.borrow().shared.rng().random_range(0..peers.len());
+        pull(owner, peers[chosen]).await;
+    }
+}
+
+async fn pull_newer(owner: &Handle, mut newer: mpsc::UnboundedReceiver<Newer>) {
+    while let Some(seen) = newer.recv().await {
+        if seen.version > owner.borrow().view.version().into() {
+            pull(owner, seen.address).await;
+        }
+    }
+}
+
+async fn pull(owner: &Handle, peer: SocketAddr) {
+    let shared = owner.borrow().shared.clone();
+    let since = owner.borrow().view.version();
+    match sync::pull(&shared, peer, since.into()).await {
+        Ok(delta) => {
+            let version = Version::from(delta.version);
+            owner.borrow_mut().merge(since, version, &delta.objects);
+        }
+        Err(error) => tracing::debug!(%peer, %error, "configuration not pulled"),
+    }
+}
+
+async fn measure_age(owner: &Handle) {
+    let mut ticks = tokio::time::interval(AGE_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let owner = owner.borrow();
+        let age = owner.shared.now().since(owner.confirmed);
+        let metrics = &owner.shared.metrics;
+        metrics.config_age_ms.set(age.as_millis() as i64);
+        let buffered = owner.shared.buffers().used();
+        metrics.buffered_bytes.set(buffered as i64);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/pool.rs
@@ -0,0 +1,67 @@
+//! Pooled gRPC channels to agents and peers.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tonic::transport::{Channel, Endpoint, Error};
+
+/// Interval of HTTP/2 pings on a connection with running calls.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Channels by address, sorted.
+#[derive(Debug)]
+pub struct Pool {
+    connect: Duration,
+    channels: Mutex<Vec<(SocketAddr, Channel)>>,
+}
+
+impl Pool {
+    pub fn new(connect: Duration) -> Self {
+        Pool {
+            connect,
+            channels: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Returns the channel to `address`, connecting first if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be made; nothing was sent in that case.
+    pub async fn get(&self, address: SocketAddr) -> Result<Channel, Error> {
+        if let Some(channel) = self.known(address) {
+            return Ok(channel);
+        }
+        let channel = Endpoint::from_shared(format!("http://{address}"))?
+            .connect_timeout(self.connect)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_INTERVAL)
+            .connect()
+            .await?;
+        let mut channels = self.lock();
+        let by_address = |(known, _): &(SocketAddr, Channel)| known.cmp(&address);
+        if let Err(index) = channels.binary_search_by(by_address) {
+            channels.insert(index, (address, channel.clone()));
+        }
+        Ok(channel)
+    }
+
+    /// Drops the channel to `address`, so that the next call connects anew.
+    pub fn evict(&self, address: SocketAddr) {
+        self.lock().retain(|(known, _)| *known != address);
+    }
+
+    fn known(&self, address: SocketAddr) -> Option<Channel> {
+        let channels = self.lock();
+        let index = channels
+            .binary_search_by(|(known, _)| known.cmp(&address))
+            .ok()?;
+        Some(channels[index].1.clone())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, Channel)>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/probe.rs
@@ -0,0 +1,56 @@
+//! Probes of backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::route::Key;
+use berylgw_wire as wire;
+
+use crate::attempt;
+use crate::shared::Shared;
+
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes sent in one interval, whatever the number of services and servers.
+const PROBES_PER_INTERVAL: usize = 16;
+
+/// Probes a few servers of each service in use, every second.
+pub async fn run(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let count = shared.settings.limits.probes;
+        let mut table = shared.table();
+        let targets = table.probe_targets(count, PROBES_PER_INTERVAL, &mut *shared.rng());
+        drop(table);
+        for key in targets {
+            tokio::spawn(probe(shared.clone(), key));
+        }
+    }
+}
+
+async fn probe(shared: Arc<Shared>, key: Key) {
+    let found = shared.table().server(key).map(|(_, address)| address);
+    let Some(address) = found else { return };
+    shared.metrics.probes.inc();
+    let call = async {
+        let channel = shared.pool.get(address).await.ok()?;
+        let mut client = wire::agent_client::AgentClient::new(channel);
+        let sender = Some(shared.sender());
+        let reply = client.probe(wire::ProbeRequest { sender }).await;
+        reply.ok().map(tonic::Response::into_inner)
+    };
+    let reply = tokio::time::timeout(shared.settings.limits.progress(), call).await;
+    let now = shared.now();
+    let Some(reply) = reply.ok().flatten() else {
+        shared.metrics.probe_failures.inc();
+        shared.pool.evict(address);
+        shared.table().failed(key, now);
+        return;
+    };
+    shared.saw(address, reply.sender.as_ref());
+    if let Some(load) = &reply.load {
+        shared.table().reported(key, attempt::load(load), now);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,245 @@
+//! The process: listeners, threads and graceful shutdown.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_runtime::{log, metrics as endpoint};
+use berylgw_wire::sync_server::SyncServer;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tonic::transport::server::TcpIncoming;
+
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::shared::{Current, Newer, Shared};
+use crate::{callers, control, probe, register, sync};
+
+/// Longest time a caller may take to send a request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// An entry whose addresses are bound.
+pub struct Entry {
+    shared: Arc<Shared>,
+    callers: TcpListener,
+    peers: std::net::TcpListener,
+    publish: watch::Sender<Current>,
+    newer: mpsc::UnboundedReceiver<Newer>,
+    stopping: watch::Sender<bool>,
+}
+
+impl Entry {
+    /// Binds the addresses for callers and peers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn bind(settings: Settings) -> io::Result<Self> {
+        let callers = TcpListener::bind(settings.listen.callers).await?;
+        let peers = std::net::TcpListener::bind(settings.listen.peers)?;
+        peers.set_nonblocking(true)?;
+        let (publish, current) = watch::channel(Current::default());
+        let (sender, newer) = mpsc::unbounded_channel();
+        let (stopping, stopped) = watch::channel(false);
+        let metrics = Metrics::new().map_err(io::Error::other)?;
+        let shared = Shared::new(settings, current, sender, stopped, metrics);
+        Ok(Entry {
+            shared: Arc::new(shared),
+            callers,
+            peers,
+            publish,
+            newer,
+            stopping,
+        })
+    }
+
+    /// Address of the callers' interface.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell it.
+    pub fn callers(&self) -> io::Result<SocketAddr> {
+        self.callers.local_addr()
+    }
+
+    /// Address of the interface for other processes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell it.
+    pub fn peers(&self) -> io::Result<SocketAddr> {
+        self.peers.local_addr()
+    }
+
+    /// The metrics of this entry.
+    pub fn registry(&self) -> prometheus::Registry {
+        self.shared.metrics.registry.clone()
+    }
+
+    /// Serves until `stop` resolves and running work is finished.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics address cannot be bound or the control thread fails.
+    pub async fn run(self, stop: impl Future<Output = ()>) -> io::Result<()> {
+        let shared = self.shared;
+        let address = self.callers.local_addr()?;
+        let registry = shared.metrics.registry.clone();
+        let (ending, ended) = watch::channel(false);
+        log::listening("callers", address);
+        log::listening("peers", self.peers.local_addr()?);
+        let control = Control {
+            shared: shared.clone(),
+            publish: self.publish,
+            newer: self.newer,
+            peers: self.peers,
+            ended: ended.clone(),
+        };
+        let thread = control.start()?;
+        let metrics = shared.settings.listen.metrics;
+        let scrape = tokio::spawn(endpoint::serve(metrics, registry, until(ended)));
+        let probes = tokio::spawn(probe::run(shared.clone()));
+        tokio::spawn(announce(shared.clone(), address));
+
+        let connections = GracefulShutdown::new();
+        tokio::select! {
+            () = accept(&self.callers, &shared, &connections) => {}
+            () = leave(stop, &shared, address, &self.stopping) => {}
+        }
+        drop(self.callers);
+        connections.shutdown().await;
+        probes.abort();
+        // Receivers are gone only if their task ended before.
+        let _ = ending.send(true);
+        let joined = tokio::task::spawn_blocking(move || thread.join()).await;
+        if !matches!(joined, Ok(Ok(()))) {
+            return Err(io::Error::other("the control thread failed"));
+        }
+        scrape.await.map_err(io::Error::other)??;
+        tracing::info!("stopped");
+        Ok(())
+    }
+}
+
+async fn announce(shared: Arc<Shared>, address: SocketAddr) {
+    let mut backoff = Duration::from_millis(200);
+    while !*shared.stopping.borrow() {
+        if register::report(&shared.settings, address, "live").await {
+            return;
+        }
+        tokio::time::sleep(backoff).await;
+        backoff = (backoff * 2).min(Duration::from_secs(10));
+    }
+}
+
+/// Waits for the request to stop, reports it and lets callers learn of it.
+async fn leave(
+    stop: impl Future<Output = ()>,
+    shared: &Shared,
+    address: SocketAddr,
+    stopping: &watch::Sender<bool>,
+) {
+    stop.await;
+    tracing::info!("leaving");
+    let _ = stopping.send(true);
+    let grace = Duration::from_millis(shared.settings.limits.leave_ms);
+    tokio::join!(
+        register::report(&shared.settings, address, "leaving"),
+        tokio::time::sleep(grace),
+    );
+}
+
+async fn until(mut ended: watch::Receiver<bool>) {
+    // A dropped sender means the process is ending as well.
+    let _ = ended.wait_for(|ended| *ended).await;
+}
+
+async fn accept(listener: &TcpListener, shared: &Arc<Shared>, connections: &GracefulShutdown) {
+    let router = callers::router(shared.clone());
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => serve(stream, &router, shared, connections),
+            Err(error) => {
+                // Out of file descriptors: give running requests time to end.
+                tracing::warn!(%error, "connection not accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    router: &axum::Router,
+    shared: &Shared,
+    connections: &GracefulShutdown,
+) {
+    // Without the option only latency suffers.
+    let _ = stream.set_nodelay(true);
+    let head = shared.settings.limits.header_bytes;
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(head);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(head).unwrap_or(u32::MAX));
+    let service = TowerToHyperService::new(router.clone());
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = connections.watch(connection.into_owned());
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "connection ended");
+        }
+    });
+}
+
+/// What the control thread works with.
+struct Control {
+    shared: Arc<Shared>,
+    publish: watch::Sender<Current>,
+    newer: mpsc::UnboundedReceiver<Newer>,
+    peers: std::net::TcpListener,
+    ended: watch::Receiver<bool>,
+}
+
+impl Control {
+    fn start(self) -> io::Result<std::thread::JoinHandle<()>> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(self.run()))
+    }
+
+    async fn run(self) {
+        let peers = match TcpListener::from_std(self.peers) {
+            Ok(peers) => TcpIncoming::from(peers).with_nodelay(Some(true)),
+            Err(error) => {
+                tracing::error!(%error, "peers cannot be served");
+                return;
+            }
+        };
+        let server = tonic::transport::Server::builder()
+            .add_service(SyncServer::new(sync::Service(self.shared.clone())))
+            .serve_with_incoming_shutdown(peers, until(self.ended.clone()));
+        let served = tokio::spawn(server);
+        tokio::select! {
+            () = control::run(self.shared, self.publish, self.newer) => {}
+            () = until(self.ended) => {}
+        }
+        if let Ok(Err(error)) = served.await {
+            tracing::warn!(%error, "peer server ended");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,150 @@
+//! Settings of the entry process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_runtime::settings::Finding;
+use serde::Deserialize;
+
+/// Settings of one entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host in the sheet.
+    pub name: Arc<str>,
+    /// Failure domain of the host.
+    pub domain: Arc<str>,
+    /// Addresses to bind.
+    pub listen: Listen,
+    /// The platform object API.
+    pub platform: Platform,
+    /// Peer addresses to pull the configuration from at start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Limits and timeouts.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Addresses to bind; port 0 lets the system choose.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// gRPC for other berylgw processes.
+    pub peers: SocketAddr,
+    /// Prometheus endpoint.
+    pub metrics: SocketAddr,
+}
+
+/// Where the platform is.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Longest wait for an answer.
+    #[serde(default = "platform_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+fn platform_timeout_ms() -> u64 {
+    1_000
+}
+
+/// Limits and timeouts; each has a default.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest request body.
+    pub body_bytes: usize,
+    /// Largest request head.
+    pub header_bytes: usize,
+    /// Largest answer that is collected before it is sent.
+    pub answer_bytes: usize,
+    /// Bytes buffered for one slow reader.
+    pub stream_buffer_bytes: usize,
+    /// Bytes buffered for all slow readers.
+    pub buffer_bytes: usize,
+    /// Time a slow reader of an answer that cannot be resumed has to make room.
+    pub slow_reader_ms: u64,
+    /// Longest silence of an agent that runs a request.
+    pub progress_ms: u64,
+    /// Longest wait for a connection to an agent or peer.
+    pub connect_ms: u64,
+    /// Longest time a request may take.
+    pub request_ms: u64,
+    /// Time for which a stopping entry still accepts callers.
+    pub leave_ms: u64,
+    /// Lifetime of a directory answer.
+    pub directory_ms: u64,
+    /// Backend servers probed per service and second.
+    pub probes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            body_bytes: 1 << 20,
+            header_bytes: 32 << 10,
+            answer_bytes: 16 << 20,
+            stream_buffer_bytes: 64 << 10,
+            buffer_bytes: 64 << 20,
+            slow_reader_ms: 5_000,
+            progress_ms: 2_000,
+            connect_ms: 500,
+            request_ms: 300_000,
+            leave_ms: 1_000,
+            directory_ms: 10_000,
+            probes: 3,
+        }
+    }
+}
+
+impl Limits {
+    /// Longest silence of an agent that runs a request.
+    pub fn progress(&self) -> Duration {
+        Duration::from_millis(self.progress_ms)
+    }
+
+    /// Longest wait for a connection.
+    pub fn connect(&self) -> Duration {
+        Duration::from_millis(self.connect_ms)
+    }
+}
+
+impl Settings {
+    /// Lists values that are well formed but not allowed.
+    pub fn check(&self) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        let positive = [
+            ("platform.timeout_ms", self.platform.timeout_ms),
+            ("limits.body_bytes", self.limits.body_bytes as u64),
+            ("limits.answer_bytes", self.limits.answer_bytes as u64),
+            (
+                "limits.stream_buffer_bytes",
+                self.limits.stream_buffer_bytes as u64,
+            ),
+            ("limits.buffer_bytes", self.limits.buffer_bytes as u64),
+            ("limits.progress_ms", self.limits.progress_ms),
+            ("limits.connect_ms", self.limits.connect_ms),
+            ("limits.request_ms", self.limits.request_ms),
+        ];
+        for (field, value) in positive {
+            if value == 0 {
+                findings.push(Finding::new(field, "must be greater than 0"));
+            }
+        }
+        if self.limits.header_bytes < 8_192 {
+            findings.push(Finding::new("limits.header_bytes", "must be at least 8192"));
+        }
+        for (field, value) in [("name", &self.name), ("domain", &self.domain)] {
+            if value.is_empty() {
+                findings.push(Finding::new(field, "must not be empty"));
+            }
+        }
+        findings
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,143 @@
+//! State shared by the threads of the entry process.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use berylgw_core::clock::Instant;
+use berylgw_core::config::{Snapshot, View};
+use berylgw_core::{buffer, retry, route};
+use berylgw_runtime::clock::Clock;
+use berylgw_wire as wire;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::{mpsc, watch};
+
+use crate::limits::Limits;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::Settings;
+
+/// What the control thread publishes.
+#[derive(Clone, Debug, Default)]
+pub struct Current {
+    pub view: Arc<View>,
+    pub snapshot: Arc<Snapshot>,
+    /// Sorted names of hosts about to stop.
+    pub leaving: Arc<[Arc<str>]>,
+}
+
+impl Current {
+    /// Entries that share the limits of the client accounts.
+    pub fn live_entries(&self) -> u32 {
+        let live = self.snapshot.sheet.entries.iter().filter(|entry| {
+            let leaving = self.leaving.binary_search(&entry.name).is_ok();
+            !leaving && !self.snapshot.is_out(&entry.domain)
+        });
+        live.count().max(1) as u32
+    }
+}
+
+/// A process that showed a newer configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Newer {
+    pub address: SocketAddr,
+    pub version: u64,
+}
+
+/// State of one entry.
+pub struct Shared {
+    pub settings: Settings,
+    pub clock: Clock,
+    pub incarnation: u64,
+    pub current: watch::Receiver<Current>,
+    pub newer: mpsc::UnboundedSender<Newer>,
+    pub stopping: watch::Receiver<bool>,
+    pub pool: Pool,
+    pub metrics: Metrics,
+    table: Mutex<route::Table>,
+    rng: Mutex<ChaCha8Rng>,
+    retries: Mutex<retry::Budget>,
+    buffers: Mutex<buffer::Budget>,
+    limits: Mutex<Limits>,
+}
+
+impl Shared {
+    pub fn new(
+        settings: Settings,
+        current: watch::Receiver<Current>,
+        newer: mpsc::UnboundedSender<Newer>,
+        stopping: watch::Receiver<bool>,
+        metrics: Metrics,
+    ) -> Self {
+        let clock = Clock::start();
+        let limits = &settings.limits;
+        let buffers = buffer::Budget::new(limits.stream_buffer_bytes, limits.buffer_bytes);
+        let mut rng = ChaCha8Rng::from_os_rng();
+        Shared {
+            clock,
+            incarnation: rng.random(),
+            current,
+            newer,
+            stopping,
+            pool: Pool::new(limits.connect()),
+            metrics,
+            table: Mutex::new(route::Table::new(&settings.domain)),
+            rng: Mutex::new(rng),
+            retries: Mutex::new(retry::Budget::new(clock.now())),
+            buffers: Mutex::new(buffers),
+            limits: Mutex::new(Limits::default()),
+            settings,
+        }
+    }
+
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub fn current(&self) -> Current {
+        self.current.borrow().clone()
+    }
+
+    pub fn table(&self) -> MutexGuard<'_, route::Table> {
+        lock(&self.table)
+    }
+
+    pub fn rng(&self) -> MutexGuard<'_, ChaCha8Rng> {
+        lock(&self.rng)
+    }
+
+    pub fn retries(&self) -> MutexGuard<'_, retry::Budget> {
+        lock(&self.retries)
+    }
+
+    pub fn buffers(&self) -> MutexGuard<'_, buffer::Budget> {
+        lock(&self.buffers)
+    }
+
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        lock(&self.limits)
+    }
+
+    /// Identity of this entry for an outgoing message.
+    pub fn sender(&self) -> wire::Sender {
+        wire::Sender {
+            name: self.settings.name.to_string(),
+            incarnation: self.incarnation,
+            config_version: self.current.borrow().view.version().into(),
+        }
+    }
+
+    /// Asks the control thread to pull if the process at `address` knows more.
+    pub fn saw(&self, address: SocketAddr, sender: Option<&wire::Sender>) {
+        let Some(sender) = sender else { return };
+        let version = sender.config_version;
+        if version > self.current.borrow().view.version().into() {
+            // The receiver is gone only while the process stops.
+            let _ = self.newer.send(Newer { address, version });
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/entry/src/sync.rs
@@ -0,0 +1,142 @@
+//! Exchange of the configuration with peers and agents.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::config::{Object, Version};
+use berylgw_wire as wire;
+use futures_util::{Stream, stream};
+use tonic::{Request, Response, Status};
+
+use crate::shared::{Current, Shared};
+
+/// Longest pause between replies of a follow stream.
+const FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The `Sync` service of an entry.
+pub struct Service(pub Arc<Shared>);
+
+impl Service {
+    /// Notes the version of the asking process, to pull from it if it is newer.
+    fn note(&self, sender: Option<&wire::Sender>) {
+        let Some(sender) = sender else { return };
+        let snapshot = self.0.current().snapshot;
+        let by_name = |entry: &berylgw_core::host::Entry| (*entry.name).cmp(&sender.name);
+        let entries = &snapshot.sheet.entries;
+        let address = match entries.binary_search_by(by_name) {
+            Ok(index) => Some(entries[index].peer_address),
+            Err(_) => snapshot.server(&sender.name).map(|server| server.address),
+        };
+        if let Some(address) = address {
+            self.0.saw(address, Some(sender));
+        }
+    }
+}
+
+fn reply(shared: &Shared, current: &Current, since: u64) -> wire::PullReply {
+    let objects = current.view.newer_than(Version::from(since));
+    let entries = &current.snapshot.sheet.entries;
+    wire::PullReply {
+        sender: Some(shared.sender()),
+        version: current.view.version().into(),
+        objects: objects.iter().map(encode).collect(),
+        entries: entries
+            .iter()
+            .map(|entry| entry.peer_address.to_string())
+            .collect(),
+        suspects: Vec::new(),
+    }
+}
+
+fn encode(object: &Object) -> wire::Object {
+    wire::Object {
+        name: object.name.to_string(),
+        version: object.version.into(),
+        value: object.value.as_bytes().to_vec().into(),
+    }
+}
+
+fn decode(object: wire::Object) -> Option<Object> {
+    Some(Object {
+        name: object.name.into(),
+        version: object.version.into(),
+        value: String::from_utf8(object.value.to_vec()).ok()?.into(),
+    })
+}
+
+#[tonic::async_trait]
+impl wire::sync_server::Sync for Service {
+    type FollowStream = Pin<Box<dyn Stream<Item = Result<wire::PullReply, Status>> + Send>>;
+
+    async fn pull(
+        &self,
+        request: Request<wire::PullRequest>,
+    ) -> Result<Response<wire::PullReply>, Status> {
+        let request = request.into_inner();
+        self.note(request.sender.as_ref());
+        let current = self.0.current();
+        Ok(Response::new(reply(&self.0, &current, request.since)))
+    }
+
+    async fn follow(
+        &self,
+        request: Request<wire::PullRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let request = request.into_inner();
+        self.note(request.sender.as_ref());
+        let mut changes = self.0.current.clone();
+        changes.mark_changed();
+        let start = (self.0.clone(), changes, request.since);
+        let replies = stream::unfold(start, |(shared, mut changes, since)| async move {
+            let mut stopping = shared.stopping.clone();
+            let stopped = async move {
+                let _ = stopping.wait_for(|stopping| *stopping).await;
+            };
+            tokio::select! {
+                _ = tokio::time::timeout(FOLLOW_INTERVAL, changes.changed()) => {}
+                () = stopped => return None,
+            }
+            let current = changes.borrow_and_update().clone();
+            let reply = reply(&shared, &current, since);
+            let since = since.max(reply.version);
+            Some((Ok(reply), (shared, changes, since)))
+        });
+        Ok(Response::new(Box::pin(replies)))
+    }
+}
+
+/// Objects of a peer that are newer than `since`, and the version they reach.
+pub async fn pull(shared: &Shared, peer: SocketAddr, since: u64) -> Result<Delta, Status> {
+    let limit = shared.settings.limits.progress();
+    let call = async {
+        let unreachable = |error: tonic::transport::Error| Status::unavailable(error.to_string());
+        let channel = shared.pool.get(peer).await.map_err(unreachable)?;
+        let mut client =
+            wire::sync_client::SyncClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
+        let sender = Some(shared.sender());
+        let reply = client.pull(wire::PullRequest { sender, since }).await?;
+        Ok::<_, Status>(reply.into_inner())
+    };
+    let timed_out = |_| Status::deadline_exceeded("no answer from peer");
+    let reply = tokio::time::timeout(limit, call).await;
+    let reply = reply.map_err(timed_out).flatten().inspect_err(|_| {
+        shared.pool.evict(peer);
+    })?;
+    let objects: Option<Vec<_>> = reply.objects.into_iter().map(decode).collect();
+    let objects = objects.ok_or_else(|| Status::data_loss("object value is not UTF-8"))?;
+    Ok(Delta {
+        version: reply.version,
+        objects,
+    })
+}
+
+/// Largest configuration accepted from a peer; platform values reach 1 MiB each.
+const MESSAGE_LIMIT: usize = 16 << 20;
+
+/// Part of a configuration.
+pub struct Delta {
+    pub version: u64,
+    pub objects: Vec<Object>,
+}
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,408 @@
+//! In-process stand-ins for the platform and an agent.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use axum::extract::{Path, Query, Request, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, put};
+use axum::{Json, Router};
+use berylgw_entry::{Entry, Limits, Listen, Platform, Settings};
+use berylgw_wire as wire;
+use futures_util::Stream;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tonic::{Status, transport::server::TcpIncoming};
+use wire::answer_frame::Kind;
+
+pub const TOKEN: &str = "sesame";
+
+pub fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A sheet with the model `m`, the plain service `p` and the forbidden model `x`.
+pub fn sheet(agents: &[SocketAddr], entries: &[(&str, SocketAddr)]) -> Value {
+    let mut servers = Vec::new();
+    for service in ["m", "p"] {
+        for (index, address) in agents.iter().enumerate() {
+            servers.push(json!({
+                "name": format!("{service}{index}"), "service": service, "domain": "d1",
+                "address": address, "limit": 8, "cold_limit": 1, "rank": null
+            }));
+        }
+    }
+    let entries: Vec<Value> = entries
+        .iter()
+        .map(|(name, address)| {
+            json!({"name": name, "domain": "d1", "address": address, "peer_address": address})
+        })
+        .collect();
+    let service = |name: &str, kind: &str| json!({"name": name, "region": "r", "kind": kind, "fencing": "ignored"});
+    json!({
+        "nonce": 1,
+        "domains": [{"name": "d1", "region": "r"}],
+        "entries": entries,
+        "services": [service("m", "model"), service("p", "plain"), service("x", "model")],
+        "servers": servers,
+        "accounts": [{
+            "name": "a", "weight": 1, "rate": 1000, "concurrency": 100,
+            "token_sha256": berylgw_core::client::token_digest(TOKEN)
+        }],
+        "grants": [{"account": "a", "service": "m"}, {"account": "a", "service": "p"}],
+    })
+}
+
+/// A platform that holds one sheet and records host states.
+#[derive(Clone)]
+pub struct FakePlatform {
+    pub sheet: Arc<watch::Sender<(u64, Value)>>,
+    pub hosts: Arc<watch::Sender<Vec<Value>>>,
+}
+
+impl FakePlatform {
+    pub async fn start(sheet: Value) -> (Self, SocketAddr) {
+        let platform = FakePlatform {
+            sheet: Arc::new(watch::Sender::new((7, sheet))),
+            hosts: Arc::new(watch::Sender::new(Vec::new())),
+        };
+        let router = Router::new()
+            .route("/v1/objects/config", get(objects))
+            .route("/v1/hosts", get(|| async { Json(json!({"hosts": []})) }))
+            .route("/v1/hosts/{name}", put(register))
+            .with_state(platform.clone());
+        let listener = TcpListener::bind(any()).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
+        (platform, address)
+    }
+}
+
+async fn objects(
+    State(platform): State<FakePlatform>,
+    Query(query): Query<Vec<(String, String)>>,
+) -> Response {
+    let (revision, sheet) = platform.sheet.borrow().clone();
+    let Some((_, from)) = query.iter().find(|(name, _)| name == "watch") else {
+        let item = json!({"name": "sheet", "version": revision, "value": sheet});
+        return Json(json!({"revision": revision, "items": [item]})).into_response();
+    };
+    let seen: u64 = from.parse().unwrap();
+    let changes = platform.sheet.subscribe();
+    let lines = futures_util::stream::unfold((changes, seen), |(mut changes, seen)| async move {
+        let wait = changes.wait_for(|(revision, _)| *revision > seen);
+        let line = match tokio::time::timeout(Duration::from_secs(1), wait).await {
+            Ok(Ok(current)) => {
+                let (revision, sheet) = current.clone();
+                json!({"type": "put", "revision": revision, "name": "sheet", "value": sheet})
+            }
+            _ => json!({"type": "heartbeat", "revision": seen}),
+        };
+        let seen = line["revision"].as_u64().unwrap();
+        Some((
+            Ok::<_, std::io::Error>(format!("{line}\n")),
+            (changes, seen),
+        ))
+    });
+    axum::body::Body::from_stream(lines).into_response()
+}
+
+async fn register(
+    State(platform): State<FakePlatform>,
+    Path(_): Path<String>,
+    Json(host): Json<Value>,
+) -> Json<Value> {
+    platform.hosts.send_modify(|hosts| hosts.push(host));
+    Json(json!({}))
+}
+
+pub type Frames = mpsc::UnboundedSender<Result<wire::AnswerFrame, Status>>;
+type Script = dyn Fn(Arrival) + Send + Sync;
+
+/// A dispatch that reached a fake agent.
+pub struct Arrival {
+    pub agent: usize,
+    pub request: wire::DispatchRequest,
+    pub frames: Frames,
+}
+
+impl Arrival {
+    pub fn frame(&self, sequence: u64, kind: Kind) {
+        let _ = self.frames.send(Ok(wire::AnswerFrame {
+            request_id: self.request.request_id.clone(),
+            attempt: self.request.attempt,
+            sequence,
+            sender: None,
+            load: None,
+            kind: Some(kind),
+        }));
+    }
+
+    pub fn head(&self, status: u32) {
+        let headers = Vec::new();
+        self.frame(0, Kind::Head(wire::AnswerHead { status, headers }));
+    }
+
+    pub fn data(&self, sequence: u64, data: &str) {
+        self.frame(sequence, Kind::Data(data.to_owned().into()));
+    }
+
+    pub fn end(&self, frames: u64, bytes: usize) {
+        let bytes = bytes as u64;
+        self.frame(frames, Kind::Final(wire::AnswerFinal { frames, bytes }));
+    }
+
+    pub fn refuse(&self, reason: &str, outcome: wire::Outcome) {
+        self.frame(
+            0,
+            Kind::Refusal(wire::Refusal {
+                reason: reason.to_owned(),
+                outcome: outcome.into(),
+                retry_after_ms: 10,
+                message: reason.to_owned(),
+            }),
+        );
+    }
+
+    /// Sends a whole answer of these payload frames.
+    pub fn answer(&self, status: u32, frames: &[String]) {
+        self.head(status);
+        for (index, data) in frames.iter().enumerate() {
+            self.data(index as u64 + 1, data);
+        }
+        let bytes = frames.iter().map(String::len).sum();
+        self.end(frames.len() as u64 + 1, bytes);
+    }
+}
+
+/// The event of the token with this index.
+pub fn token(index: u64) -> String {
+    format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"t{index} \"}}}}]}}\n\n")
+}
+
+pub fn done() -> String {
+    "data: [DONE]\n\n".to_owned()
+}
+
+struct FakeAgent {
+    index: usize,
+    script: Arc<Script>,
+}
+
+#[tonic::async_trait]
+impl wire::agent_server::Agent for FakeAgent {
+    type DispatchStream =
+        Pin<Box<dyn Stream<Item = Result<wire::AnswerFrame, Status>> + Send + 'static>>;
+
+    async fn dispatch(
+        &self,
+        request: tonic::Request<wire::DispatchRequest>,
+    ) -> Result<tonic::Response<Self::DispatchStream>, Status> {
+        let (frames, receiver) = mpsc::unbounded_channel();
+        (self.script)(Arrival {
+            agent: self.index,
+            request: request.into_inner(),
+            frames,
+        });
+        let stream = UnboundedReceiverStream::new(receiver);
+        Ok(tonic::Response::new(Box::pin(stream)))
+    }
+
+    async fn probe(
+        &self,
+        _: tonic::Request<wire::ProbeRequest>,
+    ) -> Result<tonic::Response<wire::ProbeReply>, Status> {
+        let load = Some(wire::Load {
+            limit: 8,
+            ..wire::Load::default()
+        });
+        Ok(tonic::Response::new(wire::ProbeReply {
+            load,
+            ..wire::ProbeReply::default()
+        }))
+    }
+
+    async fn seal(
+        &self,
+        _: tonic::Request<wire::SealRequest>,
+    ) -> Result<tonic::Response<wire::SealReply>, Status> {
+        Err(Status::unimplemented("seal"))
+    }
+
+    async fn issue_ticket(
+        &self,
+        _: tonic::Request<wire::TicketRequest>,
+    ) -> Result<tonic::Response<wire::TicketReply>, Status> {
+        Err(Status::unimplemented("tickets"))
+    }
+}
+
+/// Starts agents that run `script` for each dispatch.
+pub async fn agents(
+    count: usize,
+    script: impl Fn(Arrival) + Send + Sync + 'static,
+) -> Vec<SocketAddr> {
+    let script: Arc<Script> = Arc::new(script);
+    let mut addresses = Vec::new();
+    for index in 0..count {
+        let incoming = TcpIncoming::bind(any()).unwrap();
+        addresses.push(incoming.local_addr().unwrap());
+        let agent = FakeAgent {
+            index,
+            script: script.clone(),
+        };
+        let server = wire::agent_server::AgentServer::new(agent);
+        let served = tonic::transport::Server::builder()
+            .add_service(server)
+            .serve_with_incoming(incoming);
+        tokio::spawn(async move { served.await.unwrap() });
+    }
+    addresses
+}
+
+/// A running entry and what it needs.
+pub struct Rig {
+    pub platform: FakePlatform,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub registry: prometheus::Registry,
+    pub stop: Option<oneshot::Sender<()>>,
+    pub ended: tokio::task::JoinHandle<std::io::Result<()>>,
+    http: Client<hyper_util::client::legacy::connect::HttpConnector, Full<Bytes>>,
+}
+
+pub fn settings(platform: SocketAddr, limits: Limits) -> Settings {
+    Settings {
+        name: "e1".into(),
+        domain: "d1".into(),
+        listen: Listen {
+            callers: any(),
+            peers: any(),
+            metrics: any(),
+        },
+        platform: Platform {
+            address: platform,
+            timeout_ms: 1_000,
+        },
+        seeds: Vec::new(),
+        limits,
+    }
+}
+
+pub fn short() -> Limits {
+    Limits {
+        progress_ms: 300,
+        leave_ms: 1,
+        ..Limits::default()
+    }
+}
+
+impl Rig {
+    pub async fn start(agents: &[SocketAddr], limits: Limits) -> Rig {
+        let entries = [("e1", "127.0.0.1:1".parse().unwrap())];
+        let (platform, address) = FakePlatform::start(sheet(agents, &entries)).await;
+        Rig::with(platform, settings(address, limits)).await
+    }
+
+    pub async fn with(platform: FakePlatform, settings: Settings) -> Rig {
+        let entry = Entry::bind(settings).await.unwrap();
+        let (stop, stopped) = oneshot::channel();
+        let rig = Rig {
+            platform,
+            callers: entry.callers().unwrap(),
+            peers: entry.peers().unwrap(),
+            registry: entry.registry(),
+            stop: Some(stop),
+            ended: tokio::spawn(entry.run(async {
+                let _ = stopped.await;
+            })),
+            http: Client::builder(TokioExecutor::new()).build_http(),
+        };
+        // The first configuration is in force once the directory answers.
+        while rig.call("GET", "/v1/directory", &[], "").await.0 != 200 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        rig
+    }
+
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> hyper::Response<Incoming> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.callers));
+        if !headers.iter().any(|(name, _)| *name == "authorization") {
+            request = request.header("authorization", format!("Bearer {TOKEN}"));
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).unwrap();
+        self.http.request(request).await.unwrap()
+    }
+
+    /// Status and body; the body is JSON null if it is not JSON.
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> (u16, Value) {
+        let response = self.send(method, path, headers, body).await;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        (status, serde_json::from_slice(&body).unwrap_or_default())
+    }
+
+    /// Streams a chat completion and returns its text.
+    pub async fn stream(&self) -> String {
+        let response = self
+            .send("POST", "/v1/chat/completions", &[], chat("m", true))
+            .await;
+        assert_eq!(response.status(), 200);
+        text(response).await
+    }
+
+    pub fn counter(&self, name: &str) -> f64 {
+        let families = self.registry.gather();
+        let family = families.iter().find(|family| family.name() == name);
+        let metrics = family.map(|family| family.get_metric()).unwrap_or_default();
+        metrics
+            .iter()
+            .map(|metric| metric.get_counter().get_value())
+            .sum()
+    }
+}
+
+pub async fn text(response: hyper::Response<Incoming>) -> String {
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
+pub fn chat(model: &str, stream: bool) -> String {
+    json!({"model": model, "stream": stream, "messages": [{"role": "user", "content": "hi"}]})
+        .to_string()
+}
+
+/// The first part of a stream of `count` tokens, with the end marker.
+pub fn tokens(from: u64, count: u64) -> Vec<String> {
+    let mut events: Vec<String> = (from..count).map(token).collect();
+    events.push(done());
+    events
+}
+
+pub type Shared<T> = Arc<Mutex<T>>;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,4 +7,6 @@
 #[path = "generated/berylgw.v1.rs"]
 pub mod generated;
 
+mod outcome;
+
 pub use generated::*;
