Test retries, resumption and routing, fix what they found

Cause: retries, slow readers and the core modules had no tests. Change: add them. A resumed stream repeated the role event after the finish event, a collected answer could be dropped when the process buffer was full, and an attempt whose head had arrived could be reported as not run; all three are fixed. A request is tried again after one server failure only. Limits count live hosts, replies to followers list at most eight entries, and affinity may use a quarter of a server's limit.

--- a/crates/core/src/buffer.rs
+++ b/crates/core/src/buffer.rs
@@ -40,14 +40,20 @@
         self.used
     }
 
+    /// Whether a stream can fill its buffer without exceeding the process limit.
+    pub fn has_room(&self) -> bool {
+        self.used == 0 || self.used + self.stream_limit <= self.process_limit
+    }
+
     /// Decides on `bytes` more of a stream and counts them if they are kept.
     ///
-    /// A stream that holds nothing keeps bytes above its own limit: an event
-    /// larger than the limit could otherwise never be delivered.
+    /// A stream that holds nothing keeps them in any case: an event larger than
+    /// the limit could otherwise never be delivered, and a caller that keeps up
+    /// would be stopped for the sake of slow ones.
     pub fn offer(&mut self, stream: &mut Stream, bytes: usize, resumable: bool) -> Verdict {
-        let fits_stream = stream.used == 0 || stream.used + bytes <= self.stream_limit;
-        let fits_process = self.used == 0 || self.used + bytes <= self.process_limit;
-        if fits_stream && fits_process {
+        let fits_stream = stream.used + bytes <= self.stream_limit;
+        let fits_process = self.used + bytes <= self.process_limit;
+        if stream.used == 0 || (fits_stream && fits_process) {
             stream.used += bytes;
             self.used += bytes;
             return Verdict::Keep;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -30,6 +30,10 @@
 /// Load above the mean at which affinity moves on to the next server.
 const AFFINITY_SLACK: f64 = 1.25;
 
+/// Share of a server's limit that affinity may use whatever the mean is. With
+/// few requests in flight the mean is below one and would scatter prefixes.
+const AFFINITY_SHARE: f64 = 0.25;
+
 /// Extra cost of a server in another failure domain.
 const REMOTE_DOMAIN_COST: f64 = 0.125;
 
@@ -61,6 +65,7 @@
     address: SocketAddr,
     group: usize,
     local: bool,
+    near: bool,
     limit: u32,
     outstanding: u32,
     reported: Option<(Instant, Load)>,
@@ -179,12 +184,14 @@
                 index,
                 generation: slot.generation,
             };
-            let (local, counted) = (slot.local, slot.counted);
+            let same_region = region.is_some() && region_of(snapshot, &server.domain) == region;
+            slot.near = slot.local || same_region;
+            let (local, near, counted) = (slot.local, slot.near, slot.counted);
             let place = &mut self.groups[group];
             if local {
                 place.local.push(key);
             }
-            if local || (region.is_some() && region_of(snapshot, &server.domain) == region) {
+            if near {
                 let hash = first_word(&Sha256::digest(server.name.as_bytes()));
                 place.region.push((hash, key));
                 place.load += u64::from(counted);
@@ -237,11 +244,11 @@
 
     /// Takes a load report of the server's agent, which proves that it is reachable.
     pub fn reported(&mut self, key: Key, load: Load, now: Instant) {
-        let Some(group) = self.slot(key).map(|slot| slot.group) else {
+        let Some(slot) = self.slot(key).filter(|slot| slot.present) else {
             return;
         };
-        if let Some(group) = self.groups.get_mut(group) {
-            let sample = load.service_time.as_secs_f64();
+        let (group, sample) = (slot.group, load.service_time.as_secs_f64());
+        if let Some(group) = self.groups.get_mut(group).filter(|_| sample > 0.0) {
             let smooth = group.service_time * 0.95 + sample * 0.05;
             group.service_time = if group.service_time == 0.0 {
                 sample
@@ -319,7 +326,6 @@
 
     fn preferred(&self, group: &Group, hash: u64, tried: &[Key], now: Instant) -> Option<Key> {
         let mean = (group.load + 1) as f64 / group.region.len().max(1) as f64;
-        let bound = (mean * AFFINITY_SLACK).max(1.0);
         let mut best = None;
         for &(server, key) in &group.region {
             let weight = mix(server ^ hash);
@@ -328,6 +334,8 @@
             }
             let Some(slot) = self.slot(key) else { continue };
             let held = slot.held(now);
+            let share = f64::from(slot.bound(now)) * AFFINITY_SHARE;
+            let bound = (mean * AFFINITY_SLACK).max(share).max(1.0);
             if f64::from(held) < bound && held < slot.bound(now) {
                 best = Some((weight, key));
             }
@@ -408,7 +416,7 @@
         let reported = slot.reported.map_or(0, |(_, load)| load.in_flight);
         let before = std::mem::replace(&mut slot.counted, reported.max(slot.outstanding));
         let (after, place) = (slot.counted, slot.group);
-        if !slot.present {
+        if !slot.present || !slot.near {
             return;
         }
         if let Some(group) = self.groups.get_mut(place) {
@@ -443,6 +451,7 @@
             address: server.address,
             group: 0,
             local: false,
+            near: false,
             limit: server.limit.max(1),
             outstanding: 0,
             reported: None,
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -170,6 +170,7 @@
     finished: bool,
     trailed: bool,
     skip_trailer: bool,
+    at_trailer: bool,
     done: bool,
 }
 
@@ -188,18 +189,22 @@
     pub fn resume(&mut self) {
         self.resumed = true;
         self.skip_trailer = self.trailed;
+        self.at_trailer = false;
     }
 
     /// Whether to hand on this event.
     ///
     /// A resumed attempt repeats the events before the first token and after
     /// the last one; the caller gets them once.
-    pub fn wants(&self, event: &[u8]) -> bool {
+    pub fn wants(&mut self, event: &[u8]) -> bool {
         match classify(event) {
             Event::Token => true,
-            Event::Finish => !self.finished,
+            Event::Finish => {
+                self.at_trailer = true;
+                !self.finished
+            }
             Event::Done => !self.done,
-            Event::Other if self.resumed => self.finished && !self.skip_trailer,
+            Event::Other if self.resumed => self.at_trailer && !self.skip_trailer,
             Event::Other => true,
         }
     }
--- /dev/null
+++ b/crates/core/tests/directory.rs
@@ -0,0 +1,52 @@
+//! Addresses for callers.
+
+use std::sync::Arc;
+
+use berylgw_core::config::Snapshot;
+use berylgw_core::directory::addresses;
+use serde_json::{Value, json};
+
+fn snapshot() -> Snapshot {
+    let entry = |name: &str, domain: &str, port: u16| -> Value {
+        let address = format!("127.0.0.1:{port}");
+        json!({"name": name, "domain": domain, "address": address, "peer_address": address})
+    };
+    let sheet = json!({
+        "nonce": 1,
+        "domains": [
+            {"name": "a", "region": "r1"}, {"name": "b", "region": "r1"},
+            {"name": "c", "region": "r2"}
+        ],
+        "entries": [
+            entry("e1", "a", 1), entry("e2", "b", 2), entry("e3", "b", 3), entry("e4", "c", 4)
+        ],
+        "services": [], "servers": [], "accounts": [], "grants": []
+    });
+    Snapshot {
+        sheet: serde_json::from_value(sheet).unwrap(),
+        ..Snapshot::default()
+    }
+}
+
+fn ports(snapshot: &Snapshot, leaving: &[Arc<str>], domain: &str, turn: usize) -> Vec<u16> {
+    let list = addresses(snapshot, leaving, domain, turn);
+    list.iter().map(|entry| entry.address.port()).collect()
+}
+
+/// Guards against callers sent far away, or all to the same entry.
+#[test]
+fn addresses_nearest_first() {
+    let snapshot = snapshot();
+    assert_eq!(ports(&snapshot, &[], "a", 0), [1, 2, 3, 4]);
+    assert_eq!(ports(&snapshot, &[], "a", 1), [1, 3, 2, 4]);
+    assert_eq!(ports(&snapshot, &[], "c", 0), [4, 1, 2, 3]);
+    assert_eq!(ports(&snapshot, &[], "nowhere", 0).len(), 4);
+}
+
+/// Guards against callers sent to hosts that leave or domains out of service.
+#[test]
+fn addresses_exclude_leaving_and_out() {
+    let mut snapshot = snapshot();
+    snapshot.domains_out = vec!["c".into()];
+    assert_eq!(ports(&snapshot, &["e2".into()], "a", 0), [1, 3]);
+}
--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,185 @@
+//! Selection of a backend server.
+
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::config::Snapshot;
+use berylgw_core::route::{Key, Load, Request, Table, affinity};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+
+const NOW: Instant = Instant::from_millis(10_000);
+
+/// Servers `s0`.. of one service, spread over these failure domains; `far` is
+/// in another region.
+fn snapshot(count: usize, domains: &[&str]) -> Snapshot {
+    let servers: Vec<Value> = (0..count)
+        .map(|index| {
+            json!({
+                "name": format!("s{index:04}"), "service": "m",
+                "domain": domains[index % domains.len()],
+                "address": format!("127.0.0.1:{}", 1_000 + index),
+                "limit": 8, "cold_limit": 1, "rank": null
+            })
+        })
+        .collect();
+    // The entry of the tests is in `a`.
+    let mut names = [domains, &["a"]].concat();
+    names.sort_unstable();
+    names.dedup();
+    let domains: Vec<Value> = names
+        .iter()
+        .map(|name| json!({"name": name, "region": if *name == "far" { "r2" } else { "r1" }}))
+        .collect();
+    let sheet = json!({
+        "nonce": 1, "domains": domains, "entries": [], "servers": servers, "accounts": [],
+        "services": [{"name": "m", "region": "r1", "kind": "model", "fencing": "ignored"}],
+        "grants": []
+    });
+    Snapshot {
+        sheet: serde_json::from_value(sheet).unwrap(),
+        ..Snapshot::default()
+    }
+}
+
+fn table(snapshot: &Snapshot) -> Table {
+    let mut table = Table::new("a");
+    table.update(snapshot);
+    table
+}
+
+fn request<'a>(affinity: Option<u64>, tried: &'a [Key]) -> Request<'a> {
+    Request {
+        service: "m",
+        affinity,
+        tried,
+    }
+}
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(1)
+}
+
+fn name(table: &Table, key: Key) -> String {
+    table.server(key).unwrap().0.to_string()
+}
+
+/// Guards against new work for a failure domain that is out of service.
+#[test]
+fn pick_skips_domain_out() {
+    let mut snapshot = snapshot(10, &["a", "b"]);
+    snapshot.domains_out = vec!["a".into()];
+    let table = table(&snapshot);
+    let mut rng = rng();
+    for _ in 0..200 {
+        let key = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+        let index: usize = name(&table, key)[1..].parse().unwrap();
+        assert_eq!(index % 2, 1);
+    }
+}
+
+/// Guards against work for draining and unreachable servers, and against
+/// servers that are never tried again.
+#[test]
+fn pick_skips_failed_until_backoff() {
+    let mut table = table(&snapshot(2, &["a"]));
+    let mut rng = rng();
+    let first = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+    table.failed(first, NOW);
+    let second = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+    assert_ne!(first, second);
+    let load = Load {
+        draining: true,
+        ..Load::default()
+    };
+    table.reported(second, load, NOW);
+    assert_eq!(table.pick(request(None, &[]), NOW, &mut rng), None);
+    let later = NOW + Duration::from_secs(11);
+    assert!(
+        table
+            .pick(request(None, &[first]), later, &mut rng)
+            .is_some()
+    );
+    assert!(
+        table
+            .pick(request(None, &[second]), later, &mut rng)
+            .is_some()
+    );
+}
+
+/// Guards against another region while the own one can serve.
+#[test]
+fn pick_prefers_region() {
+    let mut table = table(&snapshot(4, &["b", "far"]));
+    let mut rng = rng();
+    for _ in 0..100 {
+        let key = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+        assert!(["s0000", "s0002"].contains(&&*name(&table, key)));
+    }
+    for _ in 0..2 {
+        let key = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+        table.failed(key, NOW);
+    }
+    let key = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+    assert!(["s0001", "s0003"].contains(&&*name(&table, key)));
+}
+
+/// Guards against load that piles up on few servers.
+#[test]
+fn pick_balances_load() {
+    let mut table = table(&snapshot(16, &["a"]));
+    let mut rng = rng();
+    let mut held = vec![0; 16];
+    for _ in 0..96 {
+        let key = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+        table.dispatched(key);
+        held[name(&table, key)[1..].parse::<usize>().unwrap()] += 1;
+    }
+    assert!(held.iter().all(|count| *count <= 8), "{held:?}");
+}
+
+/// Guards against a prefix whose cache is scattered, and one that overloads
+/// its server.
+#[test]
+fn affinity_is_stable_and_bounded() {
+    let mut table = table(&snapshot(16, &["a"]));
+    let mut rng = rng();
+    let hash = Some(affinity("x", b"prompt"));
+    let first = table.pick(request(hash, &[]), NOW, &mut rng).unwrap();
+    for _ in 0..20 {
+        assert_eq!(table.pick(request(hash, &[]), NOW, &mut rng), Some(first));
+    }
+    for _ in 0..3 {
+        table.dispatched(first);
+    }
+    assert_ne!(table.pick(request(hash, &[]), NOW, &mut rng), Some(first));
+    table.finished(first);
+    table.finished(first);
+    assert_eq!(table.pick(request(hash, &[]), NOW, &mut rng), Some(first));
+}
+
+/// Guards against client accounts that share a prefix, and with it a cache.
+#[test]
+fn affinity_salted_by_account() {
+    assert_ne!(affinity("x", b"prompt"), affinity("y", b"prompt"));
+    assert_ne!(affinity("ab", b"c"), affinity("a", b"bc"));
+}
+
+/// Guards against estimates lost, or given to another server, on an update.
+#[test]
+fn update_keeps_keys() {
+    let mut table = table(&snapshot(3, &["a"]));
+    let mut rng = rng();
+    let key = table.pick(request(None, &[]), NOW, &mut rng).unwrap();
+    table.dispatched(key);
+    table.update(&Snapshot::default());
+    assert_eq!(table.pick(request(None, &[]), NOW, &mut rng), None);
+    table.update(&snapshot(3, &["a"]));
+    assert_eq!(table.server(key).unwrap().0.len(), 5);
+    table.finished(key);
+    table.update(&Snapshot::default());
+    assert!(table.server(key).is_none());
+    table.update(&snapshot(3, &["a"]));
+    assert!(table.server(key).is_none());
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -108,16 +108,21 @@
             .unwrap_or(Pushed::Full)
     }
 
-    /// Waits until the caller has taken everything or is gone.
+    /// Waits until the caller has taken everything and there is room for more,
+    /// or the caller is gone.
     pub async fn drained(&self) {
         loop {
             let freed = self.room.freed.notified();
-            if self.items.is_closed() || self.room.with(|_, stream| stream.is_empty()) {
+            let ready = self
+                .room
+                .with(|budget, stream| stream.is_empty() && budget.has_room());
+            if self.items.is_closed() || ready {
                 return;
             }
             tokio::select! {
                 () = freed => {}
                 () = self.items.closed() => {}
+                () = tokio::time::sleep(RECHECK) => {}
             }
         }
     }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -159,7 +159,7 @@
 async fn serve_chat(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
     let id = new_id(&shared);
     match chat(&shared, request, &id).await {
-        Ok(answer) => render::answer(&shared, answer, &id),
+        Ok(answer) => render::answer(answer, &id),
         Err(refusal) => render::refusal(&shared, &refusal, &id),
     }
 }
@@ -211,7 +211,7 @@
 async fn serve_plain(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
     let id = new_id(&shared);
     match plain(&shared, request, &id).await {
-        Ok(answer) => render::answer(&shared, answer, &id),
+        Ok(answer) => render::answer(answer, &id),
         Err(refusal) => render::refusal(&shared, &refusal, &id),
     }
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -8,7 +8,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::config::{Object, Version, View};
-use berylgw_platform::{Client, Event, Kind, List};
+use berylgw_platform::{Client, Event, Host, Kind, List};
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
 
@@ -101,7 +101,7 @@
 pub async fn run(
     shared: Arc<Shared>,
     publish: watch::Sender<Current>,
-    newer: mpsc::UnboundedReceiver<Newer>,
+    newer: mpsc::Receiver<Newer>,
 ) {
     let platform = &shared.settings.platform;
     let timeout = Duration::from_millis(platform.timeout_ms);
@@ -193,22 +193,24 @@
                 continue;
             }
         };
-        let mut leaving: Vec<Arc<str>> = hosts
-            .into_iter()
-            .filter(|host| &*host.state == "leaving")
-            .map(|host| host.name)
-            .collect();
-        leaving.sort();
+        let leaving = names(&hosts, "leaving");
+        let live = names(&hosts, "live");
         owner.borrow().publish.send_if_modified(|current| {
-            let changed = *current.leaving != *leaving;
-            if changed {
-                current.leaving = leaving.into();
-            }
+            let changed = *current.leaving != *leaving || *current.live != *live;
+            current.leaving = leaving.into();
+            current.live = live.into();
             changed
         });
     }
 }
 
+fn names(hosts: &[Host], state: &str) -> Vec<Arc<str>> {
+    let chosen = hosts.iter().filter(|host| *host.state == *state);
+    let mut names: Vec<_> = chosen.map(|host| host.name.clone()).collect();
+    names.sort();
+    names
+}
+
 async fn pull_peers(owner: &Handle) {
     let mut ticks = tokio::time::interval(PEER_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -223,7 +225,7 @@
     }
 }
 
-async fn pull_newer(owner: &Handle, mut newer: mpsc::UnboundedReceiver<Newer>) {
+async fn pull_newer(owner: &Handle, mut newer: mpsc::Receiver<Newer>) {
     while let Some(seen) = newer.recv().await {
         if seen.version > owner.borrow().view.version().into() {
             pull(owner, seen.address).await;
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,13 +11,18 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
-use crate::answer::{self, Item, Sink, Source};
+use crate::answer::{self, Item, Pushed, Sink, Source};
 use crate::attempt::{self, End, Fault};
+use crate::render;
 use crate::shared::Shared;
 
 /// Failed attempts after which a request is given up on.
 const ATTEMPTS: u32 = 4;
 
+/// Server failures after which a request is not tried again: it may be the
+/// cause, and at most two servers may be lost to one request.
+const CRASHES: u32 = 2;
+
 /// Longest wait for the configuration that a `stale_config` refusal names.
 const STALE_WAIT: Duration = Duration::from_millis(500);
 
@@ -101,6 +106,7 @@
         failures: 0,
         tried: Vec::new(),
         ran: false,
+        crashes: 0,
         head: None,
         collected: Vec::new(),
     };
@@ -134,6 +140,7 @@
     failures: u32,
     tried: Vec<Key>,
     ran: bool,
+    crashes: u32,
 }
 
 impl Driver {
@@ -167,6 +174,7 @@
     ///
     /// Fails if a resumed stream does not continue with the same status.
     pub fn head(&mut self, head: wire::AnswerHead) -> Result<(), String> {
+        self.ran = true;
         if self.start.is_none() {
             let same = head.status == 200;
             let message = format!("status {} on resumption", head.status);
@@ -191,11 +199,15 @@
                 Err(refusal) => return self.fail(refusal),
             };
             match end {
-                End::Complete => return self.complete(),
+                End::Complete => return self.complete().await,
                 End::CallerGone => return,
                 End::Suspended => {
                     self.shared.metrics.resumed.inc();
-                    self.sink.drained().await;
+                    let left = self.shared.clock.until(self.call.deadline);
+                    let drained = self.sink.drained();
+                    if tokio::time::timeout(left, drained).await.is_err() {
+                        return self.fail(Refusal::unknown(Reason::SlowReader, NO_SERVER_RETRY));
+                    }
                     self.tried.clear();
                 }
                 End::Failed(fault) => {
@@ -241,12 +253,12 @@
         } else {
             self.call.idempotent || !self.ran
         };
-        if !fault.retry || !repeatable || self.failures >= ATTEMPTS {
+        let crashed = fault.refusal.reason == Reason::ServerFailed;
+        self.crashes += u32::from(crashed);
+        let exhausted = self.failures >= ATTEMPTS || self.crashes >= CRASHES;
+        if !fault.retry || !repeatable || exhausted {
             return Err(fault.refusal.clone());
         }
-        if self.resume.is_done() {
-            return Ok(());
-        }
         let now = self.shared.now();
         if !self.shared.retries().withdraw(now) {
             let message = format!("retry budget spent after {}", fault.refusal.message);
@@ -276,12 +288,14 @@
         }
     }
 
-    fn complete(mut self) {
+    async fn complete(mut self) {
         if let Some(head) = self.head.take() {
-            self.begin(head);
             let body = std::mem::take(&mut self.collected);
-            // The queue is empty, so any size is kept.
-            self.sink.push(body.into());
+            let patience = Duration::from_millis(self.shared.settings.limits.slow_reader_ms);
+            if self.sink.push_patiently(body.into(), patience).await != Pushed::Kept {
+                return self.fail(Refusal::unknown(Reason::SlowReader, NO_SERVER_RETRY));
+            }
+            self.begin(head);
         }
         self.sink.end(Item::End);
     }
@@ -294,7 +308,11 @@
             Some(start) => {
                 let _ = start.send(Err(refusal));
             }
-            None => self.sink.end(Item::Failed(refusal)),
+            None => {
+                // Counted here: a caller that stopped reading never gets it.
+                render::count(&self.shared, &refusal);
+                self.sink.end(Item::Failed(refusal));
+            }
         }
     }
 }
--- a/crates/entry/src/render.rs
+++ b/crates/entry/src/render.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::sync::Arc;
 
 use axum::body::Body;
 use axum::http::{HeaderName, HeaderValue, Response, StatusCode, header};
@@ -66,9 +65,9 @@
 }
 
 /// Renders an answer, streaming its payload.
-pub fn answer(shared: &Arc<Shared>, answer: Answer, id: &str) -> Response<Body> {
+pub fn answer(answer: Answer, id: &str) -> Response<Body> {
     let mode = answer.mode;
-    let payload = payload(shared.clone(), answer.payload, mode, id.to_owned());
+    let payload = payload(answer.payload, mode, id.to_owned());
     let mut response = Response::new(Body::from_stream(payload));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     copy_headers(&answer.headers, &mut response, mode);
@@ -126,18 +125,14 @@
     names.contains(&name.as_str())
 }
 
-fn count(shared: &Shared, refusal: &Refusal) {
+/// Counts a refusal by its reason.
+pub fn count(shared: &Shared, refusal: &Refusal) {
     let refusals = &shared.metrics.refusals;
     refusals.with_label_values(&[refusal.reason.label()]).inc();
 }
 
 /// Payload of an answer; an error ends it as an event or a broken connection.
-fn payload(
-    shared: Arc<Shared>,
-    source: Source,
-    mode: Mode,
-    id: String,
-) -> impl Stream<Item = io::Result<Bytes>> + Send {
+fn payload(source: Source, mode: Mode, id: String) -> impl Stream<Item = io::Result<Bytes>> + Send {
     let ended = stream::unfold(Some(source), |source| async move {
         let mut source = source?;
         // The queue closes without an end only if the driver task was lost.
@@ -152,7 +147,6 @@
     ended.map(move |item| match item {
         Ok(data) => Ok(data),
         Err(Some(refusal)) => {
-            count(&shared, &refusal);
             if mode == Mode::Events {
                 let event = format!("event: error\ndata: {}\n\n", body(&refusal, &id));
                 return Ok(event.into());
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -24,13 +24,16 @@
 /// Longest time a caller may take to send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Hints about newer configurations kept; every further frame repeats them.
+const NEWER_WAITING: usize = 4;
+
 /// An entry whose addresses are bound.
 pub struct Entry {
     shared: Arc<Shared>,
     callers: TcpListener,
     peers: std::net::TcpListener,
     publish: watch::Sender<Current>,
-    newer: mpsc::UnboundedReceiver<Newer>,
+    newer: mpsc::Receiver<Newer>,
     stopping: watch::Sender<bool>,
 }
 
@@ -45,7 +48,7 @@
         let peers = std::net::TcpListener::bind(settings.listen.peers)?;
         peers.set_nonblocking(true)?;
         let (publish, current) = watch::channel(Current::default());
-        let (sender, newer) = mpsc::unbounded_channel();
+        let (sender, newer) = mpsc::channel(NEWER_WAITING);
         let (stopping, stopped) = watch::channel(false);
         let metrics = Metrics::new().map_err(io::Error::other)?;
         let shared = Shared::new(settings, current, sender, stopped, metrics);
@@ -105,12 +108,12 @@
         let metrics = shared.settings.listen.metrics;
         let scrape = tokio::spawn(endpoint::serve(metrics, registry, until(ended)));
         let probes = tokio::spawn(probe::run(shared.clone()));
-        tokio::spawn(announce(shared.clone(), address));
+        let announced = tokio::spawn(announce(shared.clone(), address));
 
         let connections = GracefulShutdown::new();
         tokio::select! {
             () = accept(&self.callers, &shared, &connections) => {}
-            () = leave(stop, &shared, address, &self.stopping) => {}
+            () = leave(stop, &shared, address, &self.stopping, announced) => {}
         }
         drop(self.callers);
         connections.shutdown().await;
@@ -133,7 +136,10 @@
         if register::report(&shared.settings, address, "live").await {
             return;
         }
-        tokio::time::sleep(backoff).await;
+        tokio::select! {
+            () = tokio::time::sleep(backoff) => {}
+            () = until(shared.stopping.clone()) => return,
+        }
         backoff = (backoff * 2).min(Duration::from_secs(10));
     }
 }
@@ -144,15 +150,18 @@
     shared: &Shared,
     address: SocketAddr,
     stopping: &watch::Sender<bool>,
+    announced: tokio::task::JoinHandle<()>,
 ) {
     stop.await;
     tracing::info!("leaving");
     let _ = stopping.send(true);
     let grace = Duration::from_millis(shared.settings.limits.leave_ms);
-    tokio::join!(
-        register::report(&shared.settings, address, "leaving"),
-        tokio::time::sleep(grace),
-    );
+    let report = async {
+        // A late registration would undo this report.
+        let _ = announced.await;
+        register::report(&shared.settings, address, "leaving").await;
+    };
+    tokio::join!(report, tokio::time::sleep(grace));
 }
 
 async fn until(mut ended: watch::Receiver<bool>) {
@@ -207,7 +216,7 @@
 struct Control {
     shared: Arc<Shared>,
     publish: watch::Sender<Current>,
-    newer: mpsc::UnboundedReceiver<Newer>,
+    newer: mpsc::Receiver<Newer>,
     peers: std::net::TcpListener,
     ended: watch::Receiver<bool>,
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -24,16 +24,25 @@
     pub snapshot: Arc<Snapshot>,
     /// Sorted names of hosts about to stop.
     pub leaving: Arc<[Arc<str>]>,
+    /// Sorted names of hosts that run.
+    pub live: Arc<[Arc<str>]>,
 }
 
 impl Current {
     /// Entries that share the limits of the client accounts.
     pub fn live_entries(&self) -> u32 {
-        let live = self.snapshot.sheet.entries.iter().filter(|entry| {
-            let leaving = self.leaving.binary_search(&entry.name).is_ok();
-            !leaving && !self.snapshot.is_out(&entry.domain)
-        });
-        live.count().max(1) as u32
+        let entries = &self.snapshot.sheet.entries;
+        let live = entries
+            .iter()
+            .filter(|entry| self.live.binary_search(&entry.name).is_ok())
+            .count();
+        // Without a host list, all entries that are not known to leave count.
+        let staying = entries
+            .iter()
+            .filter(|entry| self.leaving.binary_search(&entry.name).is_err())
+            .count();
+        let count = if live > 0 { live } else { staying };
+        count.max(1) as u32
     }
 }
 
@@ -50,7 +59,7 @@
     pub clock: Clock,
     pub incarnation: u64,
     pub current: watch::Receiver<Current>,
-    pub newer: mpsc::UnboundedSender<Newer>,
+    pub newer: mpsc::Sender<Newer>,
     pub stopping: watch::Receiver<bool>,
     pub pool: Pool,
     pub metrics: Metrics,
@@ -65,7 +74,7 @@
     pub fn new(
         settings: Settings,
         current: watch::Receiver<Current>,
-        newer: mpsc::UnboundedSender<Newer>,
+        newer: mpsc::Sender<Newer>,
         stopping: watch::Receiver<bool>,
         metrics: Metrics,
     ) -> Self {
@@ -132,8 +141,8 @@
         let Some(sender) = sender else { return };
         let version = sender.config_version;
         if version > self.current.borrow().view.version().into() {
-            // The receiver is gone only while the process stops.
-            let _ = self.newer.send(Newer { address, version });
+            // If the queue is full, a pull is under way already.
+            let _ = self.newer.try_send(Newer { address, version });
         }
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -15,6 +15,10 @@
 /// Longest pause between replies of a follow stream.
 const FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Addresses sent with each reply; all 380 would exceed the control traffic
+/// allowed per node.
+const HOMES: usize = 8;
+
 /// The `Sync` service of an entry.
 pub struct Service(pub Arc<Shared>);
 
@@ -37,19 +41,31 @@
 
 fn reply(shared: &Shared, current: &Current, since: u64) -> wire::PullReply {
     let objects = current.view.newer_than(Version::from(since));
-    let entries = &current.snapshot.sheet.entries;
     wire::PullReply {
         sender: Some(shared.sender()),
         version: current.view.version().into(),
         objects: objects.iter().map(encode).collect(),
-        entries: entries
-            .iter()
-            .map(|entry| entry.peer_address.to_string())
-            .collect(),
+        entries: homes(current, &shared.settings.name),
         suspects: Vec::new(),
     }
 }
 
+/// Peer addresses that an agent may follow, this entry's first.
+fn homes(current: &Current, own: &str) -> Vec<String> {
+    let snapshot = &current.snapshot;
+    let entries = &snapshot.sheet.entries;
+    let first = entries.partition_point(|entry| &*entry.name < own);
+    let (before, from) = entries.split_at(first);
+    let staying = from.iter().chain(before).filter(|entry| {
+        let leaving = current.leaving.binary_search(&entry.name).is_ok();
+        !leaving && !snapshot.is_out(&entry.domain)
+    });
+    staying
+        .take(HOMES)
+        .map(|entry| entry.peer_address.to_string())
+        .collect()
+}
+
 fn encode(object: &Object) -> wire::Object {
     wire::Object {
         name: object.name.to_string(),
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::extract::{Path, Query, Request, State};
@@ -377,14 +377,28 @@
         text(response).await
     }
 
+    /// Sum of a counter over all its labels.
     pub fn counter(&self, name: &str) -> f64 {
+        self.sum(name, |_| true)
+    }
+
+    /// Refusals with this reason.
+    pub fn refusals(&self, reason: &str) -> f64 {
+        self.sum("berylgw_refusals_total", |value| value == reason)
+    }
+
+    fn sum(&self, name: &str, wanted: impl Fn(&str) -> bool) -> f64 {
         let families = self.registry.gather();
         let family = families.iter().find(|family| family.name() == name);
-        let metrics = family.map(|family| family.get_metric()).unwrap_or_default();
-        metrics
-            .iter()
-            .map(|metric| metric.get_counter().get_value())
-            .sum()
+        let metrics = family.map(|family| family.get_metric());
+        let mut sum = 0.0;
+        for metric in metrics.unwrap_or_default() {
+            let labels = metric.get_label();
+            if labels.iter().all(|label| wanted(label.value())) {
+                sum += metric.get_counter().get_value();
+            }
+        }
+        sum
     }
 }
 
@@ -404,5 +418,3 @@
     events.push(done());
     events
 }
-
-pub type Shared<T> = Arc<Mutex<T>>;
--- /dev/null
+++ b/crates/entry/tests/retry.rs
@@ -0,0 +1,238 @@
+//! Retries, resumption and refusals when agents fail.
+
+mod common;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use berylgw_wire::Outcome;
+use common::{Arrival, Rig, agents, any, chat, short, text, token, tokens};
+use serde_json::json;
+
+/// Runs `first` for the first dispatch and `then` for the others.
+fn after(
+    first: impl Fn(Arrival) + Send + Sync + 'static,
+    then: impl Fn(Arrival) + Send + Sync + 'static,
+) -> (impl Fn(Arrival) + Send + Sync + 'static, Arc<AtomicU64>) {
+    let count = Arc::new(AtomicU64::new(0));
+    let seen = count.clone();
+    let script = move |arrival| match seen.fetch_add(1, Ordering::SeqCst) {
+        0 => first(arrival),
+        _ => then(arrival),
+    };
+    (script, count)
+}
+
+fn rest(arrival: Arrival) {
+    arrival.answer(200, &tokens(arrival.request.resume_from, 5));
+}
+
+fn body(arrival: Arrival) {
+    arrival.answer(200, &["{}".to_owned()]);
+}
+
+fn two_tokens(arrival: &Arrival) {
+    arrival.head(200);
+    arrival.data(1, &token(0));
+    arrival.data(2, &token(1));
+}
+
+/// Guards against a request lost because one server is full.
+#[tokio::test]
+async fn post_not_run_goes_elsewhere() {
+    let refuse = |arrival: Arrival| arrival.refuse("server_full", Outcome::NotRun);
+    let (script, count) = after(refuse, body);
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    assert_eq!(rig.call("POST", "/services/p/x", &[], "").await.0, 200);
+    assert_eq!(count.load(Ordering::SeqCst), 2);
+    assert_eq!(rig.counter("berylgw_retries_total"), 1.0);
+}
+
+/// Guards against a second run of a request that is not idempotent.
+#[tokio::test]
+async fn post_unknown_not_repeated() {
+    let (script, count) = after(drop, body);
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    let (status, refusal) = rig.call("POST", "/services/p/x", &[], "").await;
+    assert_eq!(status, 502);
+    assert_eq!(refusal["error"]["outcome"], "unknown");
+    assert_eq!(count.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against a second run of a keyed request while there are no claims.
+#[tokio::test]
+async fn keyed_silent_not_repeated() {
+    let held = Mutex::new(Vec::new());
+    let (script, count) = after(move |arrival| held.lock().unwrap().push(arrival), body);
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    let headers = [("idempotency-key", "k")];
+    let (_, refusal) = rig.call("GET", "/services/p/x", &headers, "").await;
+    assert_eq!(refusal["error"]["reason"], "connection_lost");
+    assert_eq!(refusal["error"]["outcome"], "unknown");
+    assert_eq!(count.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against tokens lost or repeated when a connection breaks.
+#[tokio::test]
+async fn stream_broken_resumes() {
+    let first = |arrival: Arrival| {
+        two_tokens(&arrival);
+        let _ = arrival
+            .frames
+            .send(Err(tonic::Status::unavailable("broken")));
+    };
+    let (script, count) = after(first, rest);
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    assert_eq!(rig.stream().await, tokens(0, 5).concat());
+    assert_eq!(count.load(Ordering::SeqCst), 2);
+}
+
+/// Guards against a stream that hangs on a connection that went silent.
+#[tokio::test]
+async fn stream_silent_resumes() {
+    let held = Mutex::new(Vec::new());
+    let first = move |arrival: Arrival| {
+        two_tokens(&arrival);
+        held.lock().unwrap().push(arrival);
+    };
+    let (script, _) = after(first, rest);
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    assert_eq!(rig.stream().await, tokens(0, 5).concat());
+}
+
+/// Guards against an answer with a gap that looks complete.
+#[tokio::test]
+async fn stream_gap_is_error_event() {
+    let (script, _) = after(
+        |arrival| {
+            two_tokens(&arrival);
+            arrival.data(4, &token(3));
+        },
+        rest,
+    );
+    let rig = Rig::start(&agents(1, script).await, short()).await;
+    let text = rig.stream().await;
+    assert!(text.contains("event: error"), "{text}");
+    assert!(
+        text.contains("answer_corrupt") && text.contains("unknown"),
+        "{text}"
+    );
+    assert!(!text.contains("[DONE]"));
+}
+
+/// Guards against an answer cut short that looks complete.
+#[tokio::test]
+async fn stream_without_final_is_error_event() {
+    let (script, _) = after(|arrival| two_tokens(&arrival), rest);
+    let rig = Rig::start(&agents(1, script).await, short()).await;
+    assert!(rig.stream().await.contains("answer_corrupt"));
+}
+
+/// Guards against late frames of an old attempt that reach the caller.
+#[tokio::test]
+async fn frames_of_old_attempt_dropped() {
+    let (script, _) = after(
+        |arrival| arrival.refuse("draining", Outcome::NotRun),
+        |mut arrival| {
+            arrival.request.attempt -= 1;
+            arrival.data(1, &token(9));
+            arrival.request.attempt += 1;
+            arrival.answer(200, &tokens(0, 1));
+        },
+    );
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    assert_eq!(rig.stream().await, tokens(0, 1).concat());
+}
+
+/// Guards against a refusal that says `not run` wrongly, or waits, when no
+/// agent can be reached.
+#[tokio::test]
+async fn unreachable_is_not_run() {
+    let closed = std::net::TcpListener::bind(any()).unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let rig = Rig::start(&[address], short()).await;
+    let (status, refusal) = rig.call("POST", "/services/p/x", &[], "").await;
+    assert_eq!(status, 503);
+    assert_eq!(refusal["error"]["outcome"], "not-run");
+}
+
+/// Guards against `not run` after an earlier attempt that may have run.
+#[tokio::test]
+async fn refusal_after_lost_attempt_is_unknown() {
+    let (script, _) = after(
+        |arrival| {
+            let _ = arrival
+                .frames
+                .send(Err(tonic::Status::unavailable("broken")));
+        },
+        |arrival| arrival.refuse("deadline", Outcome::NotRun),
+    );
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    let body = chat("m", false);
+    let (_, refusal) = rig.call("POST", "/v1/chat/completions", &[], body).await;
+    assert_eq!(refusal["error"]["reason"], "deadline");
+    assert_eq!(refusal["error"]["outcome"], "unknown");
+}
+
+/// Guards against retries that multiply the load of a failing service.
+#[tokio::test]
+async fn retries_bounded_by_budget() {
+    let count = Arc::new(AtomicU64::new(0));
+    let seen = count.clone();
+    let script = move |arrival: Arrival| {
+        seen.fetch_add(1, Ordering::SeqCst);
+        arrival.refuse("server_full", Outcome::NotRun);
+    };
+    let rig = Rig::start(&agents(4, script).await, short()).await;
+    let mut reasons = Vec::new();
+    for _ in 0..20 {
+        let (_, refusal) = rig.call("POST", "/services/p/x", &[], "").await;
+        assert_eq!(refusal["error"]["outcome"], "not-run");
+        reasons.push(refusal["error"]["reason"].clone());
+    }
+    assert!(reasons.contains(&json!("retry_budget")));
+    let retries = rig.counter("berylgw_retries_total") as u64;
+    assert_eq!(count.load(Ordering::SeqCst), 20 + retries);
+    assert!(retries < 20, "{retries}");
+}
+
+/// Guards against a slow reader that loses tokens or holds memory.
+#[tokio::test]
+async fn slow_reader_resumes() {
+    let limits = berylgw_entry::Limits {
+        stream_buffer_bytes: 256,
+        ..short()
+    };
+    let script = |arrival: Arrival| {
+        arrival.answer(200, &tokens(arrival.request.resume_from, 500));
+    };
+    let rig = Rig::start(&agents(1, script).await, limits).await;
+    let response = rig
+        .send("POST", "/v1/chat/completions", &[], chat("m", true))
+        .await;
+    while rig.counter("berylgw_slow_reader_resumes_total") < 1.0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(text(response).await, tokens(0, 500).concat());
+}
+
+/// Guards against a reader that stops and keeps an answer without end in memory.
+#[tokio::test]
+async fn slow_reader_of_plain_answer_ends() {
+    let limits = berylgw_entry::Limits {
+        stream_buffer_bytes: 1_024,
+        slow_reader_ms: 50,
+        ..short()
+    };
+    let script = |arrival: Arrival| {
+        arrival.answer(200, &vec!["x".repeat(64 << 10); 400]);
+    };
+    let rig = Rig::start(&agents(1, script).await, limits).await;
+    let response = rig.send("GET", "/services/p/x", &[], "").await;
+    while rig.refusals("slow_reader") < 1.0 {
+        tokio::task::yield_now().await;
+    }
+    let body = http_body_util::BodyExt::collect(response.into_body()).await;
+    assert!(body.is_err());
+}
