Test a pooled connection whose agent is gone

Cause: a broken pooled connection must not turn a request that was never sent into an unknown outcome. Change: add a test with an agent that stops between two requests.

--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -269,6 +269,25 @@
     addresses
 }
 
+/// Starts an agent that closes its connections when `stopped` resolves.
+pub fn stoppable_agent(
+    script: impl Fn(Arrival) + Send + Sync + 'static,
+    stopped: oneshot::Receiver<()>,
+) -> (SocketAddr, tokio::task::JoinHandle<()>) {
+    let incoming = TcpIncoming::bind(any()).unwrap();
+    let address = incoming.local_addr().unwrap();
+    let agent = FakeAgent {
+        index: 0,
+        script: Arc::new(script),
+    };
+    let served = tonic::transport::Server::builder()
+        .add_service(wire::agent_server::AgentServer::new(agent))
+        .serve_with_incoming_shutdown(incoming, async {
+            let _ = stopped.await;
+        });
+    (address, tokio::spawn(async move { served.await.unwrap() }))
+}
+
 /// A running entry and what it needs.
 pub struct Rig {
     pub platform: FakePlatform,
--- a/crates/entry/tests/retry.rs
+++ b/crates/entry/tests/retry.rs
@@ -157,6 +157,20 @@
     assert_eq!(refusal["error"]["outcome"], "not-run");
 }
 
+/// Guards against `unknown` for a request that found its pooled connection
+/// closed and the agent gone.
+#[tokio::test]
+async fn agent_gone_after_use_is_not_run() {
+    let (stop, stopped) = tokio::sync::oneshot::channel();
+    let (address, ended) = common::stoppable_agent(body, stopped);
+    let rig = Rig::start(&[address], short()).await;
+    assert_eq!(rig.call("POST", "/services/p/x", &[], "").await.0, 200);
+    stop.send(()).unwrap();
+    ended.await.unwrap();
+    let (_, refusal) = rig.call("POST", "/services/p/x", &[], "").await;
+    assert_eq!(refusal["error"]["outcome"], "not-run");
+}
+
 /// Guards against `not run` after an earlier attempt that may have run.
 #[tokio::test]
 async fn refusal_after_lost_attempt_is_unknown() {
