Mix affinity hashes by one multiplication

Cause: a trial of an affinity decision among 2,600 servers took 5.3 us in a release build; the target is 5 us. Change: replace the two-round mix by one folded multiplication and test that prefixes spread evenly over the servers.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -124,11 +124,11 @@
         .fold(0, |word, byte| (word << 8) | u64::from(*byte))
 }
 
-/// The splitmix64 finalizer.
-fn mix(mut word: u64) -> u64 {
-    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    word ^ (word >> 31)
+/// Mixes a word by one folded multiplication. The inputs are parts of SHA-256
+/// digests; a longer mix made a decision among 2,600 servers miss its 5 µs.
+fn mix(word: u64) -> u64 {
+    let product = u128::from(word) * 0x9e37_79b9_7f4a_7c15;
+    (product as u64) ^ ((product >> 64) as u64)
 }
 
 impl Table {
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -159,6 +159,24 @@
     assert_eq!(table.pick(request(hash, &[]), NOW, &mut rng), Some(first));
 }
 
+/// Guards against prefixes that gather on a part of the servers.
+#[test]
+fn affinity_spreads_prefixes() {
+    let table = table(&snapshot(16, &["a"]));
+    let mut rng = rng();
+    let mut chosen = [0; 16];
+    for prefix in 0..1_600_u32 {
+        let hash = Some(affinity("x", &prefix.to_be_bytes()));
+        let key = table.pick(request(hash, &[]), NOW, &mut rng).unwrap();
+        chosen[name(&table, key)[1..].parse::<usize>().unwrap()] += 1;
+    }
+    // 100 on average; five standard deviations are about 48.
+    assert!(
+        chosen.iter().all(|count| (52..=148).contains(count)),
+        "{chosen:?}"
+    );
+}
+
 /// Guards against client accounts that share a prefix, and with it a cache.
 #[test]
 fn affinity_salted_by_account() {
