--- /dev/null
+++ b/crates/cli/src/apply.rs
@@ -0,0 +1,222 @@
+//! `berylgw apply FILE`
+
+use std::path::{Path, PathBuf};
+
+use berylgw_core::config::{SHEET_OBJECT, Sheet};
+use berylgw_core::sheet::{self, Change};
+use berylgw_platform::{Client, Kind};
+use pico_args::Arguments;
+use serde::Serialize;
+
+use crate::code::Code;
+use crate::command::{Common, Usage, positional};
+use crate::diff::lines;
+use crate::platform::{self, Current, sheet_file};
+use crate::report::Report;
+use crate::settle::{self, Held, Settled};
+
+pub(crate) const HELP: &str = "\
+Put a sheet into force by one conditional update.
+
+Usage: berylgw apply FILE [--if-version N] [--json] [--platform IP:PORT]
+
+Options:
+  --if-version N  Apply only if version N is in force (0: no sheet yet);
+                  without it, the version in force when the command starts
+
+\"accepted\" is printed only once the sheet is known to have taken effect. States
+of failure domains are not part of the sheet and stay as they are.
+
+Exit codes: 0 accepted or already in force, 1 findings or refused, 2 wrong
+command line, 3 conflict: another write came first, 4 platform unavailable and
+nothing written, 5 unknown: run berylgw diff FILE once the platform is back";
+
+pub(crate) struct Options {
+    file: PathBuf,
+    if_version: Option<u64>,
+}
+
+impl Options {
+    pub(crate) fn parse(args: &mut Arguments) -> Result<Self, Usage> {
+        let if_version = args.opt_value_from_str("--if-version")?;
+        let file = positional(args, "FILE")?.into();
+        Ok(Options { file, if_version })
+    }
+}
+
+#[derive(Serialize)]
+struct Accepted<'a> {
+    version: u64,
+    changes: &'a [Change],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    replaced_by: Option<u64>,
+}
+
+/// The rows that one write changed.
+#[derive(Serialize)]
+struct Step {
+    version: u64,
+    changes: Vec<Change>,
+}
+
+#[derive(Serialize)]
+struct Lost<'a> {
+    expected: u64,
+    version: u64,
+    steps: &'a [Step],
+}
+
+pub(crate) async fn run(options: Options, common: &Common) -> Result<Report, Report> {
+    let mut sheet = sheet_file(&options.file)?;
+    let client = platform::client(common)?;
+    let current = platform::read(&client).await?;
+    let version = current.sheet_version();
+    let expected = options.if_version.unwrap_or(version);
+    if expected != version {
+        return Ok(outdated(&client, expected, &current).await);
+    }
+    let base = &current.snapshot.sheet;
+    let changes = sheet::diff(base, &sheet);
+    if changes.is_empty() && version > 0 {
+        let message = format!("no changes: the sheet is already in force as version {version}");
+        let detail = Accepted {
+            version,
+            changes: &changes,
+            replaced_by: None,
+        };
+        return Ok(Report::new(Code::Done, message, [], &detail));
+    }
+    sheet.nonce = rand::random();
+    let settled = settle::update(&client, SHEET_OBJECT, expected, &sheet).await;
+    Ok(match settled {
+        Settled::Accepted(version) => accepted(version, None, &changes),
+        Settled::Replaced(version, held) => accepted(version, Some(held.version), &changes),
+        Settled::Lost(held) => lost(&client, expected, base, held).await,
+        Settled::Refused(error) if error.kind() == Kind::TooLarge => too_large(&options.file),
+        Settled::Refused(error) => platform::unavailable(&error),
+        Settled::Unknown(held) => unknown(&options.file, held),
+    })
+}
+
+fn accepted(version: u64, replaced_by: Option<u64>, changes: &[Change]) -> Report {
+    let mut message = format!("accepted as version {version}");
+    if let Some(newer) = replaced_by {
+        message.push_str(&format!(
+            ", and since replaced by version {newer}; see berylgw diff FILE"
+        ));
+    }
+    let detail = Accepted {
+        version,
+        changes,
+        replaced_by,
+    };
+    Report::new(Code::Done, message, lines(changes), &detail)
+}
+
+fn too_large(file: &Path) -> Report {
+    let message = format!(
+        "error: {} is larger than the platform accepts, nothing was written; remove rows or \
+         shorten names",
+        file.display()
+    );
+    Report::message(Code::Refused, message)
+}
+
+#[derive(Serialize)]
+struct Doubt {
+    in_force: Option<u64>,
+}
+
+fn unknown(file: &Path, held: Option<Held<Sheet>>) -> Report {
+    let in_force = held.map(|held| held.version);
+    let state = match in_force {
+        Some(version) => format!("version {version} of another writer is in force now"),
+        None => "the platform could not be read back".to_owned(),
+    };
+    let message = format!(
+        "error: outcome unknown: the platform did not answer and the sheet may have taken effect; \
+         {state}; run berylgw diff {} once the platform answers and apply again if rows differ",
+        file.display()
+    );
+    Report::new(Code::Unknown, message, [], &Doubt { in_force })
+}
+
+/// Reports a condition that does not hold, before anything is written.
+async fn outdated(client: &Client, expected: u64, current: &Current) -> Report {
+    let version = current.sheet_version();
+    let before = expected.saturating_sub(1);
+    let mut writes = settle::history::<Sheet>(client, SHEET_OBJECT, before, version).await;
+    let base = match writes.first() {
+        Some(first) if first.version == expected => writes.remove(0).value,
+        _ if expected == 0 => Some(Sheet::default()),
+        _ => None,
+    };
+    let current = Held {
+        version,
+        value: Some(current.snapshot.sheet.clone()),
+    };
+    conflict(expected, base.as_ref(), writes, &current)
+}
+
+/// Reports a race that was lost to another writer.
+async fn lost(client: &Client, expected: u64, base: &Sheet, held: Held<Sheet>) -> Report {
+    let writes = settle::history(client, SHEET_OBJECT, expected, held.version).await;
+    conflict(expected, Some(base), writes, &held)
+}
+
+fn conflict(
+    expected: u64,
+    base: Option<&Sheet>,
+    writes: Vec<Held<Sheet>>,
+    current: &Held<Sheet>,
+) -> Report {
+    let steps = steps(base, writes, current);
+    let version = current.version;
+    let message = format!(
+        "conflict: expected version {expected}, but version {version} is in force; nothing was \
+         written; take over the changes below, then apply with --if-version {version}"
+    );
+    let mut text = Vec::new();
+    for step in &steps {
+        text.push(format!("version {} changed:", step.version));
+        text.extend(lines(&step.changes));
+    }
+    if steps.is_empty() {
+        text.push("the rows that changed are not known; compare with berylgw diff FILE".to_owned());
+    }
+    let detail = Lost {
+        expected,
+        version,
+        steps: &steps,
+    };
+    Report::new(Code::Conflict, message, text, &detail)
+}
+
+/// Attributes changes since `base` to the writes that made them.
+fn steps(base: Option<&Sheet>, writes: Vec<Held<Sheet>>, current: &Held<Sheet>) -> Vec<Step> {
+    let Some(base) = base else {
+        return Vec::new();
+    };
+    let mut known = Vec::new();
+    for write in writes {
+        let Some(sheet) = write.value else {
+            continue;
+        };
+        known.push((write.version, sheet));
+    }
+    // Without a history, all changes count as those of the version in force.
+    let complete = known.last().map(|write| write.0) == Some(current.version);
+    if let (false, Some(sheet)) = (complete, &current.value) {
+        known.push((current.version, sheet.clone()));
+    }
+    let mut steps = Vec::new();
+    let mut before = base;
+    for (version, sheet) in &known {
+        steps.push(Step {
+            version: *version,
+            changes: sheet::diff(before, sheet),
+        });
+        before = sheet;
+    }
+    steps
+}
--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,163 @@
+//! `berylgw explain`
+
+use std::sync::Arc;
+
+use berylgw_core::backend::Server;
+use berylgw_core::config::Snapshot;
+use berylgw_core::outcome::Reason;
+use pico_args::Arguments;
+use serde::Serialize;
+
+use crate::code::Code;
+use crate::command::{Common, Usage};
+use crate::platform;
+use crate::report::Report;
+
+pub(crate) const HELP: &str = "\
+Say where a request would go under the configuration in force, or why it would
+be refused. Load, crashes and the cold start of backend servers are not known
+here: entries and agents decide on them for each request.
+
+Usage: berylgw explain --account A --service S [--domain D] [--json]
+                       [--platform IP:PORT]
+
+Options:
+  --account A  Client account
+  --service S  Service, or model name
+  --domain D   Failure domain of the entry that the caller is connected to
+
+Exit codes: 0 the request has somewhere to go, 1 it would be refused, 2 wrong
+command line, 4 platform unavailable";
+
+pub(crate) struct Options {
+    account: String,
+    service: String,
+    domain: Option<String>,
+}
+
+impl Options {
+    pub(crate) fn parse(args: &mut Arguments) -> Result<Self, Usage> {
+        Ok(Options {
+            account: args.value_from_str("--account")?,
+            service: args.value_from_str("--service")?,
+            domain: args.opt_value_from_str("--domain")?,
+        })
+    }
+}
+
+/// Backend servers of one failure domain.
+#[derive(Serialize)]
+struct Place {
+    domain: Arc<str>,
+    out: bool,
+    /// The failure domain of the entry.
+    near: bool,
+    servers: Vec<Arc<str>>,
+    /// Sum of the limits of the servers.
+    limit: u64,
+}
+
+#[derive(Serialize)]
+struct Detail {
+    version: u64,
+    reason: Option<Reason>,
+    places: Vec<Place>,
+}
+
+pub(crate) async fn run(options: Options, common: &Common) -> Result<Report, Report> {
+    let client = platform::client(common)?;
+    let current = platform::read(&client).await?;
+    Ok(explain(&options, &current.snapshot))
+}
+
+fn explain(options: &Options, snapshot: &Snapshot) -> Report {
+    let sheet = &snapshot.sheet;
+    let Options {
+        account, service, ..
+    } = options;
+    let refused = |reason, why: String| report(snapshot, Some(reason), why, Vec::new());
+    if let Some(name) = &options.domain
+        && !sheet.domains.iter().any(|domain| *domain.name == **name)
+    {
+        let message = format!("error: domain {name:?} is not in the accepted sheet");
+        return Report::message(Code::Refused, message);
+    }
+    if snapshot.account(account).is_none() {
+        let why = format!("account {account:?} is not in the accepted sheet; add an account row");
+        return refused(Reason::Unauthenticated, why);
+    }
+    if snapshot.service(service).is_none() {
+        let why = format!("service {service:?} is not in the accepted sheet; add a service row");
+        return refused(Reason::UnknownService, why);
+    }
+    if !snapshot.grants(account, service) {
+        let why = format!("account {account} has no grant for {service}; add a grant row");
+        return refused(Reason::UnknownService, why);
+    }
+    let places = places(options, snapshot);
+    if places.is_empty() {
+        let why = format!("service {service} has no server rows; add some");
+        return refused(Reason::NoServer, why);
+    }
+    if places.iter().all(|place| place.out) {
+        let why = format!(
+            "every failure domain with servers of {service} is out of service; \
+             return one with berylgw domain back NAME"
+        );
+        return report(snapshot, Some(Reason::NoServer), why, places);
+    }
+    let usable = places.iter().filter(|place| !place.out);
+    let servers: usize = usable.map(|place| place.servers.len()).sum();
+    let why = format!("account {account} may use {service}; {servers} backend servers can take it");
+    report(snapshot, None, why, places)
+}
+
+/// Failure domains with servers of the service: the entry's first, then those
+/// in service, then by name.
+fn places(options: &Options, snapshot: &Snapshot) -> Vec<Place> {
+    let mut places = Vec::new();
+    for domain in &snapshot.sheet.domains {
+        let here =
+            |server: &&Server| server.domain == domain.name && *server.service == *options.service;
+        let servers: Vec<&Server> = snapshot.sheet.servers.iter().filter(here).collect();
+        if servers.is_empty() {
+            continue;
+        }
+        places.push(Place {
+            domain: domain.name.clone(),
+            out: snapshot.is_out(&domain.name),
+            near: options.domain.as_deref() == Some(&*domain.name),
+            limit: servers.iter().map(|server| u64::from(server.limit)).sum(),
+            servers: servers.iter().map(|server| server.name.clone()).collect(),
+        });
+    }
+    places.sort_by_key(|place| (place.out, !place.near));
+    places
+}
+
+fn report(snapshot: &Snapshot, reason: Option<Reason>, why: String, places: Vec<Place>) -> Report {
+    let (code, message) = match reason {
+        Some(reason) => (Code::Refused, format!("refused with {reason}: {why}")),
+        None => (Code::Done, why),
+    };
+    let lines: Vec<String> = places.iter().map(line).collect();
+    let detail = Detail {
+        version: snapshot.version.into(),
+        reason,
+        places,
+    };
+    Report::new(code, message, lines, &detail)
+}
+
+fn line(place: &Place) -> String {
+    let state = match (place.out, place.near) {
+        (true, _) => " (out of service)",
+        (false, true) => " (failure domain of the entry)",
+        (false, false) => "",
+    };
+    let names = place.servers.join(", ");
+    format!(
+        "  domain {}{state}: {names}, together up to {} requests",
+        place.domain, place.limit
+    )
+}
