Add specification of configuration spread

Change: berylgw-spec explores the contest of operators and the spread to entries and an agent with bfs_reach. Ten mistakes can be switched on.

--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -413,7 +413,8 @@
         error: NAME is missing; see berylgw --help
         error: failed to parse 'x': invalid digit found in string; see berylgw --help
         error: the '--service' option must be set; see berylgw --help
-    "#]].assert_eq(&text);
+    "#]]
+    .assert_eq(&text);
     let output = berylgw::run(vec!["status".into()], None).await;
     check(
         &output,
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -35,7 +35,7 @@
 pub struct Version(u64);
 
 /// One object of the platform kind `config`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Object {
     /// Name within the kind.
     pub name: Arc<str>,
@@ -68,7 +68,7 @@
 /// All configuration objects a process knows, sorted by name.
 ///
 /// A view never goes back: merging keeps the newest version of each object.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct View {
     version: Version,
     objects: Vec<Object>,
--- /dev/null
+++ b/crates/spec/src/config/race.rs
@@ -0,0 +1,275 @@
+//! Operators that write the sheet by conditional updates whose calls and
+//! answers may be lost or late.
+
+use pathfinding::directed::bfs::bfs_reach;
+
+/// A fault that can be put into the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mistake {
+    /// The platform call carries no version.
+    Unconditional,
+    /// A lost answer counts as a failure: the operator reads the new version
+    /// and writes again under it.
+    LostAnswerIsFailure,
+    /// A conflict after a lost answer counts as a lost race without reading
+    /// back.
+    ConflictIsLoss,
+    /// An operator that does not see its nonce in force concludes that it lost.
+    OnlyNewestRead,
+}
+
+/// A property that a state breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Property {
+    /// At most one write follows each version.
+    OneWinner,
+    /// No operator's sheet takes effect twice.
+    AppliedOnce,
+    /// An operator that reports success has written.
+    WonIsTrue,
+    /// An operator that reports a loss has not written and never will.
+    LostIsTrue,
+}
+
+/// What to explore.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Number of operators.
+    pub operators: u8,
+    /// Calls that one operator may make.
+    pub call_limit: u8,
+    /// The fault put in.
+    pub mistake: Option<Mistake>,
+}
+
+/// A write that took effect; its revision is its position from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Write {
+    operator: u8,
+    /// Revision of the write that was in force before.
+    replaced: u8,
+    /// Revision that the operator had read.
+    base: u8,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Idle,
+    /// A call is out.
+    Waiting,
+    /// The answer to a call did not come.
+    Doubt,
+    Won,
+    Lost,
+    /// The history needed to tell is no longer kept.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Operator {
+    phase: Phase,
+    base: u8,
+    calls: u8,
+    /// An earlier answer was lost.
+    in_doubt: bool,
+    /// Conditions of calls that have not arrived.
+    travelling: Vec<u8>,
+    /// Answer on its way: whether the update was applied.
+    answer: Option<bool>,
+}
+
+/// A state of the contest.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    log: Vec<Write>,
+    operators: Vec<Operator>,
+}
+
+impl State {
+    /// Nothing is written and no operator has started.
+    pub fn initial(settings: &Settings) -> Self {
+        let operator = Operator {
+            phase: Phase::Idle,
+            base: 0,
+            calls: 0,
+            in_doubt: false,
+            travelling: Vec::new(),
+            answer: None,
+        };
+        State {
+            log: Vec::new(),
+            operators: vec![operator; usize::from(settings.operators)],
+        }
+    }
+
+    fn version(&self) -> u8 {
+        self.log.len() as u8
+    }
+
+    fn writes_of(&self, operator: usize) -> usize {
+        let own = |write: &&Write| usize::from(write.operator) == operator;
+        self.log.iter().filter(own).count()
+    }
+
+    /// The first property that this state breaks.
+    pub fn broken(&self) -> Option<Property> {
+        if self.log.iter().any(|write| write.base != write.replaced) {
+            return Some(Property::OneWinner);
+        }
+        for (index, operator) in self.operators.iter().enumerate() {
+            let writes = self.writes_of(index);
+            let broken = match operator.phase {
+                _ if writes > 1 => Property::AppliedOnce,
+                Phase::Won if writes == 0 => Property::WonIsTrue,
+                Phase::Lost if writes > 0 => Property::LostIsTrue,
+                _ => continue,
+            };
+            return Some(broken);
+        }
+        None
+    }
+
+    /// The states that one step leads to.
+    pub fn next(&self, settings: &Settings) -> Vec<State> {
+        let mut states = Vec::new();
+        if self.broken().is_some() {
+            return states;
+        }
+        for index in 0..self.operators.len() {
+            self.send(index, settings, &mut states);
+            self.arrive(index, settings, &mut states);
+            self.answer(index, settings, &mut states);
+            self.read_back(index, settings, &mut states);
+        }
+        states
+    }
+
+    fn with(&self, index: usize, change: impl FnOnce(&mut Operator)) -> State {
+        let mut state = self.clone();
+        change(&mut state.operators[index]);
+        state
+    }
+
+    fn send(&self, index: usize, settings: &Settings, states: &mut Vec<State>) {
+        let operator = &self.operators[index];
+        if operator.phase != Phase::Idle || operator.calls >= settings.call_limit {
+            return;
+        }
+        let version = self.version();
+        states.push(self.with(index, |operator| {
+            operator.base = version;
+            operator.phase = Phase::Waiting;
+            operator.calls += 1;
+            operator.travelling.push(version);
+        }));
+    }
+
+    /// A call reaches the platform, is refused by it, or is lost for good.
+    fn arrive(&self, index: usize, settings: &Settings, states: &mut Vec<State>) {
+        for call in 0..self.operators[index].travelling.len() {
+            let mut state = self.clone();
+            let operator = &mut state.operators[index];
+            let base = operator.travelling.remove(call);
+            states.push(state.clone());
+            let version = self.version();
+            let applied = base == version || settings.mistake == Some(Mistake::Unconditional);
+            state.operators[index].answer = Some(applied);
+            if applied {
+                state.log.push(Write {
+                    operator: index as u8,
+                    replaced: version,
+                    base,
+                });
+            }
+            states.push(state);
+        }
+    }
+
+    /// An answer is delivered, or the operator stops waiting for it.
+    fn answer(&self, index: usize, settings: &Settings, states: &mut Vec<State>) {
+        let operator = &self.operators[index];
+        if operator.phase != Phase::Waiting {
+            return;
+        }
+        states.push(self.with(index, |operator| {
+            operator.phase = Phase::Doubt;
+            operator.in_doubt = true;
+            operator.answer = None;
+        }));
+        let Some(applied) = operator.answer else {
+            return;
+        };
+        let trusted = !operator.in_doubt || settings.mistake == Some(Mistake::ConflictIsLoss);
+        states.push(self.with(index, |operator| {
+            operator.answer = None;
+            operator.phase = match applied {
+                true => Phase::Won,
+                false if trusted => Phase::Lost,
+                false => Phase::Doubt,
+            };
+        }));
+    }
+
+    fn read_back(&self, index: usize, settings: &Settings, states: &mut Vec<State>) {
+        let operator = &self.operators[index];
+        if operator.phase != Phase::Doubt {
+            return;
+        }
+        let mistake = settings.mistake;
+        if mistake == Some(Mistake::LostAnswerIsFailure) {
+            states.push(self.with(index, |operator| operator.phase = Phase::Idle));
+            return;
+        }
+        let newest = self.log.last().map(|write| usize::from(write.operator));
+        let to = |phase| self.with(index, |operator| operator.phase = phase);
+        if newest == Some(index) {
+            states.push(to(Phase::Won));
+            return;
+        }
+        if self.version() != operator.base {
+            let found = self.writes_of(index) > 0;
+            let read_history = mistake != Some(Mistake::OnlyNewestRead);
+            states.push(match found && read_history {
+                true => to(Phase::Won),
+                false => to(Phase::Lost),
+            });
+            if read_history {
+                states.push(to(Phase::Unknown));
+            }
+            return;
+        }
+        if operator.calls >= settings.call_limit {
+            return;
+        }
+        // The condition stays that of the first call.
+        states.push(self.with(index, |operator| {
+            operator.phase = Phase::Waiting;
+            operator.calls += 1;
+            operator.travelling.push(operator.base);
+        }));
+    }
+}
+
+/// What an exploration found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// Number of states reached.
+    pub states: usize,
+    /// Broken properties, sorted.
+    pub broken: Vec<Property>,
+}
+
+/// Visits every reachable state.
+pub fn explore(settings: &Settings) -> Found {
+    let mut found = Found {
+        states: 0,
+        broken: Vec::new(),
+    };
+    for state in bfs_reach(State::initial(settings), |state| state.next(settings)) {
+        found.states += 1;
+        found.broken.extend(state.broken());
+    }
+    found.broken.sort();
+    found.broken.dedup();
+    found
+}
--- /dev/null
+++ b/crates/spec/src/config/spread.rs
@@ -0,0 +1,457 @@
+//! The way of accepted versions to entries and agents.
+//!
+//! The platform writes a script of a sheet, the removal of a failure domain and
+//! a sheet exported before that removal. Entries watch, processes pull from each
+//! other, messages are late, reordered and repeated, an entry restarts empty,
+//! and the platform has an outage. A paused process is one that takes no step;
+//! its messages arrive later.
+
+use std::fmt::Debug;
+use std::hash::Hash;
+
+use pathfinding::directed::bfs::bfs_reach;
+
+/// A fault that can be put into the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mistake {
+    /// Merging replaces objects by older ones.
+    MergeWithoutVersionCheck,
+    /// A delta that starts after the view's version is merged.
+    GapAccepted,
+    /// A part of a delta sets the version to that of its newest object.
+    VersionOfNewestObject,
+    /// A watch is reopened at the platform's revision instead of the view's.
+    WatchReopenedAtHead,
+    /// Agents take work whatever its version.
+    AgentWithoutVersionCheck,
+    /// The state of failure domains is a part of the sheet.
+    DomainStateInSheet,
+}
+
+/// A property that a step breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Property {
+    /// No view goes back.
+    Monotonic,
+    /// A view with version V has the newest write up to V of each object.
+    Complete,
+    /// No agent takes work stamped older than its own version.
+    FreshWork,
+    /// A failure domain that was taken out stays out.
+    DomainStaysOut,
+}
+
+/// Name of an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Name {
+    /// The sheet.
+    Sheet,
+    /// The state of a failure domain.
+    Domain,
+}
+
+impl Name {
+    /// All objects.
+    pub const ALL: [Name; 2] = [Name::Sheet, Name::Domain];
+}
+
+/// One version of an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Item {
+    /// Name of the object.
+    pub name: Name,
+    /// Revision of the write.
+    pub version: u64,
+}
+
+/// The copy of the configuration in one process.
+pub trait Replica: Clone + Debug + Default + Eq + Hash {
+    /// Revision up to which the copy is complete.
+    fn version(&self) -> u64;
+
+    /// Version of an object, 0 if it is not known.
+    fn held(&self, name: Name) -> u64;
+
+    /// Objects newer than `since`.
+    fn newer_than(&self, since: u64) -> Vec<Item>;
+
+    /// Merges a complete delta from `since` to `version`.
+    fn merge(&mut self, since: u64, version: u64, items: &[Item], mistake: Option<Mistake>);
+}
+
+/// The specified replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Model {
+    version: u64,
+    held: [u64; 2],
+}
+
+impl Replica for Model {
+    fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn held(&self, name: Name) -> u64 {
+        self.held[name as usize]
+    }
+
+    fn newer_than(&self, since: u64) -> Vec<Item> {
+        let mut items = Vec::new();
+        for name in Name::ALL {
+            let version = self.held(name);
+            if version > since {
+                items.push(Item { name, version });
+            }
+        }
+        items
+    }
+
+    fn merge(&mut self, since: u64, version: u64, items: &[Item], mistake: Option<Mistake>) {
+        let unchecked = mistake == Some(Mistake::MergeWithoutVersionCheck);
+        let gap = since > self.version && mistake != Some(Mistake::GapAccepted);
+        if gap || (version <= self.version && !unchecked) {
+            return;
+        }
+        for item in items {
+            let held = &mut self.held[item.name as usize];
+            if *held < item.version || unchecked {
+                *held = item.version;
+            }
+        }
+        self.version = version;
+    }
+}
+
+/// What to explore.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Number of entries; there is one agent that follows all of them.
+    pub entries: usize,
+    /// Writes of the platform.
+    pub writes: u64,
+    /// Messages that may be on their way at a time.
+    pub message_limit: usize,
+    /// Restarts of entries.
+    pub restarts: u8,
+    /// Outages of the platform.
+    pub outages: u8,
+    /// The fault put in.
+    pub mistake: Option<Mistake>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Message {
+    Reply {
+        to: usize,
+        since: u64,
+        version: u64,
+        items: Vec<Item>,
+    },
+    Work {
+        stamp: u64,
+    },
+}
+
+/// A state of all processes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State<R> {
+    revision: u64,
+    up: bool,
+    outages: u8,
+    restarts: u8,
+    /// Entries, then the agent.
+    replicas: Vec<R>,
+    /// Revision up to which the open watch of each entry has delivered.
+    watches: Vec<Option<u64>>,
+    messages: Vec<Message>,
+    broken: Option<Property>,
+}
+
+/// What the platform writes: the first sheet, then the removal of the failure
+/// domain, then only sheets exported before it.
+fn written(revision: u64) -> Name {
+    match revision {
+        2 => Name::Domain,
+        _ => Name::Sheet,
+    }
+}
+
+/// Newest write of an object up to `revision`, 0 if there is none.
+fn newest(name: Name, revision: u64) -> u64 {
+    (1..=revision)
+        .rev()
+        .find(|&write| written(write) == name)
+        .unwrap_or(0)
+}
+
+fn is_out<R: Replica>(replica: &R, mistake: Option<Mistake>) -> bool {
+    let domain = replica.held(Name::Domain);
+    match mistake {
+        Some(Mistake::DomainStateInSheet) => domain > replica.held(Name::Sheet),
+        _ => domain > 0,
+    }
+}
+
+impl<R: Replica> State<R> {
+    /// Nothing is written and every process is empty.
+    pub fn initial(settings: &Settings) -> Self {
+        State {
+            revision: 0,
+            up: true,
+            outages: settings.outages,
+            restarts: settings.restarts,
+            replicas: vec![R::default(); settings.entries + 1],
+            watches: vec![None; settings.entries],
+            messages: Vec::new(),
+            broken: None,
+        }
+    }
+
+    /// The property that the last step broke.
+    pub fn broken(&self) -> Option<Property> {
+        self.broken
+    }
+
+    /// The lowest version that a process holds.
+    pub fn lowest_version(&self) -> u64 {
+        let versions = self.replicas.iter().map(R::version);
+        versions.min().unwrap_or(0)
+    }
+
+    fn agent(&self) -> usize {
+        self.replicas.len() - 1
+    }
+
+    /// The states that one step leads to.
+    pub fn next(&self, settings: &Settings) -> Vec<Self> {
+        let mut states = Vec::new();
+        if self.broken.is_some() {
+            return states;
+        }
+        self.platform(settings, &mut states);
+        for entry in 0..self.agent() {
+            self.watch(entry, settings, &mut states);
+            self.restart(entry, &mut states);
+            self.work(entry, settings, &mut states);
+        }
+        self.pull(settings, &mut states);
+        self.deliver(settings, &mut states);
+        for state in &mut states {
+            state.messages.sort();
+            state.broken = state.broken.or_else(|| state.check(settings));
+        }
+        states
+    }
+
+    fn check(&self, settings: &Settings) -> Option<Property> {
+        for replica in &self.replicas {
+            let version = replica.version();
+            for name in Name::ALL {
+                if replica.held(name) < newest(name, version) {
+                    return Some(Property::Complete);
+                }
+            }
+            let removed = newest(Name::Domain, version) > 0;
+            if removed && !is_out(replica, settings.mistake) {
+                return Some(Property::DomainStaysOut);
+            }
+        }
+        None
+    }
+
+    fn platform(&self, settings: &Settings, states: &mut Vec<Self>) {
+        if self.up && self.revision < settings.writes {
+            let mut state = self.clone();
+            state.revision += 1;
+            states.push(state);
+        }
+        if self.up && self.outages > 0 {
+            let mut state = self.clone();
+            state.up = false;
+            state.outages -= 1;
+            state.watches.fill(None);
+            states.push(state);
+        }
+        if !self.up {
+            let mut state = self.clone();
+            state.up = true;
+            states.push(state);
+        }
+    }
+
+    fn watch(&self, entry: usize, settings: &Settings, states: &mut Vec<Self>) {
+        if !self.up {
+            return;
+        }
+        let Some(cursor) = self.watches[entry] else {
+            let at_head = settings.mistake == Some(Mistake::WatchReopenedAtHead);
+            let mut state = self.clone();
+            state.watches[entry] = Some(match at_head {
+                true => self.revision,
+                false => self.replicas[entry].version(),
+            });
+            states.push(state);
+            return;
+        };
+        // The watch stops silently; missing heartbeats reveal it.
+        let mut state = self.clone();
+        state.watches[entry] = None;
+        states.push(state);
+        if cursor >= self.revision {
+            return;
+        }
+        let mut state = self.clone();
+        let version = cursor + 1;
+        let item = Item {
+            name: written(version),
+            version,
+        };
+        let since = match settings.mistake {
+            Some(Mistake::WatchReopenedAtHead) => cursor.min(self.replicas[entry].version()),
+            _ => cursor,
+        };
+        state.watches[entry] = Some(version);
+        state.merge(entry, since, version, &[item], settings);
+        states.push(state);
+    }
+
+    fn restart(&self, entry: usize, states: &mut Vec<Self>) {
+        if self.restarts == 0 {
+            return;
+        }
+        let mut state = self.clone();
+        state.restarts -= 1;
+        state.replicas[entry] = R::default();
+        state.watches[entry] = None;
+        states.push(state);
+    }
+
+    fn work(&self, entry: usize, settings: &Settings, states: &mut Vec<Self>) {
+        let replica = &self.replicas[entry];
+        let full = self.messages.len() >= settings.message_limit;
+        if full || replica.version() == 0 {
+            return;
+        }
+        let mut state = self.clone();
+        state.messages.push(Message::Work {
+            stamp: replica.version(),
+        });
+        states.push(state);
+    }
+
+    fn pull(&self, settings: &Settings, states: &mut Vec<Self>) {
+        if self.messages.len() >= settings.message_limit {
+            return;
+        }
+        for to in 0..self.replicas.len() {
+            for from in 0..self.agent() {
+                let since = self.replicas[to].version();
+                let version = self.replicas[from].version();
+                if from == to || version <= since {
+                    continue;
+                }
+                let mut state = self.clone();
+                state.messages.push(Message::Reply {
+                    to,
+                    since,
+                    version,
+                    items: self.replicas[from].newer_than(since),
+                });
+                states.push(state);
+            }
+        }
+    }
+
+    /// Delivers one message, once or with a repetition to come, whole or cut
+    /// off, or loses it.
+    fn deliver(&self, settings: &Settings, states: &mut Vec<Self>) {
+        for index in 0..self.messages.len() {
+            let mut lost = self.clone();
+            let message = lost.messages.remove(index);
+            let mut once = lost.clone();
+            let mut repeated = self.clone();
+            once.receive(&message, settings);
+            repeated.receive(&message, settings);
+            states.extend([lost, once, repeated]);
+            if let Some(state) = self.receive_part(&message, settings) {
+                states.push(state);
+            }
+        }
+    }
+
+    fn receive(&mut self, message: &Message, settings: &Settings) {
+        match message {
+            Message::Reply {
+                to,
+                since,
+                version,
+                items,
+            } => self.merge(*to, *since, *version, items, settings),
+            Message::Work { stamp } => self.take(*stamp, settings),
+        }
+    }
+
+    /// A reply that ends early is dropped, except by mistake.
+    fn receive_part(&self, message: &Message, settings: &Settings) -> Option<Self> {
+        let Message::Reply {
+            to, since, items, ..
+        } = message
+        else {
+            return None;
+        };
+        if settings.mistake != Some(Mistake::VersionOfNewestObject) || items.len() < 2 {
+            return None;
+        }
+        let mut state = self.clone();
+        let part = items.iter().max_by_key(|item| item.version)?;
+        state.merge(*to, *since, part.version, &[*part], settings);
+        Some(state)
+    }
+
+    fn merge(&mut self, to: usize, since: u64, version: u64, items: &[Item], settings: &Settings) {
+        let before = self.replicas[to].clone();
+        self.replicas[to].merge(since, version, items, settings.mistake);
+        let after = &self.replicas[to];
+        let back = |name| after.held(name) < before.held(name);
+        if after.version() < before.version() || Name::ALL.into_iter().any(back) {
+            self.broken = Some(Property::Monotonic);
+        }
+    }
+
+    fn take(&mut self, stamp: u64, settings: &Settings) {
+        // The agent is in a failure domain that stays in service.
+        let agent = &self.replicas[self.agent()];
+        let unchecked = settings.mistake == Some(Mistake::AgentWithoutVersionCheck);
+        if stamp < agent.version() && unchecked {
+            self.broken = Some(Property::FreshWork);
+        }
+    }
+}
+
+/// What an exploration found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// Number of states reached.
+    pub states: usize,
+    /// Highest version that every process reached.
+    pub spread: u64,
+    /// Broken properties, sorted.
+    pub broken: Vec<Property>,
+}
+
+/// Visits every reachable state.
+pub fn explore<R: Replica>(settings: &Settings) -> Found {
+    let mut found = Found {
+        states: 0,
+        spread: 0,
+        broken: Vec::new(),
+    };
+    for state in bfs_reach(State::<R>::initial(settings), |state| state.next(settings)) {
+        found.states += 1;
+        found.spread = found.spread.max(state.lowest_version());
+        found.broken.extend(state.broken());
+    }
+    found.broken.sort();
+    found.broken.dedup();
+    found
+}
