Add specification of sheets in parts

Cause: dropping parts from views and deleting them from the platform is only safe if writers write unnamed parts again, which single tests do not show.

Change: berylgw-spec explores two operators, a view that follows the platform and a view that pulls from it, with four mistakes that can be switched on.

Result: no reachable state has a sheet without its part, and each mistake leads to one.

--- /dev/null
+++ b/crates/spec/src/config/parts.rs
@@ -0,0 +1,227 @@
+//! Sheets in parts: writers, views that drop old parts, and their deletion.
+//!
+//! The sheet names one part, whose content is its name. Two operators write
+//! sheets with one of two parts, one view follows the platform from any revision
+//! it has, and a second view pulls from the first.
+
+use pathfinding::directed::bfs::bfs_reach;
+
+/// Number of different parts.
+const PARTS: usize = 2;
+
+/// A fault that can be put into the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mistake {
+    /// A part that exists is named without being written again.
+    PartReused,
+    /// The sheet is written before its part.
+    SheetFirst,
+    /// Views drop every part that the sheet does not name.
+    NewPartsDropped,
+    /// Deletion of a part carries no version.
+    UnconditionalDelete,
+}
+
+/// What to explore.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Sheets that each operator may try to write.
+    pub tries: u8,
+    /// The fault put in.
+    pub mistake: Option<Mistake>,
+}
+
+/// Versions of the objects, 0 if one does not exist.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Objects {
+    parts: [u8; PARTS],
+    sheet: u8,
+    /// The part that the sheet names.
+    named: usize,
+}
+
+impl Objects {
+    /// Whether the sheet can be put together.
+    fn complete(&self) -> bool {
+        self.sheet == 0 || self.parts[self.named] > 0
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Idle,
+    /// Has read the objects and writes the part next.
+    Part(Objects, usize),
+    /// Writes the sheet next.
+    Sheet(Objects, usize),
+    /// Deletes this version of the part, unless it was written again.
+    Delete(usize, u8),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Operator {
+    phase: Phase,
+    tries: u8,
+}
+
+/// A state of the platform, the operators and the views.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    revision: u8,
+    objects: Objects,
+    operators: [Operator; 2],
+    /// The first follows the platform, the second the first.
+    views: [View; 2],
+}
+
+/// The objects of a view and the revision up to which it is complete.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct View {
+    version: u8,
+    objects: Objects,
+}
+
+impl View {
+    /// Merges the objects that are newer than the view's version. A pull at any
+    /// revision equals a watch that delivers up to it.
+    fn merge(&mut self, source: &Objects, version: u8, settings: &Settings) {
+        let since = self.version;
+        for part in 0..PARTS {
+            if source.parts[part] > since {
+                self.objects.parts[part] = source.parts[part];
+            }
+        }
+        if source.sheet > since {
+            self.objects.sheet = source.sheet;
+            self.objects.named = source.named;
+        }
+        self.version = version;
+        let keep_new = settings.mistake != Some(Mistake::NewPartsDropped);
+        for part in 0..PARTS {
+            let is_new = self.objects.parts[part] > self.objects.sheet;
+            if part != self.objects.named && !(is_new && keep_new) {
+                self.objects.parts[part] = 0;
+            }
+        }
+    }
+}
+
+impl State {
+    /// Nothing is written.
+    pub fn initial(settings: &Settings) -> Self {
+        let operator = Operator {
+            phase: Phase::Idle,
+            tries: settings.tries,
+        };
+        State {
+            revision: 0,
+            objects: Objects::default(),
+            operators: [operator.clone(), operator],
+            views: [View::default(), View::default()],
+        }
+    }
+
+    /// Whether the platform or a view has a sheet without its part.
+    pub fn broken(&self) -> bool {
+        let incomplete = |view: &View| !view.objects.complete();
+        !self.objects.complete() || self.views.iter().any(incomplete)
+    }
+
+    /// The states that one step leads to.
+    pub fn next(&self, settings: &Settings) -> Vec<State> {
+        let mut states = Vec::new();
+        if self.broken() {
+            return states;
+        }
+        for index in 0..self.operators.len() {
+            self.operate(index, settings, &mut states);
+        }
+        let [first, second] = &self.views;
+        if first.version < self.revision {
+            let mut state = self.clone();
+            state.views[0].merge(&self.objects, self.revision, settings);
+            states.push(state);
+        }
+        if second.version < first.version {
+            let mut state = self.clone();
+            state.views[1].merge(&first.objects, first.version, settings);
+            states.push(state);
+        }
+        states
+    }
+
+    fn operate(&self, index: usize, settings: &Settings, states: &mut Vec<State>) {
+        let mut state = self.clone();
+        match self.operators[index].phase.clone() {
+            Phase::Idle if self.operators[index].tries > 0 => {
+                for part in 0..PARTS {
+                    let mut state = self.clone();
+                    state.operators[index].tries -= 1;
+                    state.operators[index].phase = match settings.mistake {
+                        Some(Mistake::SheetFirst) => Phase::Sheet(self.objects.clone(), part),
+                        _ => Phase::Part(self.objects.clone(), part),
+                    };
+                    states.push(state);
+                }
+                return;
+            }
+            Phase::Idle => return,
+            Phase::Part(read, part) => state.write_part(index, read, part, settings),
+            Phase::Sheet(read, part) => state.write_sheet(index, &read, part, settings),
+            Phase::Delete(part, version) => {
+                state.operators[index].phase = Phase::Idle;
+                let unchanged = state.objects.parts[part] == version
+                    || settings.mistake == Some(Mistake::UnconditionalDelete);
+                if unchanged && state.objects.parts[part] > 0 {
+                    state.revision += 1;
+                    state.objects.parts[part] = 0;
+                }
+            }
+        }
+        states.push(state);
+    }
+
+    fn write_part(&mut self, index: usize, read: Objects, part: usize, settings: &Settings) {
+        let named = read.sheet > 0 && read.named == part;
+        let reused = settings.mistake == Some(Mistake::PartReused) && read.parts[part] > 0;
+        let version = self.objects.parts[part];
+        // A write of the part by another operator after the read does as well;
+        // a deletion since then does not.
+        let unchanged = version == read.parts[part] || version == 0;
+        if !named && !reused && unchanged {
+            self.revision += 1;
+            self.objects.parts[part] = self.revision;
+        }
+        self.operators[index].phase = Phase::Sheet(read, part);
+    }
+
+    fn write_sheet(&mut self, index: usize, read: &Objects, part: usize, settings: &Settings) {
+        self.operators[index].phase = Phase::Idle;
+        if self.objects.sheet != read.sheet {
+            return;
+        }
+        self.revision += 1;
+        self.objects.sheet = self.revision;
+        self.objects.named = part;
+        if settings.mistake == Some(Mistake::SheetFirst) {
+            self.operators[index].phase = Phase::Part(self.objects.clone(), part);
+            return;
+        }
+        let other = 1 - part;
+        let version = self.objects.parts[other];
+        if version > 0 && version < self.objects.sheet {
+            self.operators[index].phase = Phase::Delete(other, version);
+        }
+    }
+}
+
+/// Visits every reachable state; returns their number and whether one is broken.
+pub fn explore(settings: &Settings) -> (usize, bool) {
+    let mut states = 0;
+    let mut broken = false;
+    for state in bfs_reach(State::initial(settings), |state| state.next(settings)) {
+        states += 1;
+        broken |= state.broken();
+    }
+    (states, broken)
+}
--- a/crates/spec/tests/config.rs
+++ b/crates/spec/tests/config.rs
@@ -1,8 +1,8 @@
 //! Exploration of the configuration protocols.
 
 use berylgw_core::config::{Object, View};
-use berylgw_spec::config::race;
 use berylgw_spec::config::spread::{self, Item, Mistake, Model, Name, Property, Replica, State};
+use berylgw_spec::config::{parts, race};
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -197,3 +197,27 @@
         assert!(found, "{mistake:?}");
     }
 }
+
+fn parts(mistake: Option<parts::Mistake>) -> (usize, bool) {
+    parts::explore(&parts::Settings { tries: 3, mistake })
+}
+
+#[test]
+fn parts_without_mistake() {
+    let (states, broken) = parts(None);
+    assert!(!broken);
+    assert!(states > 1_000, "{states}");
+}
+
+#[test]
+fn parts_mistakes_found() {
+    let mistakes = [
+        parts::Mistake::PartReused,
+        parts::Mistake::SheetFirst,
+        parts::Mistake::NewPartsDropped,
+        parts::Mistake::UnconditionalDelete,
+    ];
+    for mistake in mistakes {
+        assert!(parts(Some(mistake)).1, "{mistake:?}");
+    }
+}
