Add lease and claim ledger with a specification

Cause: a request with an idempotency key has to run at most once while entries, agents and the platform fail in any combination.

Change: `lease` holds a role by conditional update without shared clocks. `ledger::Owner` commits claims of one partition in batches, reads back updates with unknown outcome and grants only what is known to be applied. A second grant of a key always has a higher token, so that agents can refuse the first one. `berylgw_spec::claim` states the protocol and eight mistakes.

--- /dev/null
+++ b/crates/core/src/lease/role.rs
@@ -0,0 +1,299 @@
+use std::time::Duration;
+
+use super::{Holder, Observer, Record, Tenure, Update};
+use crate::clock::Instant;
+
+/// Settings of a [`Role`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// This process.
+    pub holder: Holder,
+    /// Term of the lease.
+    pub term: Duration,
+    /// Time between platform calls after a failure and between reads of an
+    /// object that another process holds.
+    pub pause: Duration,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// The outstanding [`Action::Write`] ended.
+    Written(Update),
+    /// The outstanding [`Action::Read`] returned the object, or none.
+    Found(Option<(u64, Record)>),
+    /// The outstanding [`Action::Read`] failed.
+    ReadFailed,
+    /// Whether this process wants the role; `false` releases it.
+    Want(bool),
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the object.
+    Read,
+    /// Write the object if it still has the version; 0 means it must not exist.
+    Write {
+        /// Version the object must have.
+        expected: u64,
+        /// New value.
+        record: Record,
+    },
+    /// The role is held from now on, with this fencing token.
+    Started(u64),
+    /// The role is no longer held; stop acting before anything else.
+    Stopped,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Attempt {
+    expected: u64,
+    record: Record,
+    sent: Instant,
+    // An earlier write of the same record has no known outcome.
+    unsettled: bool,
+}
+
+/// One process's side of a role.
+///
+/// At most one platform call is outstanding. Events may arrive late; after
+/// the deadline [`Role::token`] returns nothing even before the next event.
+#[derive(Clone, Debug)]
+pub struct Role {
+    settings: Settings,
+    wanted: bool,
+    calling: bool,
+    nonce: u64,
+    known: Option<(u64, Option<Record>)>,
+    observer: Observer,
+    tenure: Option<Tenure>,
+    attempt: Option<Attempt>,
+    next_call: Instant,
+}
+
+impl Role {
+    /// Makes a role that is wanted and not held.
+    pub fn new(settings: Settings) -> Self {
+        Role {
+            settings,
+            wanted: true,
+            calling: false,
+            nonce: 0,
+            known: None,
+            observer: Observer::default(),
+            tenure: None,
+            attempt: None,
+            next_call: Instant::ORIGIN,
+        }
+    }
+
+    /// The fencing token, if the role is held at `now`.
+    pub fn token(&self, now: Instant) -> Option<u64> {
+        let tenure = self.tenure.filter(|tenure| tenure.acts(now))?;
+        Some(tenure.token)
+    }
+
+    /// When to send the next [`Event::Tick`], if no other event comes first.
+    pub fn wake_at(&self) -> Option<Instant> {
+        let deadline = self.tenure.map(|tenure| tenure.deadline());
+        if self.calling {
+            return deadline;
+        }
+        let call_at = match self.tenure {
+            Some(tenure) if self.attempt.is_none() => tenure.renew_at().max(self.next_call),
+            None if self.attempt.is_none() && !self.wanted => return None,
+            _ => self.next_call,
+        };
+        Some(deadline.map_or(call_at, |deadline| deadline.min(call_at)))
+    }
+
+    /// Takes an event and returns what to do, in order.
+    pub fn step(&mut self, event: Event, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        match event {
+            Event::Tick => {}
+            Event::Want(wanted) => self.want(wanted, now),
+            Event::Written(update) => self.written(update, now, &mut actions),
+            Event::Found(found) => self.found(found, now, &mut actions),
+            Event::ReadFailed => {
+                self.calling = false;
+                self.next_call = now + self.settings.pause;
+            }
+        }
+        self.call(now, &mut actions);
+        actions
+    }
+
+    fn want(&mut self, wanted: bool, now: Instant) {
+        self.wanted = wanted;
+        self.next_call = now;
+    }
+
+    fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.tenure.is_some_and(|tenure| !tenure.acts(now)) {
+            self.tenure = None;
+            actions.push(Action::Stopped);
+        }
+    }
+
+    fn written(&mut self, update: Update, now: Instant, actions: &mut Vec<Action>) {
+        self.calling = false;
+        let Some(mut attempt) = self.attempt.take() else {
+            return;
+        };
+        match update {
+            Update::Applied(version) => self.applied(attempt, version, now, actions),
+            Update::Refused if !attempt.unsettled => {
+                self.next_call = now + self.settings.pause;
+            }
+            Update::Conflict if !attempt.unsettled => {
+                self.known = None;
+                self.stop(actions);
+            }
+            // A refusal or conflict of a repeated write says nothing about
+            // the earlier one.
+            Update::Refused | Update::Conflict | Update::Unknown => {
+                attempt.unsettled = true;
+                self.attempt = Some(attempt);
+                self.known = None;
+                if update == Update::Refused {
+                    self.next_call = now + self.settings.pause;
+                }
+            }
+        }
+    }
+
+    fn applied(&mut self, attempt: Attempt, version: u64, now: Instant, actions: &mut Vec<Action>) {
+        let record = attempt.record;
+        let tenure = Tenure::new(record.token, attempt.sent, record.term());
+        self.observer.observe(version, &record, now);
+        let held = self.tenure.is_some();
+        let released = record.released;
+        self.known = Some((version, Some(record)));
+        if released || !tenure.acts(now) {
+            return;
+        }
+        self.tenure = Some(tenure);
+        if !held {
+            actions.push(Action::Started(tenure.token));
+        }
+    }
+
+    fn found(&mut self, found: Option<(u64, Record)>, now: Instant, actions: &mut Vec<Action>) {
+        self.calling = false;
+        let (version, record) = match found {
+            Some((version, record)) => (version, Some(record)),
+            None => (0, None),
+        };
+        if let Some(record) = &record {
+            self.observer.observe(version, record, now);
+        }
+        self.known = Some((version, record.clone()));
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        if record.is_some_and(|record| record.same_write(&attempt.record)) {
+            self.applied(attempt, version, now, actions);
+            return;
+        }
+        if version == attempt.expected && self.may_repeat(&attempt) {
+            self.attempt = Some(attempt);
+            return;
+        }
+        if version != attempt.expected {
+            self.stop(actions);
+        }
+    }
+
+    fn stop(&mut self, actions: &mut Vec<Action>) {
+        if self.tenure.take().is_some() {
+            actions.push(Action::Stopped);
+        }
+    }
+
+    // Without a tenure a repeated record would start with an old deadline.
+    fn may_repeat(&self, attempt: &Attempt) -> bool {
+        attempt.record.released || self.tenure.is_some()
+    }
+
+    fn call(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.calling || now < self.next_call {
+            return;
+        }
+        let Some((version, record)) = self.known.clone() else {
+            self.read(actions);
+            return;
+        };
+        if let Some(attempt) = &self.attempt {
+            let (expected, record) = (attempt.expected, attempt.record.clone());
+            self.write(expected, record, actions);
+            return;
+        }
+        if !self.wanted {
+            self.release(version, now, actions);
+            return;
+        }
+        if let Some(tenure) = self.tenure {
+            if tenure.renewal_due(now) {
+                self.begin(version, tenure.token, false, now, actions);
+            }
+            return;
+        }
+        let token = record.as_ref().map_or(0, |record| record.token) + 1;
+        // A lease of this very process is known to be over on this side.
+        let own = record.is_some_and(|record| record.holder == self.settings.holder);
+        if version == 0 || own || self.observer.expired(version, now) {
+            self.begin(version, token, false, now, actions);
+            return;
+        }
+        self.read(actions);
+        self.next_call = now + self.settings.pause;
+    }
+
+    fn release(&mut self, version: u64, now: Instant, actions: &mut Vec<Action>) {
+        let Some(tenure) = self.tenure else {
+            return;
+        };
+        self.stop(actions);
+        self.begin(version, tenure.token, true, now, actions);
+    }
+
+    fn begin(
+        &mut self,
+        expected: u64,
+        token: u64,
+        released: bool,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.nonce += 1;
+        let record = Record {
+            holder: self.settings.holder.clone(),
+            token,
+            nonce: self.nonce,
+            term_ms: u64::try_from(self.settings.term.as_millis()).unwrap_or(u64::MAX),
+            released,
+        };
+        self.attempt = Some(Attempt {
+            expected,
+            record: record.clone(),
+            sent: now,
+            unsettled: false,
+        });
+        self.write(expected, record, actions);
+    }
+
+    fn write(&mut self, expected: u64, record: Record, actions: &mut Vec<Action>) {
+        self.calling = true;
+        actions.push(Action::Write { expected, record });
+    }
+
+    fn read(&mut self, actions: &mut Vec<Action>) {
+        self.calling = true;
+        actions.push(Action::Read);
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/owner.rs
@@ -0,0 +1,612 @@
+use std::sync::Arc;
+
+use super::batch::{self, Batch, Completed, Waiter};
+use super::{Completion, Digest, Grant, Partition, Reply, Request, Settings, State};
+use crate::clock::Instant;
+use crate::lease::{Observer, Record, Tenure, Update};
+use crate::outcome::{Reason, Refusal};
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// An entry asks for a key.
+    Claim(Request),
+    /// An entry knows what became of a grant.
+    Complete {
+        /// Chosen by the process, returned in [`Action::Completed`].
+        id: u64,
+        /// The grant.
+        grant: Grant,
+        /// What became of it.
+        completion: Completion,
+    },
+    /// The outstanding [`Action::Write`] ended.
+    Written(Update),
+    /// The outstanding [`Action::Read`] returned the object, or none.
+    Found(Option<(u64, Arc<Partition>)>),
+    /// The outstanding [`Action::Read`] failed.
+    ReadFailed,
+    /// Whether this entry wants the partition; `false` releases it.
+    Want(bool),
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Read the object.
+    Read,
+    /// Write the object if it still has the version; 0 means it must not exist.
+    Write {
+        /// Version the object must have.
+        expected: u64,
+        /// New value.
+        partition: Arc<Partition>,
+    },
+    /// Answer a claim request.
+    Reply {
+        /// The request's id.
+        id: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Answer a completion.
+    Completed {
+        /// The completion's id.
+        id: u64,
+        /// Whether it was taken; if not, its grant is not the current one or
+        /// the partition is not held.
+        accepted: bool,
+    },
+    /// The partition is held from now on.
+    Started,
+    /// The partition is no longer held.
+    Stopped,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    expected: u64,
+    partition: Arc<Partition>,
+    sent: Instant,
+    waiters: Vec<Waiter>,
+    // An earlier write of the same value has no known outcome.
+    unsettled: bool,
+}
+
+/// One entry's side of a ledger partition.
+///
+/// At most one platform call is outstanding. A process feeds events in,
+/// carries the actions out in order, and sends [`Event::Tick`] at
+/// [`Owner::wake_at`].
+#[derive(Clone, Debug)]
+pub struct Owner {
+    settings: Settings,
+    wanted: bool,
+    calling: bool,
+    // The last platform call had no useful answer.
+    closed: bool,
+    stale: bool,
+    nonce: u64,
+    base: Option<(u64, Option<Arc<Partition>>)>,
+    observer: Observer,
+    tenure: Option<Tenure>,
+    attempt: Option<Attempt>,
+    queue: Vec<Waiter>,
+    completions: Vec<Completed>,
+    completed_at: Option<Instant>,
+    // Claims of this incarnation whose grant was never given out.
+    ungranted: Vec<(Digest, u64)>,
+    generation_start: Instant,
+    next_call: Instant,
+}
+
+impl Owner {
+    /// Makes an owner that wants its partition and does not hold it.
+    pub fn new(settings: Settings) -> Self {
+        Owner {
+            settings,
+            wanted: true,
+            calling: false,
+            closed: false,
+            stale: true,
+            nonce: 0,
+            base: None,
+            observer: Observer::default(),
+            tenure: None,
+            attempt: None,
+            queue: Vec::new(),
+            completions: Vec::new(),
+            completed_at: None,
+            ungranted: Vec::new(),
+            generation_start: Instant::ORIGIN,
+            next_call: Instant::ORIGIN,
+        }
+    }
+
+    /// Whether the partition is held at `now`.
+    pub fn holds(&self, now: Instant) -> bool {
+        self.tenure.is_some_and(|tenure| tenure.acts(now))
+    }
+
+    /// Name of the entry that wrote the object last, as far as is known.
+    pub fn holder(&self) -> Option<&Arc<str>> {
+        let lease = &self.partition()?.lease;
+        (!lease.released).then_some(&lease.holder.name)
+    }
+
+    /// When to send the next [`Event::Tick`], if no other event comes first.
+    pub fn wake_at(&self) -> Option<Instant> {
+        let waiters = self.attempt.iter().flat_map(|attempt| &attempt.waiters);
+        let deadlines = waiters
+            .chain(&self.queue)
+            .map(|waiter| waiter.request.deadline);
+        let lapse = self.tenure.map(|tenure| tenure.deadline());
+        let call = self.call_at().filter(|_| !self.calling);
+        deadlines.chain(lapse).chain(call).min()
+    }
+
+    /// Takes an event and returns what to do, in order.
+    pub fn step(&mut self, event: Event, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        match event {
+            Event::Tick => {}
+            Event::Claim(request) => self.claim(request, now, &mut actions),
+            Event::Complete {
+                id,
+                grant,
+                completion,
+            } => {
+                let accepted = self.complete(grant, completion, now);
+                actions.push(Action::Completed { id, accepted });
+            }
+            Event::Written(update) => self.written(update, now, &mut actions),
+            Event::Found(found) => self.found(found, now, &mut actions),
+            Event::ReadFailed => {
+                self.calling = false;
+                self.close(now, &mut actions);
+            }
+            Event::Want(wanted) => {
+                self.wanted = wanted;
+                self.next_call = now;
+            }
+        }
+        self.call(now, &mut actions);
+        actions
+    }
+
+    fn partition(&self) -> Option<&Arc<Partition>> {
+        self.base.as_ref()?.1.as_ref()
+    }
+
+    fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.tenure.is_some_and(|tenure| !tenure.acts(now)) {
+            self.stop(actions);
+        }
+        let late = |waiter: &mut Waiter| now >= waiter.request.deadline;
+        let queued: Vec<Waiter> = self.queue.extract_if(.., late).collect();
+        self.refuse(queued, actions);
+        if let Some(attempt) = &mut self.attempt {
+            let waiting = attempt.waiters.extract_if(.., late).collect();
+            self.abandon(waiting, actions);
+        }
+    }
+
+    fn stop(&mut self, actions: &mut Vec<Action>) {
+        if self.tenure.take().is_none() {
+            return;
+        }
+        actions.push(Action::Stopped);
+        let queued = std::mem::take(&mut self.queue);
+        self.refuse(queued, actions);
+        if let Some(attempt) = &mut self.attempt {
+            let waiting = std::mem::take(&mut attempt.waiters);
+            self.abandon(waiting, actions);
+        }
+    }
+
+    /// Refuses requests whose claim is not and will not be in the object.
+    fn refuse(&self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
+        for waiter in waiters {
+            actions.push(self.refusal(waiter.request.id, "the ledger partition is not available"));
+        }
+    }
+
+    /// Refuses requests whose claim may be or come to be in the object.
+    ///
+    /// `not run` is true because nobody dispatches without a grant. The claim
+    /// is remembered so that a resend can still be granted.
+    fn abandon(&mut self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let token = attempt.partition.lease.token;
+        let keys = waiters.iter().map(|waiter| (waiter.request.key, token));
+        self.ungranted.extend(keys);
+        self.refuse(waiters, actions);
+    }
+
+    fn refusal(&self, id: u64, message: &'static str) -> Action {
+        let refusal = Refusal::not_run(Reason::LedgerUnavailable, self.settings.pause);
+        Action::Reply {
+            id,
+            reply: Reply::Refused(refusal.with_message(message)),
+        }
+    }
+
+    fn close(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.closed = true;
+        self.next_call = now + self.settings.pause;
+        let queued = std::mem::take(&mut self.queue);
+        self.refuse(queued, actions);
+    }
+
+    fn claim(&mut self, request: Request, now: Instant, actions: &mut Vec<Action>) {
+        let id = request.id;
+        if !self.wanted || !self.holds(now) || now >= request.deadline {
+            let waiter = Waiter {
+                request,
+                since: now,
+            };
+            self.refuse(vec![waiter], actions);
+            return;
+        }
+        if let Some(reply) = self.resolve(&request) {
+            actions.push(Action::Reply { id, reply });
+            return;
+        }
+        let waiter = Waiter {
+            request,
+            since: now,
+        };
+        if self.closed {
+            self.refuse(vec![waiter], actions);
+            return;
+        }
+        self.queue.push(waiter);
+    }
+
+    /// The reply to a request that needs no further write.
+    fn resolve(&self, request: &Request) -> Option<Reply> {
+        if self.is_in_flight(&request.key) {
+            return None;
+        }
+        let claim = self.partition()?.claim(&request.key)?;
+        if claim.body != request.body {
+            let refusal = Refusal::not_run(Reason::KeyReused, std::time::Duration::ZERO);
+            return Some(Reply::Refused(refusal));
+        }
+        let known = self
+            .completions
+            .iter()
+            .find(|done| done.key == claim.key && done.token == claim.token);
+        match known.map_or(&claim.state, |done| &done.state) {
+            State::Done(answer) => Some(Reply::Done(answer.clone())),
+            State::NotRun => None,
+            State::Claimed if self.ungranted.contains(&(claim.key, claim.token)) => None,
+            State::Claimed => {
+                let grant = Grant {
+                    key: claim.key,
+                    token: claim.token,
+                };
+                Some(Reply::Pending(grant, claim.target.clone()))
+            }
+        }
+    }
+
+    fn is_in_flight(&self, key: &Digest) -> bool {
+        let Some(attempt) = &self.attempt else {
+            return false;
+        };
+        let token = attempt.partition.lease.token;
+        attempt
+            .waiters
+            .iter()
+            .any(|waiter| waiter.request.key == *key)
+            || self.ungranted.contains(&(*key, token))
+    }
+
+    fn complete(&mut self, grant: Grant, completion: Completion, now: Instant) -> bool {
+        if !self.holds(now) {
+            return false;
+        }
+        let completed = Completed {
+            key: grant.key,
+            token: grant.token,
+            state: completion.into(),
+        };
+        let Some(partition) = self.partition() else {
+            return false;
+        };
+        if !completed.is_open_in(partition) || self.is_in_flight(&grant.key) {
+            return false;
+        }
+        let same = |other: &Completed| other.key == grant.key && other.token == grant.token;
+        if self.completions.iter().any(same) {
+            return true;
+        }
+        self.completions.push(completed);
+        self.completed_at.get_or_insert(now);
+        true
+    }
+
+    fn written(&mut self, update: Update, now: Instant, actions: &mut Vec<Action>) {
+        self.calling = false;
+        let Some(attempt) = &mut self.attempt else {
+            return;
+        };
+        // A refusal or conflict of a repeated write says nothing about the
+        // earlier one, which may have taken effect or still do so.
+        let settled = !attempt.unsettled;
+        match update {
+            Update::Applied(version) => self.applied(version, now, actions),
+            Update::Refused if settled => {
+                self.drop_attempt(actions);
+                self.close(now, actions);
+            }
+            Update::Conflict if settled => {
+                self.drop_attempt(actions);
+                self.stale = true;
+                self.stop(actions);
+            }
+            Update::Refused => self.close(now, actions),
+            Update::Conflict | Update::Unknown => {
+                attempt.unsettled = true;
+                self.stale = true;
+            }
+        }
+    }
+
+    fn drop_attempt(&mut self, actions: &mut Vec<Action>) {
+        if let Some(attempt) = self.attempt.take() {
+            self.refuse(attempt.waiters, actions);
+        }
+    }
+
+    fn applied(&mut self, version: u64, now: Instant, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        let lease = &attempt.partition.lease;
+        let tenure = Tenure::new(lease.token, attempt.sent, lease.term());
+        self.set_base(version, Some(attempt.partition.clone()), now);
+        if lease.released || !tenure.acts(now) {
+            self.attempt = Some(attempt);
+            self.lapse_attempt(actions);
+            return;
+        }
+        if self.tenure.replace(tenure).is_none() {
+            actions.push(Action::Started);
+        }
+        for waiter in &attempt.waiters {
+            let grant = Grant {
+                key: waiter.request.key,
+                token: tenure.token,
+            };
+            let reply = Reply::Granted(grant);
+            let id = waiter.request.id;
+            actions.push(Action::Reply { id, reply });
+        }
+        self.answer_queue(actions);
+    }
+
+    fn lapse_attempt(&mut self, actions: &mut Vec<Action>) {
+        if let Some(attempt) = &mut self.attempt {
+            let waiting = std::mem::take(&mut attempt.waiters);
+            self.abandon(waiting, actions);
+        }
+        self.attempt = None;
+    }
+
+    fn answer_queue(&mut self, actions: &mut Vec<Action>) {
+        for waiter in std::mem::take(&mut self.queue) {
+            let id = waiter.request.id;
+            match self.resolve(&waiter.request) {
+                Some(reply) => actions.push(Action::Reply { id, reply }),
+                None => self.queue.push(waiter),
+            }
+        }
+    }
+
+    fn set_base(&mut self, version: u64, partition: Option<Arc<Partition>>, now: Instant) {
+        let changed = self.base.as_ref().map(|base| base.0) != Some(version);
+        self.stale = false;
+        self.closed = false;
+        let Some(partition) = partition else {
+            self.base = Some((version, None));
+            return;
+        };
+        self.observer.observe(version, &partition.lease, now);
+        if changed {
+            self.completions
+                .retain(|completed| completed.is_open_in(&partition));
+            self.ungranted.retain(|(key, token)| {
+                partition
+                    .claim(key)
+                    .is_some_and(|claim| claim.token == *token)
+            });
+        }
+        if self.completions.is_empty() {
+            self.completed_at = None;
+        }
+        self.base = Some((version, Some(partition)));
+    }
+
+    fn found(
+        &mut self,
+        found: Option<(u64, Arc<Partition>)>,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.calling = false;
+        let (version, partition) = match found {
+            Some((version, partition)) => (version, Some(partition)),
+            None => (0, None),
+        };
+        let lease = partition.as_ref().map(|partition| partition.lease.clone());
+        if let Some(attempt) = &self.attempt {
+            if lease.is_some_and(|lease| lease.same_write(&attempt.partition.lease)) {
+                self.applied(version, now, actions);
+                return;
+            }
+            // The write may still take effect. Repeating the same value makes
+            // the outcome the same whichever of the two arrives first.
+            let repeats = self.holds(now) || attempt.partition.lease.released;
+            if version == attempt.expected && repeats {
+                self.set_base(version, partition, now);
+                return;
+            }
+            let moved = version != attempt.expected;
+            self.lapse_attempt(actions);
+            self.set_base(version, partition, now);
+            if moved {
+                self.stop(actions);
+            }
+            return;
+        }
+        let holder = lease.map(|lease| lease.holder);
+        self.set_base(version, partition, now);
+        if holder.as_ref() != Some(&self.settings.holder) {
+            self.stop(actions);
+        }
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        self.due_at().is_some_and(|due| now >= due)
+    }
+
+    /// When the held partition needs its next write.
+    fn due_at(&self) -> Option<Instant> {
+        let renewal = self.tenure?.renew_at();
+        let claims = self.queue.first().map(|w| w.since + self.settings.window);
+        let completions = self
+            .completed_at
+            .map(|at| at + self.settings.completion_interval);
+        let reopen = self.closed.then_some(self.next_call);
+        let all = [Some(renewal), claims, completions, reopen];
+        all.into_iter().flatten().min()
+    }
+
+    fn call_at(&self) -> Option<Instant> {
+        if self.attempt.is_some() || self.stale {
+            return Some(self.next_call);
+        }
+        match self.due_at() {
+            Some(due) if self.wanted => Some(due.max(self.next_call)),
+            Some(_) => Some(self.next_call),
+            None => self.wanted.then_some(self.next_call),
+        }
+    }
+
+    fn call(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.calling || now < self.next_call {
+            return;
+        }
+        let Some((version, partition)) = self.base.clone().filter(|_| !self.stale) else {
+            self.read(actions);
+            return;
+        };
+        if self.attempt.is_some() {
+            self.write(actions);
+            return;
+        }
+        if let Some(tenure) = self.tenure {
+            if !self.wanted {
+                self.stop(actions);
+                self.begin(version, partition, tenure.token, true, now, actions);
+            } else if self.is_due(now) {
+                self.begin(version, partition, tenure.token, false, now, actions);
+            }
+            return;
+        }
+        if !self.wanted {
+            return;
+        }
+        let lease = partition.as_ref().map(|partition| &partition.lease);
+        let token = lease.map_or(0, |lease| lease.token) + 1;
+        // The end of this very process's own lease needs no waiting.
+        let own = lease.is_some_and(|lease| lease.holder == self.settings.holder);
+        if version == 0 || own || self.observer.expired(version, now) {
+            self.generation_start = now;
+            self.begin(version, partition, token, false, now, actions);
+            return;
+        }
+        self.read(actions);
+        self.next_call = now + self.settings.pause;
+    }
+
+    fn begin(
+        &mut self,
+        expected: u64,
+        base: Option<Arc<Partition>>,
+        token: u64,
+        released: bool,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.nonce += 1;
+        let lease = Record {
+            holder: self.settings.holder.clone(),
+            token,
+            nonce: self.nonce,
+            term_ms: u64::try_from(self.settings.term.as_millis()).unwrap_or(u64::MAX),
+            released,
+        };
+        let mut partition = base.map_or_else(
+            || Partition {
+                lease: lease.clone(),
+                generation: 0,
+                claims: Vec::new(),
+            },
+            Arc::unwrap_or_clone,
+        );
+        partition.generation += self.generations(now);
+        self.answer_queue(actions);
+        let queue = std::mem::take(&mut self.queue);
+        let Batch {
+            partition,
+            claimed,
+            left,
+            full,
+        } = batch::build(partition, lease, &self.settings, &self.completions, queue);
+        for waiter in full {
+            actions.push(self.refusal(waiter.request.id, "the ledger partition is full"));
+        }
+        self.queue = left;
+        self.attempt = Some(Attempt {
+            expected,
+            partition: Arc::new(partition),
+            sent: now,
+            waiters: claimed,
+            unsettled: false,
+        });
+        self.write(actions);
+    }
+
+    /// Whole generations that passed since the last call of this function.
+    fn generations(&mut self, now: Instant) -> u64 {
+        let length = self.settings.generation.as_micros().max(1);
+        let passed = now.since(self.generation_start).as_micros() / length;
+        let passed = u32::try_from(passed).unwrap_or(u32::MAX);
+        self.generation_start = self.generation_start + self.settings.generation * passed;
+        u64::from(passed)
+    }
+
+    fn write(&mut self, actions: &mut Vec<Action>) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        self.calling = true;
+        actions.push(Action::Write {
+            expected: attempt.expected,
+            partition: attempt.partition.clone(),
+        });
+    }
+
+    fn read(&mut self, actions: &mut Vec<Action>) {
+        self.calling = true;
+        actions.push(Action::Read);
+    }
+}
--- /dev/null
+++ b/crates/spec/src/claim/agent.rs
@@ -0,0 +1,178 @@
+use super::Answer;
+use super::state::{Memory, Mistake, Phase, Progress, Setup, State};
+
+/// Steps of callers, entries and the agent that are not faults.
+pub fn steps(setup: &Setup, state: &State, next: &mut Vec<State>) {
+    for attempt in 0..setup.attempts {
+        send(setup, state, attempt, next);
+        dispatch(setup, state, attempt, next);
+        deliver(setup, state, attempt, next);
+        answer(setup, state, attempt, next);
+        seal(setup, state, attempt, next);
+    }
+    for key in 0..2 {
+        let mut new = *state;
+        if let Some((account, false)) = state.memory[key].run {
+            new.memory[key].run = Some((account, true));
+            next.push(new);
+        }
+    }
+    if !state.store.up {
+        let mut new = *state;
+        new.store.up = true;
+        next.push(new);
+    }
+}
+
+fn send(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let mut new = *state;
+    match state.attempts[attempt].phase {
+        Phase::Unsent => {
+            if attempt > 0 && state.attempts[attempt - 1].phase == Phase::Unsent {
+                return;
+            }
+            new.attempts[attempt].phase = Phase::Idle;
+            if setup.has(Mistake::ClaimAfterDispatch) {
+                let grant = (state.store.token + 1, state.incarnation);
+                new.attempts[attempt].phase = Phase::Granted(grant.0, grant.1);
+            }
+            next.push(new);
+        }
+        Phase::Idle => {
+            for owner in 0..2 {
+                let mut new = *state;
+                if state.owners[owner].token > 0 {
+                    new.attempts[attempt].phase = Phase::Asked(owner as u8);
+                    next.push(new);
+                }
+            }
+        }
+        _ => {}
+    }
+}
+
+fn dispatch(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let Phase::Granted(token, incarnation) = state.attempts[attempt].phase else {
+        return;
+    };
+    let mut new = *state;
+    new.attempts[attempt].phase = Phase::Dispatched(token, incarnation);
+    new.attempts[attempt].message = Some((token, incarnation));
+    if setup.has(Mistake::ClaimAfterDispatch) {
+        new.attempts[attempt].message = Some((token, state.incarnation));
+    }
+    next.push(new);
+}
+
+fn deliver(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let Some((token, incarnation)) = state.attempts[attempt].message else {
+        return;
+    };
+    let key = setup.key(attempt);
+    let memory = &state.memory[key];
+    let mut new = *state;
+    new.attempts[attempt].message = None;
+    let fenced = token <= memory.token && !setup.has(Mistake::LapsedOwnerNotFenced);
+    if incarnation == state.incarnation && !fenced {
+        new.attempts[attempt].runs += 1;
+        new.memory[key] = Memory {
+            token: token.max(memory.token),
+            run: Some((setup.account(attempt), false)),
+        };
+    } else if let Phase::Dispatched(token, _) = state.attempts[attempt].phase {
+        new.attempts[attempt].phase = Phase::Answered(Answer::NotRun);
+        new.attempts[attempt].report = Some((token, Progress::NotRun));
+    }
+    next.push(new);
+}
+
+/// The answer of a finished run reaches the entry that dispatched it.
+fn answer(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let Phase::Dispatched(token, incarnation) = state.attempts[attempt].phase else {
+        return;
+    };
+    let Some((account, true)) = state.memory[setup.key(attempt)].run else {
+        return;
+    };
+    if incarnation != state.incarnation || state.attempts[attempt].runs == 0 {
+        return;
+    }
+    let mut new = *state;
+    new.attempts[attempt].phase = Phase::Answered(Answer::Done(account));
+    new.attempts[attempt].report = Some((token, Progress::Done(account)));
+    next.push(new);
+}
+
+fn seal(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let Phase::Sealing(token, incarnation, own) = state.attempts[attempt].phase else {
+        return;
+    };
+    let key = setup.key(attempt);
+    let mut new = *state;
+    let mine = &mut new.attempts[attempt];
+    if incarnation != state.incarnation {
+        mine.phase = Phase::Answered(Answer::Unknown);
+        next.push(new);
+        return;
+    }
+    match state.memory[key].run {
+        Some((account, true)) => {
+            mine.phase = Phase::Answered(Answer::Done(account));
+            mine.report = Some((token, Progress::Done(account)));
+        }
+        Some((_, false)) => mine.phase = Phase::Answered(Answer::Unknown),
+        None => {
+            mine.report = Some((token, Progress::NotRun));
+            mine.phase = if own {
+                Phase::Answered(Answer::NotRun)
+            } else {
+                Phase::Sealed
+            };
+            if !setup.has(Mistake::SealIgnored) {
+                new.memory[key].token = state.memory[key].token.max(token);
+            }
+        }
+    }
+    next.push(new);
+}
+
+/// Broken connections, impatient entries and replacement of the agent.
+pub fn faults(setup: &Setup, state: &State, next: &mut Vec<State>) {
+    for attempt in 0..setup.attempts {
+        break_connection(setup, state, attempt, next);
+        give_up(setup, state, attempt, next);
+    }
+    if state.incarnation < setup.replacements {
+        let mut new = *state;
+        new.incarnation += 1;
+        new.memory = [Memory::default(); 2];
+        next.push(new);
+    }
+}
+
+fn break_connection(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let Phase::Dispatched(token, incarnation) = state.attempts[attempt].phase else {
+        return;
+    };
+    let mut new = *state;
+    new.attempts[attempt].phase = Phase::Sealing(token, incarnation, true);
+    if setup.has(Mistake::RetryAfterBrokenConnection) {
+        new.attempts[attempt].phase = Phase::Granted(token, state.incarnation);
+    }
+    next.push(new);
+}
+
+/// The caller's deadline passes at the entry or the owner.
+fn give_up(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let mut new = *state;
+    match state.attempts[attempt].phase {
+        Phase::Granted(token, _) => new.attempts[attempt].report = Some((token, Progress::NotRun)),
+        Phase::Idle | Phase::Sealed | Phase::Asked(_) => {}
+        _ => return,
+    }
+    if setup.has(Mistake::RetryAfterBrokenConnection) && state.attempts[attempt].runs > 0 {
+        return;
+    }
+    new.attempts[attempt].phase = Phase::Answered(Answer::NotRun);
+    next.push(new);
+}
--- /dev/null
+++ b/crates/spec/src/claim/check.rs
@@ -0,0 +1,119 @@
+use std::collections::HashMap;
+
+use pathfinding::directed::bfs::bfs_reach;
+
+use super::state::{Phase, Setup, State};
+use super::{Answer, agent, owner};
+
+/// A property that does not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// A request ran more than once.
+    RanTwice,
+    /// A caller was told `not run` and its sending ran.
+    FalseNotRun,
+    /// A caller got the result of another account's request.
+    ForeignResult,
+}
+
+impl State {
+    /// Checks the safety properties.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first property that does not hold.
+    pub fn check(&self, setup: &Setup) -> Result<(), Violation> {
+        for account in 0..2 {
+            let runs: u8 = (0..setup.attempts)
+                .filter(|attempt| setup.account(*attempt) == account)
+                .map(|attempt| self.attempts[attempt].runs)
+                .sum();
+            if runs > 1 {
+                return Err(Violation::RanTwice);
+            }
+        }
+        for (index, attempt) in self.attempts.iter().enumerate() {
+            match attempt.phase {
+                Phase::Answered(Answer::NotRun) if attempt.runs > 0 => {
+                    return Err(Violation::FalseNotRun);
+                }
+                Phase::Answered(Answer::Done(account)) if account != setup.account(index) => {
+                    return Err(Violation::ForeignResult);
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Successors without faults.
+    pub fn progress(&self, setup: &Setup) -> Vec<State> {
+        let mut next = Vec::new();
+        owner::steps(setup, self, &mut next);
+        agent::steps(setup, self, &mut next);
+        next
+    }
+
+    /// All successors.
+    pub fn successors(&self, setup: &Setup) -> Vec<State> {
+        let mut next = self.progress(setup);
+        owner::faults(self, &mut next);
+        agent::faults(setup, self, &mut next);
+        next
+    }
+}
+
+/// Explores all states; returns their number or the first violation.
+///
+/// # Errors
+///
+/// Returns the violated property and the state that shows it.
+pub fn explore(setup: &Setup) -> Result<usize, Box<(Violation, State)>> {
+    let mut count = 0;
+    for state in bfs_reach(State::new(setup), |state| state.successors(setup)) {
+        if let Err(violation) = state.check(setup) {
+            return Err(Box::new((violation, state)));
+        }
+        count += 1;
+    }
+    Ok(count)
+}
+
+/// Finds the nearest state that shows one violation.
+pub fn find(setup: &Setup, violation: Violation) -> Option<State> {
+    bfs_reach(State::new(setup), |state| state.successors(setup))
+        .find(|state| state.check(setup) == Err(violation))
+}
+
+/// Finds a state from which the last sending, not yet sent, cannot get a
+/// result any more although no further fault occurs.
+///
+/// `unknown` counts as a result only after the agent was replaced. States
+/// whose token is close to the bound of the exploration are left out.
+pub fn stuck(setup: &Setup) -> Option<State> {
+    let last = setup.attempts - 1;
+    let states: Vec<State> = bfs_reach(State::new(setup), |state| state.successors(setup))
+        .filter(|state| state.attempts[last].phase == Phase::Unsent)
+        .filter(|state| state.store.token < 3)
+        .collect();
+    let mut known: HashMap<State, bool> = HashMap::new();
+    states
+        .into_iter()
+        .find(|state| !can_answer(setup, state, last, &mut known))
+}
+
+fn can_answer(setup: &Setup, start: &State, last: usize, known: &mut HashMap<State, bool>) -> bool {
+    if let Some(answer) = known.get(start) {
+        return *answer;
+    }
+    let goal = bfs_reach(*start, |state| state.progress(setup)).find(|state| {
+        known.get(state) == Some(&true)
+            || match state.attempts[last].phase {
+                Phase::Answered(Answer::Done(_)) => true,
+                Phase::Answered(Answer::Unknown) => state.incarnation > 0,
+                _ => false,
+            }
+    });
+    known.insert(*start, goal.is_some());
+    goal.is_some()
+}
--- /dev/null
+++ b/crates/spec/src/claim/owner.rs
@@ -0,0 +1,272 @@
+use super::state::{MAX_TOKEN, Mistake, Phase, Progress, Setup, State, Write};
+use super::{Answer, Claim};
+
+/// Steps of the owners and the store that are not faults.
+pub fn steps(setup: &Setup, state: &State, next: &mut Vec<State>) {
+    for owner in 0..2 {
+        acquire(setup, state, owner, next);
+        answer_claims(setup, state, owner, next);
+        store_takes(setup, state, owner, next);
+        store_answers(setup, state, owner, next);
+        read_back(setup, state, owner, next);
+    }
+    for attempt in 0..setup.attempts {
+        report(setup, state, attempt, next);
+    }
+}
+
+fn acquire(setup: &Setup, state: &State, owner: usize, next: &mut Vec<State>) {
+    let held = state
+        .store
+        .holder
+        .is_some_and(|holder| state.owners[usize::from(holder)].acting);
+    if !state.store.up || held || state.store.token >= MAX_TOKEN {
+        return;
+    }
+    let mut new = *state;
+    new.store.holder = Some(owner as u8);
+    new.store.token += 1;
+    new.store.version += 1;
+    if setup.has(Mistake::TakeoverForgetsClaims) {
+        new.store.claims = [None; 2];
+    }
+    let mine = &mut new.owners[owner];
+    mine.acting = true;
+    mine.token = new.store.token;
+    mine.version = new.store.version;
+    mine.claims = new.store.claims;
+    mine.pending = None;
+    mine.unknown = false;
+    mine.answer = None;
+    next.push(new);
+}
+
+fn answer_claims(setup: &Setup, state: &State, owner: usize, next: &mut Vec<State>) {
+    for attempt in 0..setup.attempts {
+        if state.attempts[attempt].phase != Phase::Asked(owner as u8) {
+            continue;
+        }
+        let mine = &state.owners[owner];
+        let waits = mine
+            .pending
+            .is_some_and(|w| usize::from(w.claim.attempt) == attempt);
+        if waits {
+            continue;
+        }
+        if !mine.acting && !setup.has(Mistake::LapsedOwnerNotFenced) {
+            let mut new = *state;
+            new.attempts[attempt].phase = Phase::Answered(Answer::NotRun);
+            next.push(new);
+            continue;
+        }
+        if mine.pending.is_some() || mine.token >= MAX_TOKEN {
+            continue;
+        }
+        let mut new = *state;
+        let key = setup.key(attempt);
+        match mine.claims[key] {
+            Some(claim) => match claim.progress {
+                Progress::Done(account) => {
+                    new.attempts[attempt].phase = Phase::Answered(Answer::Done(account));
+                }
+                Progress::Claimed if mine.ungranted[key] != Some(claim.token) => {
+                    new.attempts[attempt].phase =
+                        Phase::Sealing(claim.token, claim.incarnation, false);
+                }
+                Progress::Claimed | Progress::NotRun => {
+                    send(setup, &mut new, owner, attempt, mine.token + 1);
+                }
+            },
+            None => send(setup, &mut new, owner, attempt, mine.token),
+        }
+        next.push(new);
+    }
+}
+
+fn send(setup: &Setup, new: &mut State, owner: usize, attempt: usize, token: u8) {
+    let write = Write {
+        expected: new.owners[owner].version,
+        key: setup.key(attempt) as u8,
+        claim: Claim {
+            token,
+            incarnation: new.incarnation,
+            attempt: attempt as u8,
+            progress: Progress::Claimed,
+        },
+    };
+    let mine = &mut new.owners[owner];
+    mine.pending = Some(write);
+    mine.net = Some(write);
+    mine.answer = None;
+    mine.unknown = false;
+    if setup.has(Mistake::GrantBeforeKnown) {
+        new.attempts[attempt].phase = Phase::Granted(token, new.incarnation);
+    }
+}
+
+fn store_takes(setup: &Setup, state: &State, owner: usize, next: &mut Vec<State>) {
+    let Some(write) = state.owners[owner].net else {
+        return;
+    };
+    let mut new = *state;
+    new.owners[owner].net = None;
+    let fits = write.expected == state.store.version || setup.has(Mistake::LapsedOwnerNotFenced);
+    let applied = state.store.up && fits;
+    if applied {
+        new.store.version += 1;
+        new.store.token = new.store.token.max(write.claim.token);
+        new.store.claims[usize::from(write.key)] = Some(write.claim);
+    }
+    let waits = state.owners[owner].pending == Some(write) && !state.owners[owner].unknown;
+    if waits {
+        new.owners[owner].answer = Some(applied);
+    }
+    next.push(new);
+}
+
+fn store_answers(setup: &Setup, state: &State, owner: usize, next: &mut Vec<State>) {
+    let Some(applied) = state.owners[owner].answer else {
+        return;
+    };
+    let mut new = *state;
+    new.owners[owner].answer = None;
+    settle(setup, &mut new, owner, applied);
+    next.push(new);
+}
+
+/// The owner learns whether its pending update took effect.
+fn settle(setup: &Setup, new: &mut State, owner: usize, applied: bool) {
+    let mine = &mut new.owners[owner];
+    let Some(write) = mine.pending.take() else {
+        return;
+    };
+    mine.unknown = false;
+    let attempt = usize::from(write.claim.attempt);
+    let key = usize::from(write.key);
+    if applied {
+        mine.version = write.expected + 1;
+        mine.token = write.claim.token;
+        mine.claims[key] = Some(write.claim);
+    } else if new.store.version != write.expected {
+        // A conflict ends the lease on this side.
+        mine.acting &= setup.has(Mistake::LostUpdateTakenAsFailed);
+    }
+    let waits = new.attempts[attempt].phase == Phase::Asked(owner as u8);
+    let acts = mine.acting || setup.has(Mistake::LapsedOwnerNotFenced);
+    if applied && acts && waits {
+        mine.ungranted[key] = None;
+        new.attempts[attempt].phase = Phase::Granted(write.claim.token, write.claim.incarnation);
+        return;
+    }
+    if !setup.has(Mistake::GrantBeforeKnown) {
+        mine.ungranted[key] = Some(write.claim.token);
+    }
+    if waits {
+        new.attempts[attempt].phase = Phase::Answered(Answer::NotRun);
+    }
+}
+
+fn read_back(setup: &Setup, state: &State, owner: usize, next: &mut Vec<State>) {
+    let mine = &state.owners[owner];
+    let Some(write) = mine.pending.filter(|_| mine.unknown) else {
+        return;
+    };
+    let mut new = *state;
+    if setup.has(Mistake::LostUpdateTakenAsFailed) {
+        settle(setup, &mut new, owner, false);
+        next.push(new);
+        return;
+    }
+    if !state.store.up {
+        return;
+    }
+    if state.store.version == write.expected {
+        // Not applied yet: repeat the same write.
+        if mine.net.is_none() && mine.acting {
+            new.owners[owner].net = Some(write);
+            new.owners[owner].unknown = false;
+            next.push(new);
+        }
+        return;
+    }
+    let own = state.store.version == write.expected + 1
+        && state.store.claims[usize::from(write.key)] == Some(write.claim);
+    settle(setup, &mut new, owner, own);
+    next.push(new);
+}
+
+fn report(setup: &Setup, state: &State, attempt: usize, next: &mut Vec<State>) {
+    let Some((token, progress)) = state.attempts[attempt].report else {
+        return;
+    };
+    let key = setup.key(attempt);
+    for owner in 0..2 {
+        let mine = &state.owners[owner];
+        let current = mine.version == state.store.version && mine.pending.is_none();
+        if !mine.acting || !state.store.up || !current {
+            continue;
+        }
+        let mut new = *state;
+        new.attempts[attempt].report = None;
+        if new.attempts[attempt].phase == Phase::Sealed {
+            new.attempts[attempt].phase = Phase::Idle;
+        }
+        let open = |claim: &&mut Claim| claim.token == token && claim.progress == Progress::Claimed;
+        if let Some(claim) = new.store.claims[key].as_mut().filter(open) {
+            claim.progress = progress;
+            new.store.version += 1;
+            new.owners[owner].version += 1;
+            new.owners[owner].claims = new.store.claims;
+        }
+        next.push(new);
+    }
+}
+
+/// Faults of the platform and pauses of owners.
+pub fn faults(state: &State, next: &mut Vec<State>) {
+    let mut new = *state;
+    if state.store.up && state.outages > 0 {
+        new.store.up = false;
+        new.outages -= 1;
+        next.push(new);
+    }
+    for owner in 0..2 {
+        lapse(state, owner, next);
+        lose(state, owner, next);
+    }
+}
+
+fn lapse(state: &State, owner: usize, next: &mut Vec<State>) {
+    if !state.owners[owner].acting || state.lapses == 0 {
+        return;
+    }
+    let mut new = *state;
+    new.lapses -= 1;
+    new.owners[owner].acting = false;
+    next.push(new);
+    // The owner notices at once and refuses what is unsettled.
+    let Some(write) = new.owners[owner].pending.take() else {
+        return;
+    };
+    let attempt = usize::from(write.claim.attempt);
+    new.owners[owner].answer = None;
+    new.owners[owner].unknown = false;
+    if new.attempts[attempt].phase == Phase::Asked(owner as u8) {
+        new.owners[owner].ungranted[usize::from(write.key)] = Some(write.claim.token);
+        new.attempts[attempt].phase = Phase::Answered(Answer::NotRun);
+    }
+    next.push(new);
+}
+
+/// The owner gives up waiting for an answer; its write may still be on its way.
+fn lose(state: &State, owner: usize, next: &mut Vec<State>) {
+    let mine = &state.owners[owner];
+    if mine.pending.is_none() || mine.unknown || state.lost == 0 {
+        return;
+    }
+    let mut new = *state;
+    new.lost -= 1;
+    new.owners[owner].unknown = true;
+    new.owners[owner].answer = None;
+    next.push(new);
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Small specifications of berylgw's protocols, explored exhaustively.
+
+pub mod claim;
--- /dev/null
+++ b/crates/spec/tests/claim.rs
@@ -0,0 +1,108 @@
+//! Exhaustive exploration of the claim protocol.
+
+use berylgw_spec::claim::{Mistake, Setup, Violation, explore, find, stuck};
+
+fn setup() -> Setup {
+    Setup {
+        attempts: 2,
+        two_accounts: false,
+        lost: 1,
+        outages: 1,
+        replacements: 1,
+        lapses: 1,
+        mistake: None,
+    }
+}
+
+fn finds(mistake: Mistake, violation: Violation) -> bool {
+    let setup = Setup {
+        mistake: Some(mistake),
+        two_accounts: mistake == Mistake::KeyWithoutAccount,
+        ..setup()
+    };
+    find(&setup, violation).is_some()
+}
+
+// Guards against a resend running a second time or a false `not run`.
+#[test]
+fn explore_all_faults() {
+    let count = explore(&setup()).unwrap();
+    println!("explore_all_faults: {count} states");
+}
+
+#[test]
+fn explore_two_accounts() {
+    let setup = Setup {
+        two_accounts: true,
+        ..setup()
+    };
+    let count = explore(&setup).unwrap();
+    println!("explore_two_accounts: {count} states");
+}
+
+// Guards against a lost answer leaving a key that no resend can claim.
+#[test]
+fn stuck_none() {
+    assert_eq!(stuck(&setup()), None);
+}
+
+// Guards against a third sending meeting a state that two cannot produce.
+#[test]
+fn explore_three_attempts() {
+    let setup = Setup {
+        attempts: 3,
+        lost: 1,
+        outages: 0,
+        replacements: 1,
+        lapses: 0,
+        ..setup()
+    };
+    let count = explore(&setup).unwrap();
+    println!("explore_three_attempts: {count} states");
+}
+
+// The tests below guard against an exploration that overlooks faults.
+
+#[test]
+fn find_claim_after_dispatch() {
+    assert!(finds(Mistake::ClaimAfterDispatch, Violation::RanTwice));
+}
+
+#[test]
+fn find_lapsed_owner_not_fenced() {
+    assert!(finds(Mistake::LapsedOwnerNotFenced, Violation::RanTwice));
+}
+
+#[test]
+fn find_key_without_account() {
+    assert!(finds(Mistake::KeyWithoutAccount, Violation::ForeignResult));
+}
+
+#[test]
+fn find_retry_after_broken_connection() {
+    assert!(finds(
+        Mistake::RetryAfterBrokenConnection,
+        Violation::RanTwice
+    ));
+}
+
+#[test]
+fn find_grant_before_known() {
+    assert!(finds(Mistake::GrantBeforeKnown, Violation::RanTwice));
+}
+
+#[test]
+fn find_seal_ignored() {
+    assert!(finds(Mistake::SealIgnored, Violation::FalseNotRun));
+}
+
+#[test]
+fn find_takeover_forgets_claims() {
+    assert!(finds(Mistake::TakeoverForgetsClaims, Violation::RanTwice));
+}
+
+#[test]
+fn stuck_lost_update_taken_as_failed() {
+    let mistake = Some(Mistake::LostUpdateTakenAsFailed);
+    assert!(stuck(&Setup { mistake, ..setup() }).is_some());
+}
