Add lease specification and tests of lease roles

Cause: leases rest on local clocks and conditional updates only, which a handful of examples cannot cover.

Change: `berylgw_spec::lease` states the protocol for two processes with pauses, lost and late answers, an outage and a fenced resource, and nine mistakes. `lease_role` tests the decisions of one process.

--- /dev/null
+++ b/crates/core/tests/lease_role.rs
@@ -0,0 +1,127 @@
+//! Decisions of a process that may hold a role.
+
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::lease::{Action, Event, Holder, Record, Role, Settings, Update};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn role(name: &str) -> Role {
+    Role::new(Settings {
+        holder: Holder {
+            name: name.into(),
+            incarnation: 1,
+        },
+        term: Duration::from_millis(900),
+        pause: Duration::from_millis(100),
+    })
+}
+
+fn record(actions: &[Action]) -> Record {
+    let record = actions.iter().find_map(|action| match action {
+        Action::Write { record, .. } => Some(record.clone()),
+        _ => None,
+    });
+    record.expect("a write")
+}
+
+// A role held with token 1 from time 0 and the record of version 1.
+fn held() -> (Role, Record) {
+    let mut role = role("e1");
+    assert_eq!(role.step(Event::Tick, at(0)), [Action::Read]);
+    let first = record(&role.step(Event::Found(None), at(0)));
+    let actions = role.step(Event::Written(Update::Applied(1)), at(10));
+    assert_eq!(actions, [Action::Started(1)]);
+    (role, first)
+}
+
+// Guards against a deadline that counts from the answer.
+#[test]
+fn token_ends_term_after_sending() {
+    let (role, _) = held();
+    assert_eq!(role.token(at(899)), Some(1));
+    assert_eq!(role.token(at(900)), None);
+    assert_eq!(role.wake_at(), Some(at(300)));
+}
+
+// Guards against losing the role with one lost renewal.
+#[test]
+fn step_lost_renewal() {
+    let (mut role, first) = held();
+    let renewal = record(&role.step(Event::Tick, at(300)));
+    let actions = role.step(Event::Written(Update::Unknown), at(500));
+    assert_eq!(actions, [Action::Read]);
+    let actions = role.step(Event::Found(Some((1, first))), at(510));
+    assert_eq!(record(&actions), renewal);
+    assert!(
+        role.step(Event::Written(Update::Applied(2)), at(520))
+            .is_empty()
+    );
+    assert_eq!(role.token(at(1_199)), Some(1));
+    assert_eq!(role.token(at(1_200)), None);
+}
+
+// Guards against taking an earlier write of the same holder for the renewal.
+#[test]
+fn step_conflict_stops() {
+    let (mut role, _) = held();
+    let mut other = record(&role.step(Event::Tick, at(300)));
+    other.holder.name = "e2".into();
+    other.token = 2;
+    role.step(Event::Written(Update::Unknown), at(500));
+    let actions = role.step(Event::Found(Some((2, other))), at(510));
+    assert_eq!(actions[0], Action::Stopped);
+    assert_eq!(role.token(at(510)), None);
+}
+
+// Guards against a role that survives a long platform outage.
+#[test]
+fn step_outage_stops_at_deadline() {
+    let (mut role, _) = held();
+    let mut now = 300;
+    role.step(Event::Tick, at(now));
+    while now < 900 {
+        role.step(Event::Written(Update::Refused), at(now + 1));
+        now += 101;
+        role.step(Event::Tick, at(now));
+    }
+    assert_eq!(role.token(at(900)), None);
+}
+
+// Guards against a takeover while the holder may still act.
+#[test]
+fn step_takeover_waits() {
+    let (_, first) = held();
+    let mut next = role("e2");
+    next.step(Event::Tick, at(5_000));
+    let mut now = 5_001;
+    let mut actions = next.step(Event::Found(Some((1, first.clone()))), at(now));
+    while !matches!(actions[..], [Action::Write { .. }]) {
+        now += 50;
+        let event = if actions == [Action::Read] {
+            Event::Found(Some((1, first.clone())))
+        } else {
+            Event::Tick
+        };
+        actions = next.step(event, at(now));
+        assert!(now < 10_000, "no takeover");
+    }
+    assert!(now > 5_001 + 900);
+    assert_eq!(record(&actions).token, 2);
+}
+
+// Guards against a planned stop that costs a term.
+#[test]
+fn step_release_taken_at_once() {
+    let (mut role, _) = held();
+    let actions = role.step(Event::Want(false), at(50));
+    assert_eq!(actions[0], Action::Stopped);
+    let released = record(&actions);
+    let mut next = self::role("e2");
+    next.step(Event::Tick, at(0));
+    let actions = next.step(Event::Found(Some((2, released))), at(1));
+    assert_eq!(record(&actions).token, 2);
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,3 +1,4 @@
 //! Small specifications of berylgw's protocols, explored exhaustively.
 
 pub mod claim;
+pub mod lease;
--- /dev/null
+++ b/crates/spec/tests/lease.rs
@@ -0,0 +1,87 @@
+//! Exhaustive exploration of the lease protocol.
+
+use berylgw_spec::lease::{Mistake, Setup, State, Violation, explore};
+use pathfinding::directed::bfs::bfs_reach;
+
+const SETUP: Setup = Setup {
+    lost: 1,
+    outages: 1,
+    versions: 3,
+    mistake: None,
+};
+
+fn finds(mistake: Mistake, violation: Violation) -> bool {
+    let setup = Setup {
+        mistake: Some(mistake),
+        ..SETUP
+    };
+    bfs_reach(State::new(&setup), |state| state.successors(&setup))
+        .any(|state| state.check(&setup) == Err(violation))
+}
+
+// Guards against two holders under pauses, lost answers and an outage.
+#[test]
+fn explore_all_faults() {
+    let count = explore(&SETUP).unwrap();
+    println!("explore_all_faults: {count} states");
+}
+
+// Guards against two holders after more than one takeover.
+#[test]
+fn explore_second_takeover() {
+    let setup = Setup {
+        lost: 0,
+        outages: 0,
+        versions: 5,
+        ..SETUP
+    };
+    let count = explore(&setup).unwrap();
+    println!("explore_second_takeover: {count} states");
+}
+
+// The tests below guard against an exploration that overlooks faults.
+
+#[test]
+fn find_deadline_from_answer() {
+    assert!(finds(Mistake::DeadlineFromAnswer, Violation::TwoHolders));
+}
+
+#[test]
+fn find_takeover_without_wait() {
+    assert!(finds(Mistake::TakeoverWithoutWait, Violation::TwoHolders));
+}
+
+#[test]
+fn find_wait_too_short() {
+    assert!(finds(Mistake::WaitTooShort, Violation::TwoHolders));
+}
+
+#[test]
+fn find_unconditional_update() {
+    assert!(finds(Mistake::UnconditionalUpdate, Violation::TwoHolders));
+}
+
+#[test]
+fn find_deadline_ignored() {
+    assert!(finds(Mistake::DeadlineIgnored, Violation::TwoHolders));
+}
+
+#[test]
+fn find_token_kept() {
+    assert!(finds(Mistake::TokenKept, Violation::StaleEffect));
+}
+
+#[test]
+fn find_nonce_ignored() {
+    assert!(finds(Mistake::NonceIgnored, Violation::TwoHolders));
+}
+
+#[test]
+fn find_release_without_stop() {
+    assert!(finds(Mistake::ReleaseWithoutStop, Violation::TwoHolders));
+}
+
+#[test]
+fn find_token_unchecked() {
+    assert!(finds(Mistake::TokenUnchecked, Violation::StaleEffect));
+}
