--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -21,14 +21,16 @@
 //! to seal the claim and reports the result as a completion.
 
 mod batch;
+mod event;
 mod key;
 mod owner;
 mod placement;
 mod record;
 mod settings;
 
+pub use event::{Action, Event};
 pub use key::Digest;
-pub use owner::{Action, Event, Owner};
+pub use owner::Owner;
 pub use placement::{partition, preferred};
 pub use record::{Answer, Claim, MAX_RESULT_BYTES, Partition, State, Target};
 pub use settings::Settings;
--- a/crates/core/src/ledger/owner.rs
+++ b/crates/core/src/ledger/owner.rs
@@ -1,69 +1,11 @@
+mod answer;
+
 use std::sync::Arc;
 
 use super::batch::{self, Batch, Completed, Waiter};
-use super::{Completion, Digest, Grant, Partition, Reply, Request, Settings, State};
+use super::{Action, Digest, Event, Grant, Partition, Reply, Settings};
 use crate::clock::Instant;
 use crate::lease::{Observer, Record, Tenure, Update};
-use crate::outcome::{Reason, Refusal};
-
-/// What happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time passed.
-    Tick,
-    /// An entry asks for a key.
-    Claim(Request),
-    /// An entry knows what became of a grant.
-    Complete {
-        /// Chosen by the process, returned in [`Action::Completed`].
-        id: u64,
-        /// The grant.
-        grant: Grant,
-        /// What became of it.
-        completion: Completion,
-    },
-    /// The outstanding [`Action::Write`] ended.
-    Written(Update),
-    /// The outstanding [`Action::Read`] returned the object, or none.
-    Found(Option<(u64, Arc<Partition>)>),
-    /// The outstanding [`Action::Read`] failed.
-    ReadFailed,
-    /// Whether this entry wants the partition; `false` releases it.
-    Want(bool),
-}
-
-/// What to do.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Read the object.
-    Read,
-    /// Write the object if it still has the version; 0 means it must not exist.
-    Write {
-        /// Version the object must have.
-        expected: u64,
-        /// New value.
-        partition: Arc<Partition>,
-    },
-    /// Answer a claim request.
-    Reply {
-        /// The request's id.
-        id: u64,
-        /// The answer.
-        reply: Reply,
-    },
-    /// Answer a completion.
-    Completed {
-        /// The completion's id.
-        id: u64,
-        /// Whether it was taken; if not, its grant is not the current one or
-        /// the partition is not held.
-        accepted: bool,
-    },
-    /// The partition is held from now on.
-    Started,
-    /// The partition is no longer held.
-    Stopped,
-}
 
 #[derive(Clone, Debug)]
 struct Attempt {
@@ -207,35 +149,6 @@
         }
     }
 
-    /// Refuses requests whose claim is not and will not be in the object.
-    fn refuse(&self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
-        for waiter in waiters {
-            actions.push(self.refusal(waiter.request.id, "the ledger partition is not available"));
-        }
-    }
-
-    /// Refuses requests whose claim may be or come to be in the object.
-    ///
-    /// `not run` is true because nobody dispatches without a grant. The claim
-    /// is remembered so that a resend can still be granted.
-    fn abandon(&mut self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
-        let Some(attempt) = &self.attempt else {
-            return;
-        };
-        let token = attempt.partition.lease.token;
-        let keys = waiters.iter().map(|waiter| (waiter.request.key, token));
-        self.ungranted.extend(keys);
-        self.refuse(waiters, actions);
-    }
-
-    fn refusal(&self, id: u64, message: &'static str) -> Action {
-        let refusal = Refusal::not_run(Reason::LedgerUnavailable, self.settings.pause);
-        Action::Reply {
-            id,
-            reply: Reply::Refused(refusal.with_message(message)),
-        }
-    }
-
     fn close(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.closed = true;
         self.next_call = now + self.settings.pause;
@@ -243,95 +156,6 @@
         self.refuse(queued, actions);
     }
 
-    fn claim(&mut self, request: Request, now: Instant, actions: &mut Vec<Action>) {
-        let id = request.id;
-        if !self.wanted || !self.holds(now) || now >= request.deadline {
-            let waiter = Waiter {
-                request,
-                since: now,
-            };
-            self.refuse(vec![waiter], actions);
-            return;
-        }
-        if let Some(reply) = self.resolve(&request) {
-            actions.push(Action::Reply { id, reply });
-            return;
-        }
-        let waiter = Waiter {
-            request,
-            since: now,
-        };
-        if self.closed {
-            self.refuse(vec![waiter], actions);
-            return;
-        }
-        self.queue.push(waiter);
-    }
-
-    /// The reply to a request that needs no further write.
-    fn resolve(&self, request: &Request) -> Option<Reply> {
-        if self.is_in_flight(&request.key) {
-            return None;
-        }
-        let claim = self.partition()?.claim(&request.key)?;
-        if claim.body != request.body {
-            let refusal = Refusal::not_run(Reason::KeyReused, std::time::Duration::ZERO);
-            return Some(Reply::Refused(refusal));
-        }
-        let known = self
-            .completions
-            .iter()
-            .find(|done| done.key == claim.key && done.token == claim.token);
-        match known.map_or(&claim.state, |done| &done.state) {
-            State::Done(answer) => Some(Reply::Done(answer.clone())),
-            State::NotRun => None,
-            State::Claimed if self.ungranted.contains(&(claim.key, claim.token)) => None,
-            State::Claimed => {
-                let grant = Grant {
-                    key: claim.key,
-                    token: claim.token,
-                };
-                Some(Reply::Pending(grant, claim.target.clone()))
-            }
-        }
-    }
-
-    fn is_in_flight(&self, key: &Digest) -> bool {
-        let Some(attempt) = &self.attempt else {
-            return false;
-        };
-        let token = attempt.partition.lease.token;
-        attempt
-            .waiters
-            .iter()
-            .any(|waiter| waiter.request.key == *key)
-            || self.ungranted.contains(&(*key, token))
-    }
-
-    fn complete(&mut self, grant: Grant, completion: Completion, now: Instant) -> bool {
-        if !self.holds(now) {
-            return false;
-        }
-        let completed = Completed {
-            key: grant.key,
-            token: grant.token,
-            state: completion.into(),
-        };
-        let Some(partition) = self.partition() else {
-            return false;
-        };
-        if !completed.is_open_in(partition) || self.is_in_flight(&grant.key) {
-            return false;
-        }
-        let same = |other: &Completed| other.key == grant.key && other.token == grant.token;
-        if self.completions.iter().any(same) {
-            return true;
-        }
-        self.completions.push(completed);
-        self.completed_at.get_or_insert(now);
-        true
-    }
-
     fn written(&mut self, update: Update, now: Instant, actions: &mut Vec<Action>) {
         self.calling = false;
         let Some(attempt) = &mut self.attempt else {
@@ -400,16 +224,6 @@
         self.attempt = None;
     }
 
-    fn answer_queue(&mut self, actions: &mut Vec<Action>) {
-        for waiter in std::mem::take(&mut self.queue) {
-            let id = waiter.request.id;
-            match self.resolve(&waiter.request) {
-                Some(reply) => actions.push(Action::Reply { id, reply }),
-                None => self.queue.push(waiter),
-            }
-        }
-    }
-
     fn set_base(&mut self, version: u64, partition: Option<Arc<Partition>>, now: Instant) {
         let changed = self.base.as_ref().map(|base| base.0) != Some(version);
         self.stale = false;
--- /dev/null
+++ b/crates/core/src/ledger/owner/answer.rs
@@ -0,0 +1,137 @@
+use std::time::Duration;
+
+use super::super::batch::{Completed, Waiter};
+use super::super::{Action, Completion, Digest, Grant, Reply, Request, State};
+use super::Owner;
+use crate::clock::Instant;
+use crate::outcome::{Reason, Refusal};
+
+impl Owner {
+    /// Refuses requests whose claim is not and will not be in the object.
+    pub(super) fn refuse(&self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
+        for waiter in waiters {
+            actions.push(self.refusal(waiter.request.id, "the ledger partition is not available"));
+        }
+    }
+
+    /// Refuses requests whose claim may be or come to be in the object.
+    ///
+    /// `not run` is true because nobody dispatches without a grant. The claim
+    /// is remembered so that a resend can still be granted.
+    pub(super) fn abandon(&mut self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let token = attempt.partition.lease.token;
+        let keys = waiters.iter().map(|waiter| (waiter.request.key, token));
+        self.ungranted.extend(keys);
+        self.refuse(waiters, actions);
+    }
+
+    pub(super) fn refusal(&self, id: u64, message: &'static str) -> Action {
+        let refusal = Refusal::not_run(Reason::LedgerUnavailable, self.settings.pause);
+        Action::Reply {
+            id,
+            reply: Reply::Refused(refusal.with_message(message)),
+        }
+    }
+
+    pub(super) fn claim(&mut self, request: Request, now: Instant, actions: &mut Vec<Action>) {
+        let id = request.id;
+        if !self.wanted || !self.holds(now) || now >= request.deadline {
+            let waiter = Waiter {
+                request,
+                since: now,
+            };
+            self.refuse(vec![waiter], actions);
+            return;
+        }
+        if let Some(reply) = self.resolve(&request) {
+            actions.push(Action::Reply { id, reply });
+            return;
+        }
+        let waiter = Waiter {
+            request,
+            since: now,
+        };
+        if self.closed {
+            self.refuse(vec![waiter], actions);
+            return;
+        }
+        self.queue.push(waiter);
+    }
+
+    /// The reply to a request that needs no further write.
+    fn resolve(&self, request: &Request) -> Option<Reply> {
+        if self.is_in_flight(&request.key) {
+            return None;
+        }
+        let claim = self.partition()?.claim(&request.key)?;
+        if claim.body != request.body {
+            let refusal = Refusal::not_run(Reason::KeyReused, Duration::ZERO);
+            return Some(Reply::Refused(refusal));
+        }
+        let known = self
+            .completions
+            .iter()
+            .find(|done| done.key == claim.key && done.token == claim.token);
+        match known.map_or(&claim.state, |done| &done.state) {
+            State::Done(answer) => Some(Reply::Done(answer.clone())),
+            State::NotRun => None,
+            State::Claimed if self.ungranted.contains(&(claim.key, claim.token)) => None,
+            State::Claimed => {
+                let grant = Grant {
+                    key: claim.key,
+                    token: claim.token,
+                };
+                Some(Reply::Pending(grant, claim.target.clone()))
+            }
+        }
+    }
+
+    fn is_in_flight(&self, key: &Digest) -> bool {
+        let Some(attempt) = &self.attempt else {
+            return false;
+        };
+        let token = attempt.partition.lease.token;
+        attempt
+            .waiters
+            .iter()
+            .any(|waiter| waiter.request.key == *key)
+            || self.ungranted.contains(&(*key, token))
+    }
+
+    pub(super) fn complete(&mut self, grant: Grant, completion: Completion, now: Instant) -> bool {
+        if !self.holds(now) {
+            return false;
+        }
+        let completed = Completed {
+            key: grant.key,
+            token: grant.token,
+            state: completion.into(),
+        };
+        let Some(partition) = self.partition() else {
+            return false;
+        };
+        if !completed.is_open_in(partition) || self.is_in_flight(&grant.key) {
+            return false;
+        }
+        let same = |other: &Completed| other.key == grant.key && other.token == grant.token;
+        if self.completions.iter().any(same) {
+            return true;
+        }
+        self.completions.push(completed);
+        self.completed_at.get_or_insert(now);
+        true
+    }
+
+    pub(super) fn answer_queue(&mut self, actions: &mut Vec<Action>) {
+        for waiter in std::mem::take(&mut self.queue) {
+            let id = waiter.request.id;
+            match self.resolve(&waiter.request) {
+                Some(reply) => actions.push(Action::Reply { id, reply }),
+                None => self.queue.push(waiter),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/lease_schedule.rs
@@ -0,0 +1,187 @@
+//! Random schedules of two roles around a small store.
+
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::lease::{Action, Event, Holder, Record, Role, Settings, Update};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SCHEDULES: u64 = 5_000;
+const STEPS: usize = 400;
+
+enum Call {
+    Read,
+    Write(u64, Record),
+}
+
+struct Process {
+    role: Role,
+    offset: u64,
+    call: Option<Call>,
+    paused: bool,
+    // Token of an act on its way to the resource.
+    act: Option<u64>,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: u64,
+    up: bool,
+    object: Option<(u64, Record)>,
+    late: Vec<(u64, Record)>,
+    processes: Vec<Process>,
+    fence: u64,
+    acts: [u64; 2],
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let process = |index: u64| Process {
+            role: Role::new(Settings {
+                holder: Holder {
+                    name: format!("e{index}").into(),
+                    incarnation: 1,
+                },
+                term: Duration::from_millis(300),
+                pause: Duration::from_millis(20),
+            }),
+            offset: rng.random_range(0..10_000),
+            call: None,
+            paused: false,
+            act: None,
+        };
+        World {
+            processes: (0..2).map(process).collect(),
+            rng,
+            now: 0,
+            up: true,
+            object: None,
+            late: Vec::new(),
+            fence: 0,
+            acts: [0; 2],
+        }
+    }
+
+    fn at(&self, index: usize) -> Instant {
+        Instant::from_millis(self.now + self.processes[index].offset)
+    }
+
+    fn put(&mut self, expected: u64, record: Record) -> Update {
+        if !self.up {
+            return Update::Refused;
+        }
+        if self.object.as_ref().map_or(0, |object| object.0) != expected {
+            return Update::Conflict;
+        }
+        self.object = Some((expected + 1, record));
+        Update::Applied(expected + 1)
+    }
+
+    fn step(&mut self) {
+        self.now += self.rng.random_range(0..25);
+        match self.rng.random_range(0..100) {
+            0 => self.up = !self.up,
+            1..3 => {
+                let index = self.rng.random_range(0..2);
+                self.processes[index].paused ^= true;
+            }
+            3 => {
+                let index = self.rng.random_range(0..2);
+                let wanted = self.rng.random();
+                self.feed(index, Event::Want(wanted));
+            }
+            4..8 if !self.late.is_empty() => {
+                let (expected, record) = self.late.remove(0);
+                self.put(expected, record);
+            }
+            _ => {}
+        }
+        for index in 0..2 {
+            self.drive(index);
+        }
+        let held = (0..2).all(|index| {
+            let role = &self.processes[index].role;
+            role.token(self.at(index)).is_some()
+        });
+        assert!(!held, "two processes hold the role");
+    }
+
+    fn drive(&mut self, index: usize) {
+        // An act can arrive long after the check that allowed it.
+        if self.rng.random_bool(0.3)
+            && let Some(token) = self.processes[index].act.take()
+            && token >= self.fence
+        {
+            self.fence = token;
+            self.acts[index] += 1;
+            let holder = self.object.as_ref().map(|object| object.1.token);
+            assert!(Some(token) <= holder, "a token that was never committed");
+        }
+        if self.processes[index].paused {
+            return;
+        }
+        if self.rng.random_bool(0.5) {
+            self.answer(index);
+        }
+        let now = self.at(index);
+        let role = &self.processes[index].role;
+        if role.wake_at().is_some_and(|at| at <= now) {
+            self.feed(index, Event::Tick);
+        }
+        let process = &mut self.processes[index];
+        process.act = process.act.or(process.role.token(now));
+    }
+
+    fn answer(&mut self, index: usize) {
+        let Some(call) = self.processes[index].call.take() else {
+            return;
+        };
+        let event = match call {
+            Call::Read if self.up => Event::Found(self.object.clone()),
+            Call::Read => Event::ReadFailed,
+            Call::Write(expected, record) if self.rng.random_bool(0.15) => {
+                if self.rng.random() {
+                    self.put(expected, record);
+                } else {
+                    self.late.push((expected, record));
+                }
+                Event::Written(Update::Unknown)
+            }
+            Call::Write(expected, record) => Event::Written(self.put(expected, record)),
+        };
+        self.feed(index, event);
+    }
+
+    fn feed(&mut self, index: usize, event: Event) {
+        let now = self.at(index);
+        let process = &mut self.processes[index];
+        for action in process.role.step(event, now) {
+            let call = match action {
+                Action::Read => Call::Read,
+                Action::Write { expected, record } => Call::Write(expected, record),
+                Action::Started(_) | Action::Stopped => continue,
+            };
+            let old = process.call.replace(call);
+            assert!(old.is_none(), "two platform calls outstanding");
+        }
+        let wake = process.role.wake_at();
+        assert!(wake.is_none_or(|at| at > now), "a process would spin");
+    }
+}
+
+// Guards against two holders and against effects of an earlier one.
+#[test]
+fn schedule_all_faults() {
+    let mut both = 0;
+    for seed in 0..SCHEDULES {
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.step();
+        }
+        both += u64::from(world.acts.iter().all(|acts| *acts > 0));
+    }
+    println!("{both} of {SCHEDULES} schedules had acts of both processes");
+    assert!(both > SCHEDULES / 10);
+}
--- /dev/null
+++ b/crates/core/tests/ledger_placement.rs
@@ -0,0 +1,54 @@
+//! Placement of keys and partitions.
+
+use std::sync::Arc;
+
+use berylgw_core::ledger::{Digest, partition, preferred};
+
+fn names(count: usize) -> Vec<Arc<str>> {
+    (0..count).map(|index| format!("e{index}").into()).collect()
+}
+
+// Guards against an entry that owns most partitions.
+#[test]
+fn preferred_spreads() {
+    let entries = names(8);
+    let owners: Vec<_> = (0..64)
+        .filter_map(|index| preferred(&format!("p{index}"), &entries))
+        .collect();
+    for entry in &entries {
+        let owned = owners.iter().filter(|owner| **owner == entry).count();
+        assert!((1..=24).contains(&owned), "{entry} owns {owned}");
+    }
+}
+
+// Guards against partitions that move although their owner stays.
+#[test]
+fn preferred_keeps_other_owners() {
+    let all = names(8);
+    let fewer = &all[..7];
+    for index in 0..64 {
+        let name = format!("p{index}");
+        let before = preferred(&name, &all).unwrap();
+        if *before != all[7] {
+            assert_eq!(preferred(&name, fewer), Some(before));
+        }
+    }
+}
+
+#[test]
+fn partition_spreads() {
+    let mut counts = [0; 16];
+    for key in 0..1_600_u32 {
+        let digest = Digest::of_key("wash", "yard-app", &key.to_be_bytes());
+        counts[partition(&digest, 16) as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| (50..200).contains(count)));
+}
+
+// Guards against two accounts sharing a key.
+#[test]
+fn of_key_separates_fields() {
+    let one = Digest::of_key("a", "bc", b"d");
+    assert_ne!(one, Digest::of_key("ab", "c", b"d"));
+    assert_ne!(one, Digest::of_key("a", "b", b"cd"));
+}
--- /dev/null
+++ b/crates/core/tests/ledger_schedule/attempt.rs
@@ -0,0 +1,106 @@
+use berylgw_core::ledger::{Completion, Event, Grant, Target};
+use berylgw_core::outcome::Outcome;
+
+use super::{Phase, World, answer};
+
+impl World {
+    pub fn advance(&mut self, index: usize) {
+        let faults = self.faults;
+        self.report(index);
+        match self.attempts[index].phase.clone() {
+            Phase::Granted(grant) if self.chance(faults * 5) => {
+                self.attempts[index].report = Some((grant, Completion::NotRun));
+                self.tell(index, Outcome::NotRun);
+            }
+            Phase::Granted(grant) => {
+                self.attempts[index].message = Some(grant);
+                self.attempts[index].phase = Phase::Sent(grant);
+            }
+            Phase::Sent(grant) if self.chance(faults * 20) => {
+                let target = self.attempts[index].target.clone();
+                self.attempts[index].phase = Phase::Seal(grant, target, true);
+            }
+            Phase::Sent(_) => self.deliver(index),
+            Phase::Seal(grant, target, own) => self.seal(index, grant, &target, own),
+            // A message whose connection broke can still arrive.
+            Phase::Told(_) => self.deliver(index),
+            Phase::Asked => {}
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let Some((grant, completion)) = self.attempts[index].report.clone() else {
+            return;
+        };
+        for entry in 0..2 {
+            let event = Event::Complete {
+                id: 0,
+                grant,
+                completion: completion.clone(),
+            };
+            if !self.entries[entry].paused {
+                self.feed(entry, event);
+            }
+        }
+        self.attempts[index].report = None;
+    }
+
+    fn deliver(&mut self, index: usize) {
+        let Some(grant) = self.attempts[index].message.take() else {
+            return;
+        };
+        let attempt = &mut self.attempts[index];
+        let waits = matches!(attempt.phase, Phase::Sent(_));
+        let agent = &mut self.agents[server(&attempt.target)];
+        let fenced = agent.seen.get(&grant.key) >= Some(&grant.token);
+        if fenced || agent.incarnation != attempt.target.incarnation {
+            if waits {
+                attempt.report = Some((grant, Completion::NotRun));
+                self.tell(index, Outcome::NotRun);
+            }
+            return;
+        }
+        let result = answer(attempt.account, attempt.key);
+        agent.seen.insert(grant.key, grant.token);
+        agent.results.insert(grant.key, result.clone());
+        attempt.runs += 1;
+        self.count.runs += 1;
+        if waits {
+            attempt.report = Some((grant, Completion::Done(result)));
+            self.tell(index, Outcome::Done);
+        }
+    }
+
+    fn seal(&mut self, index: usize, grant: Grant, target: &Target, own: bool) {
+        let agent = &mut self.agents[server(target)];
+        if agent.incarnation != target.incarnation {
+            self.tell(index, Outcome::Unknown);
+            return;
+        }
+        if let Some(result) = agent.results.get(&grant.key).cloned() {
+            let attempt = &self.attempts[index];
+            assert_eq!(result, answer(attempt.account, attempt.key));
+            self.attempts[index].report = Some((grant, Completion::Done(result)));
+            self.tell(index, Outcome::Done);
+            return;
+        }
+        let seen = agent.seen.entry(grant.key).or_default();
+        *seen = grant.token.max(*seen);
+        self.attempts[index].report = Some((grant, Completion::NotRun));
+        if own {
+            self.tell(index, Outcome::NotRun);
+            return;
+        }
+        self.report(index);
+        self.attempts[index].phase = Phase::Asked;
+        if self.entries[self.attempts[index].entry].paused {
+            self.tell(index, Outcome::NotRun);
+            return;
+        }
+        self.claim(index);
+    }
+}
+
+fn server(target: &Target) -> usize {
+    target.server.parse().unwrap()
+}
--- a/crates/spec/src/claim.rs
+++ b/crates/spec/src/claim.rs
@@ -14,5 +14,5 @@
 
 pub use check::{Violation, explore, find, stuck};
 pub use state::{
-    Answer, Attempt, Claim, Mistake, Owner, Phase, Progress, Setup, State, Store, Write,
+    ATTEMPTS, Answer, Attempt, Claim, Mistake, Owner, Phase, Progress, Setup, State, Store, Write,
 };
