Test the release of a partition and add examples

Cause: the graceful release of a ledger partition had no test, and `Owner` and `Role` showed no use.

Change: a test of a release whose answer is lost, and doc examples.

--- a/crates/core/src/lease/role.rs
+++ b/crates/core/src/lease/role.rs
@@ -61,6 +61,23 @@
 ///
 /// At most one platform call is outstanding. Events may arrive late; after
 /// the deadline [`Role::token`] returns nothing even before the next event.
+///
+/// ```
+/// use berylgw_core::clock::Instant;
+/// use berylgw_core::lease::{Action, Event, Holder, Role, Settings, Update};
+/// use std::time::Duration;
+///
+/// let mut role = Role::new(Settings {
+///     holder: Holder { name: "e1".into(), incarnation: 1 },
+///     term: Duration::from_secs(6),
+///     pause: Duration::from_millis(500),
+/// });
+/// let now = Instant::ORIGIN;
+/// assert_eq!(role.step(Event::Tick, now), [Action::Read]);
+/// role.step(Event::Found(None), now);
+/// let actions = role.step(Event::Written(Update::Applied(1)), now);
+/// assert_eq!(actions, [Action::Started(1)]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Role {
     settings: Settings,
--- a/crates/core/src/ledger/owner.rs
+++ b/crates/core/src/ledger/owner.rs
@@ -22,6 +22,21 @@
 /// At most one platform call is outstanding. A process feeds events in,
 /// carries the actions out in order, and sends [`Event::Tick`] at
 /// [`Owner::wake_at`].
+///
+/// ```
+/// use berylgw_core::clock::Instant;
+/// use berylgw_core::lease::{Holder, Update};
+/// use berylgw_core::ledger::{Action, Event, Owner, Settings};
+///
+/// let holder = Holder { name: "e1".into(), incarnation: 1 };
+/// let mut owner = Owner::new(Settings::new(holder));
+/// let now = Instant::ORIGIN;
+/// assert!(matches!(owner.step(Event::Tick, now)[..], [Action::Read]));
+/// let actions = owner.step(Event::Found(None), now);
+/// assert!(matches!(actions[..], [Action::Write { expected: 0, .. }]));
+/// owner.step(Event::Written(Update::Applied(1)), now);
+/// assert!(owner.holds(now));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Owner {
     settings: Settings,
--- a/crates/core/tests/ledger_owner.rs
+++ b/crates/core/tests/ledger_owner.rs
@@ -312,3 +312,32 @@
     claim(&mut owner, request(3, b"3", b"b"), 300);
     assert_eq!(write(&tick(&mut owner, 305)).claims.len(), 2);
 }
+
+// Guards against a planned stop that loses results or costs a term.
+#[test]
+fn step_release_writes_results() {
+    let mut owner = held();
+    let grant = granted(&mut owner);
+    let completion = Completion::Done(Answer::default());
+    owner.step(
+        Event::Complete {
+            id: 1,
+            grant,
+            completion: completion.clone(),
+        },
+        at(30),
+    );
+    let actions = owner.step(Event::Want(false), at(31));
+    assert!(matches!(actions[0], Action::Stopped));
+    let value = write(&actions);
+    assert!(value.lease.released);
+    let state = &value.claim(&grant.key).unwrap().state;
+    assert_eq!(*state, completion.into());
+    written(&mut owner, Update::Unknown, 40);
+    let mut before = Partition::clone(&value);
+    before.lease.nonce = 0;
+    let actions = owner.step(Event::Found(Some((2, Arc::new(before)))), at(41));
+    assert_eq!(write(&actions), value);
+    written(&mut owner, Update::Applied(3), 42);
+    assert_eq!(owner.wake_at(), None);
+}
