--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -4,4 +4,6 @@
 //! on. Exploration finds no broken property without a mistake and at least one
 //! with it.
 
+pub mod claim;
 pub mod config;
+pub mod lease;
