--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -296,6 +296,7 @@
             status: self.head.status,
             headers: self.head.headers,
             body: self.body.freeze(),
+            truncated: false,
         })
     }
 }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -4,6 +4,7 @@
 
 use berylgw_agent::{process, settings};
 use berylgw_runtime::args::{self, Command};
+use berylgw_runtime::signal::Stop;
 
 const USAGE: &str = "usage: berylgw-agent --settings FILE [--check-settings]";
 
@@ -34,14 +35,14 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error.to_string()),
     };
-    let ended = runtime.block_on(process::run(settings, async {
-        if let Err(error) = berylgw_runtime::signal::terminated().await {
-            tracing::error!(%error, "signal handlers could not be installed");
-        }
-    }));
+    let ended = runtime.block_on(async {
+        let mut stop = Stop::install().map_err(|error| error.to_string())?;
+        let ended = process::run(settings, async move { stop.requested().await }).await;
+        ended.map_err(|error| error.to_string())
+    });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error.to_string()),
+        Err(error) => fail(&error),
     }
 }
 
--- a/crates/agent/tests/once.rs
+++ b/crates/agent/tests/once.rs
@@ -13,6 +13,7 @@
         partition: "p".to_owned(),
         token: 3,
         key: "key".into(),
+        ..Default::default()
     }
 }
 
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -44,13 +44,9 @@
         .enable_all()
         .build()?;
     runtime.block_on(async {
+        let mut stop = signal::Stop::install()?;
         let entry = Entry::bind(settings).await?;
-        let stop = async {
-            if let Err(error) = signal::terminated().await {
-                tracing::error!(%error, "cannot wait for signals");
-            }
-        };
-        entry.run(stop).await
+        entry.run(async move { stop.requested().await }).await
     })
 }
 
--- a/crates/runtime/src/signal.rs
+++ b/crates/runtime/src/signal.rs
@@ -2,19 +2,38 @@
 
 use std::io;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Waits for SIGTERM or SIGINT.
+/// Installed handlers of SIGTERM and SIGINT.
 ///
-/// # Errors
-///
-/// Fails if the signal handlers cannot be installed.
-pub async fn terminated() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Install them before the first `listening` line is logged: a signal that
+/// comes earlier ends the process without a graceful shutdown.
+#[derive(Debug)]
+pub struct Stop {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Stop {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses a handler or no tokio runtime is running.
+    pub fn install() -> io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Stop {
+            terminate,
+            interrupt,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    pub async fn requested(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/crates/testkit/src/serve.rs
+++ b/crates/testkit/src/serve.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use axum::{Extension, Router};
+use berylgw_runtime::signal::Stop;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
 /// Pause between attempts to bind the address of a reopened listener again.
@@ -93,21 +93,12 @@
 /// Installs the handlers of SIGTERM and SIGINT and returns a future that waits
 /// for either.
 ///
-/// `berylgw_runtime::signal::terminated` installs them when it is first polled,
-/// which is too late for a launcher that stops a process as soon as it listens.
-///
 /// # Errors
 ///
 /// Fails if the signal handlers cannot be installed.
 pub fn stop_signal() -> io::Result<impl Future<Output = ()>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    })
+    let mut stop = Stop::install()?;
+    Ok(async move { stop.requested().await })
 }
 
 async fn accept(mut listener: TcpListener, address: SocketAddr, router: Router, gate: Gate) {
