Make outcomes of keyed requests speak about the key

Cause: a refusal said 'not run' about the single sending, so a resend refused by an entry without the lease told nothing true about an earlier sending. Claims in an update without an answer were held until the caller's deadline.

Change: the owner says 'not run' only while it holds the lease and knows that the key was not claimed or does not run; it refuses claims at once when a platform call fails or times out. The agent keeps the highest token per key, refuses claims of another incarnation and answers unknown to their seal, so its own incarnation needs no waiting time after the start.

--- a/crates/agent/src/claim.rs
+++ b/crates/agent/src/claim.rs
@@ -46,18 +46,22 @@
 #[derive(Clone, Debug)]
 struct Record {
     key: Key,
+    /// Highest token reserved, run or sealed.
     token: u64,
+    /// Highest token that is promised never to run, 0 if there is none.
+    sealed: u64,
     progress: Progress,
     changed: Instant,
 }
 
-/// The newest token seen of a partition, and the newest one with a claim that
-/// is not remembered any more.
+/// The newest token seen of a partition, and the newest ones with a claim or a
+/// promise that is not remembered any more.
 #[derive(Clone, Debug)]
 struct Partition {
     name: Arc<str>,
     newest: u64,
     forgotten: Option<u64>,
+    forgotten_seal: Option<u64>,
 }
 
 /// All claims an incarnation remembers, sorted by key.
@@ -86,35 +90,43 @@
     ///
     /// # Errors
     ///
-    /// Fails with `not run` if the token is old, the claim is sealed or memory
-    /// is full, and with `unknown` if the claim was seen before.
+    /// Fails with `not run` if the claim is sealed or memory is full, and with
+    /// `unknown` if the key was reserved before.
     pub fn reserve(&mut self, now: Instant, key: &Key, token: u64) -> Result<(), Refusal> {
-        if token
-            < self
+        let sealed = match self.index(key) {
+            Ok(index) => match self.records[index].progress {
+                Progress::Sealed => Some(self.records[index].token),
+                _ => {
+                    return Err(Refusal::unknown(Reason::KeyPending, RETRY)
+                        .with_message("the key was dispatched before"));
+                }
+            },
+            Err(_) => self
                 .partition(&key.partition)
-                .map_or(0, |known| known.newest)
-        {
-            return Err(Refusal::not_run(Reason::StaleToken, RETRY));
-        }
-        if let Ok(index) = self.index(key) {
-            return Err(match self.records[index].progress {
-                Progress::Sealed => Refusal::not_run(Reason::StaleToken, RETRY)
-                    .with_message("the claim is sealed and never runs here"),
-                _ => Refusal::unknown(Reason::KeyPending, RETRY)
-                    .with_message("the claim was dispatched before"),
-            });
+                .and_then(|known| known.forgotten_seal),
+        };
+        if sealed >= Some(token) {
+            return Err(Refusal::not_run(Reason::StaleToken, RETRY)
+                .with_message("the claim is sealed and never runs here"));
         }
         let results = self.result_bytes + (self.unfinished + 1) * MAX_RESULT;
         if results > self.bounds.result_bytes {
             self.drop_results(now);
         }
         let results = self.result_bytes + (self.unfinished + 1) * MAX_RESULT;
-        if results > self.bounds.result_bytes || !self.make_room(now, &key.partition) {
+        let known = self.index(key).is_ok();
+        if results > self.bounds.result_bytes || !(known || self.make_room(now, &key.partition)) {
             return Err(Refusal::not_run(Reason::ServerFull, RETRY)
                 .with_message("the memory of claims is full"));
         }
         self.note_token(&key.partition, token);
-        self.insert(now, key, token, Progress::Reserved);
+        match self.index(key) {
+            Ok(index) => {
+                self.records[index].token = token;
+                self.change(now, key, Progress::Reserved);
+            }
+            Err(_) => self.insert(now, key, token, Progress::Reserved),
+        }
         self.unfinished += 1;
         Ok(())
     }
@@ -125,10 +137,16 @@
     }
 
     /// Forgets a claim whose request the server has not seen.
-    pub fn give_back(&mut self, key: &Key) {
+    pub fn give_back(&mut self, now: Instant, key: &Key) {
         let Ok(index) = self.index(key) else { return };
-        self.records.remove(index);
         self.unfinished -= 1;
+        let record = &mut self.records[index];
+        if record.sealed == 0 {
+            self.records.remove(index);
+            return;
+        }
+        record.token = record.sealed;
+        self.change(now, key, Progress::Sealed);
     }
 
     /// Notes the end of a run, with its result if it is known.
@@ -145,27 +163,22 @@
     }
 
     /// Reports on a claim, or promises never to run it.
-    ///
-    /// A claim that this incarnation has not seen may have been run by an
-    /// earlier one. Until a whole retention time has passed since the start,
-    /// the promise is kept but the outcome is reported as unknown.
     pub fn seal(
         &mut self,
         now: Instant,
         key: &Key,
         token: u64,
     ) -> (wire::Outcome, Option<wire::Result>) {
+        let known = self.knows(&key.partition, token);
         if let Ok(index) = self.index(key) {
-            // The promise now covers the newer claim as well.
             let record = &mut self.records[index];
             if matches!(record.progress, Progress::Sealed) {
                 record.token = record.token.max(token);
+                record.sealed = record.token;
             }
-            return match &self.records[index].progress {
+            return match &record.progress {
                 Progress::Done(result) => (wire::Outcome::Done, Some(result.clone())),
-                Progress::Sealed if self.knows(now, &key.partition, token) => {
-                    (wire::Outcome::NotRun, None)
-                }
+                Progress::Sealed if known => (wire::Outcome::NotRun, None),
                 _ => (wire::Outcome::Unknown, None),
             };
         }
@@ -173,7 +186,7 @@
         if !self.make_room(now, &key.partition) {
             return (wire::Outcome::Unknown, None);
         }
-        let known = self.knows(now, &key.partition, token);
+        let known = self.knows(&key.partition, token);
         self.insert(now, key, token, Progress::Sealed);
         if known {
             (wire::Outcome::NotRun, None)
@@ -183,10 +196,9 @@
     }
 
     /// Whether a claim with this token would be remembered if it had been run.
-    fn knows(&self, now: Instant, partition: &str, token: u64) -> bool {
+    fn knows(&self, partition: &str, token: u64) -> bool {
         let forgotten = self.partition(partition).and_then(|known| known.forgotten);
-        let since_start = now.since(Instant::ORIGIN);
-        since_start >= self.bounds.retention && forgotten.is_none_or(|newest| token > newest)
+        forgotten.is_none_or(|newest| token > newest)
     }
 
     /// Makes room for one claim by forgetting the oldest ended one whose
@@ -209,6 +221,9 @@
         }
         let partition = self.partition_mut(&record.key.partition);
         partition.forgotten = partition.forgotten.max(Some(record.token));
+        if record.sealed > 0 {
+            partition.forgotten_seal = partition.forgotten_seal.max(Some(record.sealed));
+        }
         true
     }
 
@@ -250,6 +265,11 @@
         let record = Record {
             key: key.clone(),
             token,
+            sealed: if matches!(progress, Progress::Sealed) {
+                token
+            } else {
+                0
+            },
             progress,
             changed: now,
         };
@@ -281,6 +301,7 @@
                 name: name.clone(),
                 newest: 0,
                 forgotten: None,
+                forgotten_seal: None,
             };
             self.partitions.insert(index, partition);
             index
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -250,6 +250,7 @@
         self.check_version(&state, request)?;
         self.check_open(&state)?;
         let kind = self.check_service(&state, &request.account, &request.service)?;
+        self.check_claim(request.claim.as_ref())?;
         if request.isolate {
             // Its sender knows of a crash that has not been reported here yet.
             let suspect = quarantine::Suspect {
@@ -284,7 +285,7 @@
         let subject = self.subject(&request.account, &request.service);
         let permit = state.once.reserve(now, &subject, request)?;
         if let Decision::Refused(refusal) = state.admission.offer(now, offered) {
-            state.once.give_back(&permit);
+            state.once.give_back(now, &permit);
             return Err(refusal);
         }
         let (sender, grant) = oneshot::channel();
@@ -302,8 +303,12 @@
     pub fn seal(&self, claim: &wire::Claim) -> wire::SealReply {
         let now = self.clock.now();
         let mut state = self.lock();
-        let key = key_of(claim);
-        let (outcome, result) = state.once.claims.seal(now, &key, claim.token);
+        // An earlier incarnation may have run its claims.
+        let (outcome, result) = if self.is_own(claim) {
+            state.once.claims.seal(now, &key_of(claim), claim.token)
+        } else {
+            (wire::Outcome::Unknown, None)
+        };
         wire::SealReply {
             sender: Some(self.sender(state.published.snapshot.version)),
             outcome: outcome as i32,
@@ -356,6 +361,18 @@
         Err(Refusal::not_run(Reason::Draining, RETRY_ELSEWHERE))
     }
 
+    fn is_own(&self, claim: &wire::Claim) -> bool {
+        claim.incarnation == self.incarnation && *claim.server == *self.name
+    }
+
+    fn check_claim(&self, claim: Option<&wire::Claim>) -> Result<(), Refusal> {
+        if claim.is_none_or(|claim| self.is_own(claim)) {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(Reason::StaleToken, RETRY_ELSEWHERE);
+        Err(refusal.with_message("the claim was granted for another incarnation"))
+    }
+
     fn check_service(&self, state: &State, account: &str, service: &str) -> Result<Kind, Refusal> {
         let snapshot = &state.published.snapshot;
         let own = snapshot.server(&self.name).map(|server| &server.service);
--- a/crates/agent/src/once.rs
+++ b/crates/agent/src/once.rs
@@ -68,7 +68,7 @@
         };
         let key = key_of(claim);
         if let Err(refusal) = self.claims.reserve(now, &key, claim.token) {
-            self.give_back(&permit);
+            self.give_back(now, &permit);
             return Err(refusal);
         }
         permit.claim = Some(key);
@@ -86,9 +86,9 @@
     }
 
     /// Notes that the server has not seen the request.
-    pub fn give_back(&mut self, permit: &Permit) {
+    pub fn give_back(&mut self, now: Instant, permit: &Permit) {
         if let Some(key) = &permit.claim {
-            self.claims.give_back(key);
+            self.claims.give_back(now, key);
         }
         if let Some(serial) = permit.ticket {
             self.tickets.give_back(serial);
--- a/crates/agent/src/place.rs
+++ b/crates/agent/src/place.rs
@@ -76,7 +76,8 @@
     /// Notes that the server has not seen the request.
     pub fn not_run(&mut self) {
         self.phase = Phase::Ended;
-        self.gate.lock().once.give_back(&self.permit);
+        let now = self.gate.clock().now();
+        self.gate.lock().once.give_back(now, &self.permit);
     }
 
     /// Notes that the server answered to the end, with its service time if it
@@ -109,7 +110,7 @@
         let now = self.gate.clock().now();
         let mut state = self.gate.lock();
         match self.phase {
-            Phase::Waiting => state.once.give_back(&self.permit),
+            Phase::Waiting => state.once.give_back(now, &self.permit),
             Phase::Forwarded => state.once.finish(now, &self.permit, None),
             Phase::Ended => {}
         }
--- a/crates/core/src/ledger/owner.rs
+++ b/crates/core/src/ledger/owner.rs
@@ -140,27 +140,27 @@
 
     fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.tenure.is_some_and(|tenure| !tenure.acts(now)) {
-            self.stop(actions);
+            self.stop(now, actions);
         }
         let late = |waiter: &mut Waiter| now >= waiter.request.deadline;
         let queued: Vec<Waiter> = self.queue.extract_if(.., late).collect();
-        self.refuse(queued, actions);
+        self.refuse(queued, now, actions);
         if let Some(attempt) = &mut self.attempt {
             let waiting = attempt.waiters.extract_if(.., late).collect();
-            self.abandon(waiting, actions);
+            self.abandon(waiting, now, actions);
         }
     }
 
-    fn stop(&mut self, actions: &mut Vec<Action>) {
+    fn stop(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.tenure.take().is_none() {
             return;
         }
         actions.push(Action::Stopped);
         let queued = std::mem::take(&mut self.queue);
-        self.refuse(queued, actions);
+        self.refuse(queued, now, actions);
         if let Some(attempt) = &mut self.attempt {
             let waiting = std::mem::take(&mut attempt.waiters);
-            self.abandon(waiting, actions);
+            self.abandon(waiting, now, actions);
         }
     }
 
@@ -168,7 +168,7 @@
         self.closed = true;
         self.next_call = now + self.settings.pause;
         let queued = std::mem::take(&mut self.queue);
-        self.refuse(queued, actions);
+        self.refuse(queued, now, actions);
     }
 
     fn written(&mut self, update: Update, now: Instant, actions: &mut Vec<Action>) {
@@ -182,25 +182,34 @@
         match update {
             Update::Applied(version) => self.applied(version, now, actions),
             Update::Refused if settled => {
-                self.drop_attempt(actions);
+                self.drop_attempt(now, actions);
                 self.close(now, actions);
             }
             Update::Conflict if settled => {
-                self.drop_attempt(actions);
+                // Another owner wrote and may have granted the same keys.
+                let dropped = self.attempt.take();
                 self.stale = true;
-                self.stop(actions);
+                self.stop(now, actions);
+                let waiters = dropped.map(|attempt| attempt.waiters);
+                self.refuse(waiters.unwrap_or_default(), now, actions);
             }
             Update::Refused => self.close(now, actions),
+            // Without an answer, waiting longer gives the claims no grant.
             Update::Conflict | Update::Unknown => {
                 attempt.unsettled = true;
                 self.stale = true;
+                self.closed = true;
+                let waiting = std::mem::take(&mut attempt.waiters);
+                self.abandon(waiting, now, actions);
+                let queued = std::mem::take(&mut self.queue);
+                self.refuse(queued, now, actions);
             }
         }
     }
 
-    fn drop_attempt(&mut self, actions: &mut Vec<Action>) {
+    fn drop_attempt(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if let Some(attempt) = self.attempt.take() {
-            self.refuse(attempt.waiters, actions);
+            self.refuse(attempt.waiters, now, actions);
         }
     }
 
@@ -213,7 +222,7 @@
         self.set_base(version, Some(attempt.partition.clone()), now);
         if lease.released || !tenure.acts(now) {
             self.attempt = Some(attempt);
-            self.lapse_attempt(actions);
+            self.lapse_attempt(now, actions);
             return;
         }
         if self.tenure.replace(tenure).is_none() {
@@ -228,13 +237,13 @@
             let id = waiter.request.id;
             actions.push(Action::Reply { id, reply });
         }
-        self.answer_queue(actions);
+        self.answer_queue(now, actions);
     }
 
-    fn lapse_attempt(&mut self, actions: &mut Vec<Action>) {
+    fn lapse_attempt(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if let Some(attempt) = &mut self.attempt {
             let waiting = std::mem::take(&mut attempt.waiters);
-            self.abandon(waiting, actions);
+            self.abandon(waiting, now, actions);
         }
         self.attempt = None;
     }
@@ -248,6 +257,10 @@
             return;
         };
         self.observer.observe(version, &partition.lease, now);
+        if partition.lease.holder != self.settings.holder {
+            // Its claims can have the token of an own update that failed.
+            self.ungranted.clear();
+        }
         if changed {
             self.completions
                 .retain(|completed| completed.is_open_in(&partition));
@@ -288,17 +301,17 @@
                 return;
             }
             let moved = version != attempt.expected;
-            self.lapse_attempt(actions);
+            self.lapse_attempt(now, actions);
             self.set_base(version, partition, now);
             if moved {
-                self.stop(actions);
+                self.stop(now, actions);
             }
             return;
         }
         let holder = lease.map(|lease| lease.holder);
         self.set_base(version, partition, now);
         if holder.as_ref() != Some(&self.settings.holder) {
-            self.stop(actions);
+            self.stop(now, actions);
         }
     }
 
@@ -343,7 +356,7 @@
         }
         if let Some(tenure) = self.tenure {
             if !self.wanted {
-                self.stop(actions);
+                self.stop(now, actions);
                 self.begin(version, partition, tenure.token, true, now, actions);
             } else if self.is_due(now) {
                 self.begin(version, partition, tenure.token, false, now, actions);
@@ -392,7 +405,7 @@
             Arc::unwrap_or_clone,
         );
         partition.generation += self.generations(now);
-        self.answer_queue(actions);
+        self.answer_queue(now, actions);
         let queue = std::mem::take(&mut self.queue);
         let Batch {
             partition,
@@ -401,7 +414,7 @@
             full,
         } = batch::build(partition, lease, &self.settings, &self.completions, queue);
         for waiter in full {
-            actions.push(self.refusal(waiter.request.id, "the ledger partition is full"));
+            actions.push(self.refusal(&waiter.request, "the ledger partition is full", now));
         }
         self.queue = left;
         self.attempt = Some(Attempt {
--- a/crates/core/src/ledger/owner/answer.rs
+++ b/crates/core/src/ledger/owner/answer.rs
@@ -1,41 +1,75 @@
 use std::time::Duration;
 
 use super::super::batch::{Completed, Waiter};
-use super::super::{Action, Completion, Digest, Grant, Reply, Request, State};
+use super::super::{Action, Claim, Completion, Digest, Grant, Reply, Request, State};
 use super::Owner;
 use crate::clock::Instant;
 use crate::outcome::{Reason, Refusal};
 
 impl Owner {
     /// Refuses requests whose claim is not and will not be in the object.
-    pub(super) fn refuse(&self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
+    pub(super) fn refuse(&self, waiters: Vec<Waiter>, now: Instant, actions: &mut Vec<Action>) {
         for waiter in waiters {
-            actions.push(self.refusal(waiter.request.id, "the ledger partition is not available"));
+            let message = "the ledger partition is not available";
+            actions.push(self.refusal(&waiter.request, message, now));
         }
     }
 
     /// Refuses requests whose claim may be or come to be in the object.
     ///
-    /// `not run` is true because nobody dispatches without a grant. The claim
-    /// is remembered so that a resend can still be granted.
-    pub(super) fn abandon(&mut self, waiters: Vec<Waiter>, actions: &mut Vec<Action>) {
+    /// Nobody dispatches without a grant. The claim is remembered so that a
+    /// resend can still be granted.
+    pub(super) fn abandon(
+        &mut self,
+        waiters: Vec<Waiter>,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(attempt) = &self.attempt else {
             return;
         };
         let token = attempt.partition.lease.token;
         let keys = waiters.iter().map(|waiter| (waiter.request.key, token));
         self.ungranted.extend(keys);
-        self.refuse(waiters, actions);
+        self.refuse(waiters, now, actions);
     }
 
-    pub(super) fn refusal(&self, id: u64, message: &'static str) -> Action {
-        let refusal = Refusal::not_run(Reason::LedgerUnavailable, self.settings.pause);
+    pub(super) fn refusal(&self, request: &Request, message: &'static str, now: Instant) -> Action {
+        let pause = self.settings.pause;
+        let refusal = if self.knows_not_run(&request.key, now) {
+            Refusal::not_run(Reason::LedgerUnavailable, pause)
+        } else {
+            Refusal::unknown(Reason::LedgerUnavailable, pause)
+        };
         Action::Reply {
-            id,
+            id: request.id,
             reply: Reply::Refused(refusal.with_message(message)),
         }
     }
 
+    /// Whether no grant of the key was given out that ran or can still run.
+    ///
+    /// Without a lease another owner may have granted the key.
+    fn knows_not_run(&self, key: &Digest, now: Instant) -> bool {
+        if !self.holds(now) {
+            return false;
+        }
+        let claim = self.partition().and_then(|partition| partition.claim(key));
+        claim.is_none_or(|claim| {
+            self.ungranted.contains(&(claim.key, claim.token))
+                || *self.known_state(claim) == State::NotRun
+        })
+    }
+
+    /// State of a claim, with results that are not written yet.
+    fn known_state<'a>(&'a self, claim: &'a Claim) -> &'a State {
+        let known = self
+            .completions
+            .iter()
+            .find(|done| done.key == claim.key && done.token == claim.token);
+        known.map_or(&claim.state, |done| &done.state)
+    }
+
     pub(super) fn claim(&mut self, request: Request, now: Instant, actions: &mut Vec<Action>) {
         let id = request.id;
         if !self.wanted || !self.holds(now) || now >= request.deadline {
@@ -43,10 +77,10 @@
                 request,
                 since: now,
             };
-            self.refuse(vec![waiter], actions);
+            self.refuse(vec![waiter], now, actions);
             return;
         }
-        if let Some(reply) = self.resolve(&request) {
+        if let Some(reply) = self.resolve(&request, now) {
             actions.push(Action::Reply { id, reply });
             return;
         }
@@ -55,27 +89,28 @@
             since: now,
         };
         if self.closed {
-            self.refuse(vec![waiter], actions);
+            self.refuse(vec![waiter], now, actions);
             return;
         }
         self.queue.push(waiter);
     }
 
     /// The reply to a request that needs no further write.
-    fn resolve(&self, request: &Request) -> Option<Reply> {
+    fn resolve(&self, request: &Request, now: Instant) -> Option<Reply> {
         if self.is_in_flight(&request.key) {
             return None;
         }
         let claim = self.partition()?.claim(&request.key)?;
         if claim.body != request.body {
-            let refusal = Refusal::not_run(Reason::KeyReused, Duration::ZERO);
+            // The outcome is about the key, which may have run with its first body.
+            let refusal = if self.knows_not_run(&claim.key, now) {
+                Refusal::not_run(Reason::KeyReused, Duration::ZERO)
+            } else {
+                Refusal::unknown(Reason::KeyReused, Duration::ZERO)
+            };
             return Some(Reply::Refused(refusal));
         }
-        let known = self
-            .completions
-            .iter()
-            .find(|done| done.key == claim.key && done.token == claim.token);
-        match known.map_or(&claim.state, |done| &done.state) {
+        match self.known_state(claim) {
             State::Done(answer) => Some(Reply::Done(answer.clone())),
             State::NotRun => None,
             State::Claimed if self.ungranted.contains(&(claim.key, claim.token)) => None,
@@ -125,10 +160,10 @@
         true
     }
 
-    pub(super) fn answer_queue(&mut self, actions: &mut Vec<Action>) {
+    pub(super) fn answer_queue(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for waiter in std::mem::take(&mut self.queue) {
             let id = waiter.request.id;
-            match self.resolve(&waiter.request) {
+            match self.resolve(&waiter.request, now) {
                 Some(reply) => actions.push(Action::Reply { id, reply }),
                 None => self.queue.push(waiter),
             }
--- a/crates/core/tests/ledger_schedule/attempt.rs
+++ b/crates/core/tests/ledger_schedule/attempt.rs
@@ -10,7 +10,7 @@
         match self.attempts[index].phase.clone() {
             Phase::Granted(grant) if self.chance(faults * 5) => {
                 self.attempts[index].report = Some((grant, Completion::NotRun));
-                self.tell(index, Outcome::NotRun);
+                self.attempts[index].phase = Phase::Report;
             }
             Phase::Granted(grant) => {
                 self.attempts[index].message = Some(grant);
@@ -25,13 +25,19 @@
             // A message whose connection broke can still arrive.
             Phase::Told(_) => self.deliver(index),
             Phase::Asked => {}
+            Phase::Report => {
+                self.count.overtaken += 1;
+                self.tell(index, Outcome::Unknown);
+            }
         }
     }
 
+    // Tells `not run` only if the owner took the report of the current grant.
     fn report(&mut self, index: usize) {
         let Some((grant, completion)) = self.attempts[index].report.clone() else {
             return;
         };
+        let mut accepted = false;
         for entry in 0..2 {
             let event = Event::Complete {
                 id: 0,
@@ -39,10 +45,15 @@
                 completion: completion.clone(),
             };
             if !self.entries[entry].paused {
+                self.accepted = false;
                 self.feed(entry, event);
+                accepted |= self.accepted;
             }
         }
         self.attempts[index].report = None;
+        if accepted && matches!(self.attempts[index].phase, Phase::Report) {
+            self.tell(index, Outcome::NotRun);
+        }
     }
 
     fn deliver(&mut self, index: usize) {
@@ -56,7 +67,7 @@
         if fenced || agent.incarnation != attempt.target.incarnation {
             if waits {
                 attempt.report = Some((grant, Completion::NotRun));
-                self.tell(index, Outcome::NotRun);
+                attempt.phase = Phase::Report;
             }
             return;
         }
@@ -88,13 +99,13 @@
         *seen = grant.token.max(*seen);
         self.attempts[index].report = Some((grant, Completion::NotRun));
         if own {
-            self.tell(index, Outcome::NotRun);
+            self.attempts[index].phase = Phase::Report;
             return;
         }
         self.report(index);
         self.attempts[index].phase = Phase::Asked;
         if self.entries[self.attempts[index].entry].paused {
-            self.tell(index, Outcome::NotRun);
+            self.tell(index, Outcome::Unknown);
             return;
         }
         self.claim(index);
--- a/crates/spec/src/claim/state.rs
+++ b/crates/spec/src/claim/state.rs
@@ -24,6 +24,8 @@
     SealIgnored,
     /// A new owner starts with an empty partition.
     TakeoverForgetsClaims,
+    /// A refusal without knowledge of the key says `not run`.
+    RefusalIgnoresKey,
 }
 
 /// Bounds of the exploration.
@@ -123,7 +125,7 @@
 pub enum Answer {
     /// The result of this account's request.
     Done(u8),
-    /// The request was not run.
+    /// No sending of the request that was claimed so far was or will be run.
     NotRun,
     /// It may have run.
     Unknown,
@@ -146,6 +148,8 @@
     Sealing(u8, u8, bool),
     /// Sealed; the result has to be reported before a new claim.
     Sealed,
+    /// The own grant does not run; the owner knows whether the key may have.
+    Reporting,
     /// The caller has its answer.
     Answered(Answer),
 }
@@ -161,6 +165,8 @@
     pub report: Option<(u8, Progress)>,
     /// Times the backend server ran this dispatch.
     pub runs: u8,
+    /// A caller was told `not run` when this sending had run or could still run.
+    pub barred: bool,
 }
 
 /// What the agent remembers about a key.
@@ -194,6 +200,26 @@
 }
 
 impl State {
+    /// Answers a sending with `not run`, which is about the key.
+    pub fn tell_not_run(&mut self, setup: &Setup, attempt: usize) {
+        self.attempts[attempt].phase = Phase::Answered(Answer::NotRun);
+        for other in 0..setup.attempts {
+            let same = setup.account(other) == setup.account(attempt);
+            let other = &mut self.attempts[other];
+            let granted = matches!(other.phase, Phase::Granted(..) | Phase::Dispatched(..));
+            let may_run = granted || other.message.is_some() || other.runs > 0;
+            other.barred |= same && may_run;
+        }
+    }
+
+    /// Answers a sending whose refusal is not based on the claims of the key.
+    pub fn tell_unknown(&mut self, setup: &Setup, attempt: usize) {
+        self.attempts[attempt].phase = Phase::Answered(Answer::Unknown);
+        if setup.has(Mistake::RefusalIgnoresKey) {
+            self.tell_not_run(setup, attempt);
+        }
+    }
+
     /// The initial state.
     pub fn new(setup: &Setup) -> Self {
         let attempt = Attempt {
@@ -201,6 +227,7 @@
             message: None,
             report: None,
             runs: 0,
+            barred: false,
         };
         State {
             store: Store {
--- a/crates/spec/tests/claim.rs
+++ b/crates/spec/tests/claim.rs
@@ -101,6 +101,11 @@
     assert!(finds(Mistake::TakeoverForgetsClaims, Violation::RanTwice));
 }
 
+#[test]
+fn find_refusal_ignores_key() {
+    assert!(finds(Mistake::RefusalIgnoresKey, Violation::FalseNotRun));
+}
+
 #[test]
 fn stuck_lost_update_taken_as_failed() {
     let mistake = Some(Mistake::LostUpdateTakenAsFailed);
