Claim keyed requests in the ledger before their dispatch

Cause: the entry dispatched a request with an Idempotency-Key without a claim, so a resend through another entry ran it again.

Change: entries own ledger partitions (16 by default, preferred owner by rendezvous hashing over live entries that answer, the lease decides) and serve gRPC Ledger. A resend gets the stored result; one too large to keep is refused as answer_not_kept with outcome done. Refusals of keyed requests say not run only where it is proven or the caller sent Berylgw-Sending: 1.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -97,6 +97,8 @@
     ServerFailed = "server_failed", 502;
     /// The answer was incomplete or out of sequence.
     AnswerCorrupt = "answer_corrupt", 502;
+    /// The request ran before, and its answer was too large to be kept.
+    AnswerNotKept = "answer_not_kept", 410;
     /// The caller reads too slowly and the memory budget is spent.
     SlowReader = "slow_reader", 503;
     /// The process is shutting down.
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -132,6 +132,11 @@
         self.items.closed().await;
     }
 
+    /// Whether the caller is gone.
+    pub fn is_closed(&self) -> bool {
+        self.items.is_closed()
+    }
+
     /// Ends the answer.
     pub fn end(&self, item: Item) {
         // A caller that is gone needs no end.
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -39,7 +39,7 @@
 }
 
 impl Fault {
-    fn new(refusal: Refusal, retry: bool) -> Self {
+    pub fn new(refusal: Refusal, retry: bool) -> Self {
         Fault {
             refusal,
             retry,
@@ -52,7 +52,7 @@
         Fault::new(refusal, reason != Reason::AnswerCorrupt)
     }
 
-    fn unreachable(message: String) -> Self {
+    pub fn unreachable(message: String) -> Self {
         let refusal = Refusal::not_run(Reason::AgentUnreachable, RETRY_SOON);
         Fault::new(refusal.with_message(message), true)
     }
@@ -122,7 +122,7 @@
     let silence = shared.settings.limits.progress();
     let answer = tokio::select! {
         answer = tokio::time::timeout(silence, client.dispatch(request)) => answer,
-        () = driver.sink.closed() => return End::CallerGone,
+        () = driver.caller_gone() => return End::CallerGone,
     };
     let frames = match answer {
         Ok(Ok(response)) => response.into_inner(),
@@ -148,7 +148,7 @@
         let wait = silence.min(shared.clock.until(driver.call.deadline));
         let frame = tokio::select! {
             frame = tokio::time::timeout(wait, frames.message()) => frame,
-            () = driver.sink.closed() => return End::CallerGone,
+            () = driver.caller_gone() => return End::CallerGone,
         };
         let frame = match frame {
             Ok(Ok(Some(frame))) => frame,
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -11,7 +11,8 @@
 use axum::routing::{get, post};
 use berylgw_core::client::{Account, token_digest};
 use berylgw_core::directory::{self, Address};
-use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_core::ledger::Digest;
+use berylgw_core::outcome::{Outcome, Reason, Refusal};
 use berylgw_core::{route, service};
 use berylgw_wire as wire;
 use rand::Rng;
@@ -19,6 +20,7 @@
 use serde_json::value::RawValue;
 
 use crate::dispatch::{self, Admitted, Call, Mode};
+use crate::once::Keyed;
 use crate::render;
 use crate::shared::{Current, Shared};
 
@@ -28,6 +30,7 @@
 const CONFIG_RETRY: Duration = Duration::from_secs(1);
 
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const SENDING: HeaderName = HeaderName::from_static("berylgw-sending");
 const TICKET: HeaderName = HeaderName::from_static("berylgw-ticket");
 
 type Result<T> = std::result::Result<T, Refusal>;
@@ -194,7 +197,7 @@
         path: "/v1/chat/completions".to_owned(),
         headers: forwarded(&head.headers),
         idempotent: true,
-        key: None,
+        once: None,
         mode: if chat.stream {
             Mode::Events
         } else {
@@ -210,13 +213,31 @@
 
 async fn serve_plain(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
     let id = new_id(&shared);
-    match plain(&shared, request, &id).await {
+    let headers = request.headers();
+    let open = headers.contains_key(KEY) && !is_first(headers);
+    let admitted = plain(&shared, request, &id).await.map_err(|mut refusal| {
+        // The ledger was not asked about earlier sendings of the key.
+        if open {
+            refusal.outcome = Outcome::Unknown;
+        }
+        refusal
+    });
+    let answer = match admitted {
+        Ok((call, admitted)) => dispatch::run(&shared, call, admitted).await,
+        Err(refusal) => Err(refusal),
+    };
+    match answer {
         Ok(answer) => render::answer(answer, &id),
         Err(refusal) => render::refusal(&shared, &refusal, &id),
     }
 }
 
-async fn plain(shared: &Arc<Shared>, request: Request, id: &str) -> Result<dispatch::Answer> {
+/// Whether the caller says that this is the first sending of its key.
+fn is_first(headers: &HeaderMap) -> bool {
+    headers.get(SENDING).is_some_and(|value| value == "1")
+}
+
+async fn plain(shared: &Arc<Shared>, request: Request, id: &str) -> Result<(Call, Admitted)> {
     let (head, body) = request.into_parts();
     let current = shared.current();
     let account = authenticate(&current, &head.headers)?;
@@ -232,8 +253,12 @@
     }
     let admitted = admit(shared, &current, account)?;
     let body = read_body(shared, body).await?;
-    let key = head.headers.get(KEY);
-    let key = key.map(|key| String::from_utf8_lossy(key.as_bytes()).into_owned());
+    let method = head.method.as_str();
+    let once = head.headers.get(KEY).map(|key| {
+        let key = Digest::of_key(&account.name, &service, key.as_bytes());
+        let content = Digest::of_parts(&[method.as_bytes(), path.as_bytes(), &body]);
+        Keyed::new(key, content, is_first(&head.headers))
+    });
     let call = Call {
         id: id.to_owned(),
         account: account.name.clone(),
@@ -241,15 +266,20 @@
         method: head.method.to_string(),
         path,
         headers: forwarded(&head.headers),
-        idempotent: matches!(head.method, Method::GET | Method::HEAD),
-        key,
-        mode: Mode::Pass,
+        // A keyed request is dispatched again only with a new claim.
+        idempotent: once.is_none() && matches!(head.method, Method::GET | Method::HEAD),
+        mode: if once.is_some() {
+            Mode::Collect
+        } else {
+            Mode::Pass
+        },
+        once,
         affinity: None,
         fingerprint: route::affinity(&account.name, &body),
         deadline: deadline(shared),
         body,
     };
-    dispatch::run(shared, call, admitted).await
+    Ok((call, admitted))
 }
 
 /// Splits `/services/{service}/{path}` into the service and the path with query.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! A request's way to an agent: attempts, retries and resumption.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 
 use crate::answer::{self, Item, Pushed, Sink, Source};
 use crate::attempt::{self, End, Fault};
+use crate::once::{Keyed, Settled, Step};
 use crate::render;
 use crate::shared::Shared;
 
@@ -40,7 +42,6 @@
 }
 
 /// A request of a caller.
-#[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
     pub account: Arc<str>,
@@ -50,7 +51,7 @@
     pub headers: Vec<wire::Header>,
     pub body: Bytes,
     pub idempotent: bool,
-    pub key: Option<String>,
+    pub once: Option<Keyed>,
     pub mode: Mode,
     pub affinity: Option<u64>,
     pub fingerprint: u64,
@@ -85,13 +86,7 @@
 /// # Errors
 ///
 /// Fails if the request is given up on before its answer starts.
-pub async fn run(
-    shared: &Arc<Shared>,
-    mut call: Call,
-    admitted: Admitted,
-) -> Result<Answer, Refusal> {
-    // Without a claim, a second dispatch of a keyed request could run it twice.
-    call.idempotent &= call.key.is_none();
+pub async fn run(shared: &Arc<Shared>, call: Call, admitted: Admitted) -> Result<Answer, Refusal> {
     shared.retries().deposit();
     let (head, started) = oneshot::channel();
     let (sink, payload) = answer::queue(shared);
@@ -160,7 +155,7 @@
             timeout_ms: self.shared.clock.until(call.deadline).as_millis() as u64,
             idempotent: call.idempotent,
             resume_from: self.resume.tokens(),
-            claim: None,
+            claim: call.once.as_ref().and_then(Keyed::grant),
             ticket: String::new(),
             fingerprint: call.fingerprint,
             stream: call.mode == Mode::Events,
@@ -174,7 +169,8 @@
     ///
     /// Fails if a resumed stream does not continue with the same status.
     pub fn head(&mut self, head: wire::AnswerHead) -> Result<(), String> {
-        self.ran = true;
+        // For a keyed request, the agent tells later whether it ran.
+        self.ran |= self.call.once.is_none();
         if self.start.is_none() {
             let same = head.status == 200;
             let message = format!("status {} on resumption", head.status);
@@ -194,10 +190,19 @@
     async fn run(mut self) {
         loop {
             self.attempt += 1;
-            let end = match self.choose() {
-                Ok((key, address)) => attempt::run(&mut self, key, address).await,
+            let (key, address) = match self.choose() {
+                Ok(chosen) => chosen,
                 Err(refusal) => return self.fail(refusal),
             };
+            let end = match self.claim(key, address).await {
+                Ok(Step::Dispatch) => attempt::run(&mut self, key, address).await,
+                Ok(Step::Replay(result)) => return self.replay(result).await,
+                Err(fault) => End::Failed(fault),
+            };
+            let end = match self.settle(end).await {
+                Settled::End(end) => end,
+                Settled::Replay(result) => return self.replay(result).await,
+            };
             match end {
                 End::Complete => return self.complete().await,
                 End::CallerGone => return,
@@ -224,7 +229,69 @@
         }
     }
 
-    fn choose(&mut self) -> Result<(Key, std::net::SocketAddr), Refusal> {
+    /// Waits until the caller is gone; a keyed request that was dispatched runs
+    /// to its end, so that a resend gets its result.
+    pub async fn caller_gone(&self) {
+        if self.call.once.is_some() {
+            return std::future::pending().await;
+        }
+        self.sink.closed().await;
+    }
+
+    async fn claim(&mut self, key: Key, address: SocketAddr) -> Result<Step, Fault> {
+        let Some(once) = &mut self.call.once else {
+            return Ok(Step::Dispatch);
+        };
+        let server = self
+            .shared
+            .table()
+            .server(key)
+            .map(|(name, _)| name.clone());
+        let Some(server) = server else {
+            return Err(Fault::unreachable("the server was removed".to_owned()));
+        };
+        let step = once.claim(&self.shared, &server, address).await?;
+        let late = self.shared.now() >= self.call.deadline;
+        if late || self.sink.is_closed() {
+            once.give_up(&self.shared).await;
+            let refusal = Refusal::not_run(Reason::Deadline, NO_SERVER_RETRY);
+            return Err(Fault::new(refusal, false));
+        }
+        Ok(step)
+    }
+
+    async fn settle(&mut self, end: End) -> Settled {
+        let Some(once) = &mut self.call.once else {
+            return Settled::End(end);
+        };
+        let complete = matches!(end, End::Complete);
+        let head = self.head.as_ref().filter(|_| complete);
+        let result = head.map(|head| wire::Result {
+            status: head.status,
+            headers: head.headers.clone(),
+            body: self.collected.clone().into(),
+            truncated: false,
+        });
+        once.settle(&self.shared, end, result).await
+    }
+
+    /// Answers with the stored result of an earlier sending.
+    async fn replay(mut self, result: wire::Result) {
+        if result.truncated {
+            let mut refusal = Refusal::unknown(Reason::AnswerNotKept, Duration::ZERO);
+            refusal.outcome = Outcome::Done;
+            let message = format!("the request ran with status {}", result.status);
+            return self.fail(refusal.with_message(message));
+        }
+        self.head = Some(wire::AnswerHead {
+            status: result.status,
+            headers: result.headers,
+        });
+        self.collected = result.body.to_vec();
+        self.complete().await;
+    }
+
+    fn choose(&mut self) -> Result<(Key, SocketAddr), Refusal> {
         let now = self.shared.now();
         if now >= self.call.deadline {
             return Err(Refusal::not_run(Reason::Deadline, NO_SERVER_RETRY));
@@ -245,7 +312,7 @@
     }
 
     fn may_retry(&mut self, fault: &Fault) -> Result<(), Refusal> {
-        self.ran |= fault.refusal.outcome != Outcome::NotRun;
+        self.ran |= self.call.once.is_none() && fault.refusal.outcome != Outcome::NotRun;
         self.failures += 1;
         let started = self.start.is_none();
         let repeatable = if started {
@@ -304,6 +371,9 @@
         if self.ran {
             refusal.outcome = Outcome::Unknown;
         }
+        if let Some(once) = &self.call.once {
+            once.judge(&mut refusal);
+        }
         match self.start.take() {
             Some(start) => {
                 let _ = start.send(Err(refusal));
--- /dev/null
+++ b/crates/entry/src/ledger.rs
@@ -0,0 +1,130 @@
+//! Ledger partitions owned by this entry, and claims at their owners.
+
+mod convert;
+mod handle;
+mod owner;
+mod service;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::ledger::{Digest, partition, preferred};
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_wire as wire;
+use berylgw_wire::ledger_client::LedgerClient;
+
+use crate::shared::{Current, Shared};
+
+pub use handle::{Command, Handle, Inbox, channel};
+pub use owner::run;
+pub use service::Service;
+
+/// Longest wait of an entry for an owner's answer; the owner answers within
+/// [`CLAIM_WAIT`] unless it is paused.
+const OWNER_WAIT: Duration = Duration::from_secs(3);
+
+/// Longest time a claim waits at its owner.
+const CLAIM_WAIT: Duration = Duration::from_secs(2);
+
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Owners asked for one claim: the preferred one and the one after it.
+const OWNERS: usize = 2;
+
+/// Platform object of the partition with this index.
+pub fn object_name(index: u32) -> String {
+    format!("p{index}")
+}
+
+/// Index of the partition of a key.
+pub fn index_of(shared: &Shared, key: &Digest) -> u32 {
+    partition(key, shared.settings.ledger.partitions)
+}
+
+/// Entries that may own partitions.
+fn candidates(current: &Current, suspects: &[Arc<str>]) -> Vec<Arc<str>> {
+    let entries = &current.snapshot.sheet.entries;
+    let staying = entries.iter().filter(|entry| {
+        let leaving = current.leaving.binary_search(&entry.name).is_ok();
+        // Without a host list, every entry of the sheet counts as live.
+        let live = current.live.is_empty() || current.live.binary_search(&entry.name).is_ok();
+        let suspected = suspects.contains(&entry.name);
+        live && !leaving && !suspected && !current.snapshot.is_out(&entry.domain)
+    });
+    staying.map(|entry| entry.name.clone()).collect()
+}
+
+/// The entry that should own the partition, as far as this entry knows.
+fn owner_of(shared: &Shared, name: &str) -> Option<Arc<str>> {
+    let current = shared.current();
+    let candidates = candidates(&current, &shared.ledger.suspects());
+    preferred(name, &candidates).cloned()
+}
+
+/// Asks the owner of the partition for a claim.
+///
+/// # Errors
+///
+/// Fails if no owner answers; it may have granted the claim, but nobody can
+/// use that grant any more.
+pub async fn claim(
+    shared: &Arc<Shared>,
+    request: wire::ClaimRequest,
+) -> Result<wire::claim_reply::Kind, Refusal> {
+    for _ in 0..OWNERS {
+        let Some(owner) = owner_of(shared, &request.partition) else {
+            break;
+        };
+        let reply = if owner == shared.settings.name {
+            Some(service::claim(shared, request.clone()).await)
+        } else {
+            let asked = request.clone();
+            call(shared, &owner, async |mut client| client.claim(asked).await).await
+        };
+        match reply.and_then(|reply| reply.kind) {
+            Some(kind) => return Ok(kind),
+            None => shared.ledger.suspect(&owner),
+        }
+    }
+    let refusal = Refusal::unknown(Reason::LedgerUnavailable, RETRY);
+    Err(refusal.with_message("the ledger partition has no reachable owner"))
+}
+
+/// Reports what became of a claim; returns whether the owner took it.
+pub async fn complete(shared: &Arc<Shared>, request: wire::CompleteRequest) -> bool {
+    let name = request.claim.as_ref().map(|claim| claim.partition.as_str());
+    let Some(owner) = name.and_then(|name| owner_of(shared, name)) else {
+        return false;
+    };
+    if owner == shared.settings.name {
+        return service::complete(shared, request).await.accepted;
+    }
+    let reply = call(shared, &owner, async |mut client| {
+        client.complete(request).await
+    });
+    reply.await.is_some_and(|reply| reply.accepted)
+}
+
+type Client = LedgerClient<tonic::transport::Channel>;
+
+async fn call<T>(
+    shared: &Shared,
+    owner: &str,
+    act: impl AsyncFnOnce(Client) -> Result<tonic::Response<T>, tonic::Status>,
+) -> Option<T> {
+    let snapshot = shared.current().snapshot;
+    let entries = &snapshot.sheet.entries;
+    let found = entries.iter().find(|entry| *entry.name == *owner)?;
+    let address = found.peer_address;
+    let answer = async {
+        let channel = shared.pool.get(address).await.ok()?;
+        act(LedgerClient::new(channel)).await.ok()
+    };
+    match tokio::time::timeout(OWNER_WAIT, answer).await {
+        Ok(Some(reply)) => Some(reply.into_inner()),
+        _ => {
+            shared.pool.evict(address);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/ledger/owner.rs
@@ -0,0 +1,271 @@
+//! The loops on the control thread that own partitions.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::lease::{Holder, Update};
+use berylgw_core::ledger::{Action, Event, Owner, Partition, Reply, Request, Settings};
+use berylgw_platform::Client;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+
+use super::{CLAIM_WAIT, Command, Inbox, object_name, owner_of};
+use crate::shared::Shared;
+use crate::sync;
+
+/// Pause between looks at peers that do not answer.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for the release of the partitions at a stop; after that their
+/// leases have to run out.
+const RELEASE_WAIT: Duration = Duration::from_secs(2);
+
+type Call = Pin<Box<dyn Future<Output = Event> + Send>>;
+
+/// One partition and the requests that wait for its owner.
+struct Loop {
+    shared: Arc<Shared>,
+    client: Client,
+    name: String,
+    // Made when this entry is first the preferred owner.
+    owner: Option<Owner>,
+    wanted: bool,
+    call: Option<Call>,
+    claims: Vec<(u64, oneshot::Sender<Reply>)>,
+    completions: Vec<(u64, oneshot::Sender<bool>)>,
+    next: u64,
+}
+
+/// Runs the loops until `ended`, then releases the partitions.
+pub async fn run(shared: Arc<Shared>, inbox: Inbox, mut ended: watch::Receiver<bool>) {
+    let platform = &shared.settings.platform;
+    let timeout = Duration::from_millis(platform.timeout_ms);
+    let client = Client::new(platform.address, timeout);
+    let mut loops = JoinSet::new();
+    for (index, commands) in (0..).zip(inbox.partitions) {
+        let state = Loop {
+            shared: shared.clone(),
+            client: client.clone(),
+            name: object_name(index),
+            owner: None,
+            wanted: false,
+            call: None,
+            claims: Vec::new(),
+            completions: Vec::new(),
+            next: 0,
+        };
+        loops.spawn(state.run(commands, ended.clone()));
+    }
+    tokio::select! {
+        () = check_peers(&shared, inbox.doubts) => {}
+        _ = ended.wait_for(|ended| *ended) => {}
+    }
+    let released = async { while loops.join_next().await.is_some() {} };
+    if tokio::time::timeout(RELEASE_WAIT, released).await.is_err() {
+        tracing::warn!("ledger partitions are not released, their leases run out");
+    }
+}
+
+/// Looks at doubted and suspected peers.
+async fn check_peers(shared: &Arc<Shared>, mut doubts: mpsc::Receiver<Arc<str>>) {
+    let mut ticks = tokio::time::interval(CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let mut names = shared.ledger.suspects();
+        while let Ok(name) = doubts.try_recv() {
+            if !names.contains(&name) {
+                names.push(name);
+            }
+        }
+        let checks = names.iter().map(|name| check(shared, name));
+        futures_util::future::join_all(checks).await;
+    }
+}
+
+async fn check(shared: &Arc<Shared>, name: &Arc<str>) {
+    let current = shared.current();
+    let entries = &current.snapshot.sheet.entries;
+    let Some(entry) = entries.iter().find(|entry| entry.name == *name) else {
+        shared.ledger.clear(name);
+        return;
+    };
+    // The reply is not needed, so nothing newer than this version is asked for.
+    match sync::pull(shared, entry.peer_address, u64::MAX).await {
+        Ok(_) => shared.ledger.clear(name),
+        Err(_) => shared.ledger.suspect(name),
+    }
+}
+
+impl Loop {
+    async fn run(mut self, mut commands: mpsc::Receiver<Command>, ended: watch::Receiver<bool>) {
+        let mut current = self.shared.current.clone();
+        let mut suspected = self.shared.ledger.suspected.subscribe();
+        let mut ending = ended.clone();
+        loop {
+            let ended = *ended.borrow();
+            let preferred = owner_of(&self.shared, &self.name);
+            self.want(!ended && preferred.as_ref() == Some(&self.shared.settings.name));
+            if ended && self.is_idle() {
+                return;
+            }
+            let wake = self.owner.as_ref().and_then(Owner::wake_at);
+            let wait = wake.map(|at| self.shared.clock.until(at));
+            tokio::select! {
+                event = pending_call(&mut self.call) => {
+                    self.call = None;
+                    self.feed(event);
+                }
+                command = commands.recv() => match command {
+                    Some(command) => self.take(command),
+                    None => return,
+                },
+                () = sleep(wait) => self.feed(Event::Tick),
+                _ = current.changed(), if !ended => {}
+                _ = suspected.changed() => {}
+                _ = ending.changed(), if !ended => {}
+            }
+        }
+    }
+
+    fn want(&mut self, wanted: bool) {
+        if wanted && self.owner.is_none() {
+            let mut settings = Settings::new(Holder {
+                name: self.shared.settings.name.clone(),
+                incarnation: self.shared.incarnation,
+            });
+            settings.term = Duration::from_millis(self.shared.settings.ledger.term_ms);
+            self.owner = Some(Owner::new(settings));
+            self.wanted = true;
+            self.feed(Event::Tick);
+        } else if wanted != self.wanted {
+            self.wanted = wanted;
+            self.feed(Event::Want(wanted));
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        let Some(owner) = &self.owner else {
+            return true;
+        };
+        self.call.is_none() && owner.wake_at().is_none()
+    }
+
+    fn take(&mut self, command: Command) {
+        let id = self.next;
+        self.next += 1;
+        // An owner that was never made refuses by dropping the sender.
+        if self.owner.is_none() {
+            return;
+        }
+        match command {
+            Command::Claim {
+                key,
+                body,
+                target,
+                reply,
+            } => {
+                self.claims.push((id, reply));
+                self.feed(Event::Claim(Request {
+                    id,
+                    key,
+                    body,
+                    target,
+                    deadline: self.shared.now() + CLAIM_WAIT,
+                }));
+            }
+            Command::Complete {
+                grant,
+                completion,
+                accepted,
+            } => {
+                self.completions.push((id, accepted));
+                self.feed(Event::Complete {
+                    id,
+                    grant,
+                    completion,
+                });
+            }
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let now = self.shared.now();
+        let Some(owner) = &mut self.owner else { return };
+        for action in owner.step(event, now) {
+            match action {
+                Action::Read => self.call = Some(read(self.client.clone(), self.name.clone())),
+                Action::Write {
+                    expected,
+                    partition,
+                } => {
+                    let (client, name) = (self.client.clone(), self.name.clone());
+                    self.call = Some(write(client, name, expected, partition));
+                }
+                // Senders whose receiver is gone need no answer.
+                Action::Reply { id, reply } => {
+                    let _ = take(&mut self.claims, id).map(|to| to.send(reply));
+                }
+                Action::Completed { id, accepted } => {
+                    let _ = take(&mut self.completions, id).map(|to| to.send(accepted));
+                }
+                Action::Started => tracing::info!(partition = self.name, "ledger partition held"),
+                Action::Stopped => {
+                    tracing::info!(partition = self.name, "ledger partition no longer held");
+                }
+            }
+        }
+    }
+}
+
+fn take<T>(waiting: &mut Vec<(u64, T)>, id: u64) -> Option<T> {
+    let index = waiting.iter().position(|(of, _)| *of == id)?;
+    Some(waiting.swap_remove(index).1)
+}
+
+async fn pending_call(call: &mut Option<Call>) -> Event {
+    match call {
+        Some(call) => call.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep(wait: Option<Duration>) {
+    match wait {
+        Some(wait) => tokio::time::sleep(wait).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn read(client: Client, name: String) -> Call {
+    Box::pin(async move {
+        let object = match client.get("ledger", &name).await {
+            Ok(Some(object)) => object,
+            Ok(None) => return Event::Found(None),
+            Err(error) => {
+                tracing::debug!(partition = name, %error, "ledger partition not read");
+                return Event::ReadFailed;
+            }
+        };
+        match Partition::parse(object.value.get()) {
+            Ok(partition) => Event::Found(Some((object.version, Arc::new(partition)))),
+            Err(error) => {
+                tracing::error!(partition = name, %error, "ledger partition not readable");
+                Event::ReadFailed
+            }
+        }
+    })
+}
+
+fn write(client: Client, name: String, expected: u64, partition: Arc<Partition>) -> Call {
+    Box::pin(async move {
+        let update = client.put("ledger", &name, expected, &*partition).await;
+        Event::Written(match update {
+            berylgw_platform::Update::Applied(version) => Update::Applied(version),
+            berylgw_platform::Update::Conflict(_) => Update::Conflict,
+            berylgw_platform::Update::Refused(_) => Update::Refused,
+            berylgw_platform::Update::Unknown(_) => Update::Unknown,
+        })
+    })
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,8 +9,10 @@
 mod callers;
 mod control;
 mod dispatch;
+mod ledger;
 mod limits;
 mod metrics;
+mod once;
 mod pool;
 mod probe;
 mod register;
@@ -21,4 +23,4 @@
 mod sync;
 
 pub use server::Entry;
-pub use settings::{Limits, Listen, Platform, Settings};
+pub use settings::{Ledger, Limits, Listen, Platform, Settings};
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use berylgw_runtime::{log, metrics as endpoint};
+use berylgw_wire::ledger_server::LedgerServer;
 use berylgw_wire::sync_server::SyncServer;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
@@ -19,7 +20,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::shared::{Current, Newer, Shared};
-use crate::{callers, control, probe, register, sync};
+use crate::{callers, control, ledger, probe, register, sync};
 
 /// Longest time a caller may take to send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -34,6 +35,7 @@
     peers: std::net::TcpListener,
     publish: watch::Sender<Current>,
     newer: mpsc::Receiver<Newer>,
+    inbox: ledger::Inbox,
     stopping: watch::Sender<bool>,
 }
 
@@ -51,13 +53,15 @@
         let (sender, newer) = mpsc::channel(NEWER_WAITING);
         let (stopping, stopped) = watch::channel(false);
         let metrics = Metrics::new().map_err(io::Error::other)?;
-        let shared = Shared::new(settings, current, sender, stopped, metrics);
+        let (ledger, inbox) = ledger::channel(settings.ledger.partitions);
+        let shared = Shared::new(settings, current, sender, stopped, metrics, ledger);
         Ok(Entry {
             shared: Arc::new(shared),
             callers,
             peers,
             publish,
             newer,
+            inbox,
             stopping,
         })
     }
@@ -101,6 +105,7 @@
             shared: shared.clone(),
             publish: self.publish,
             newer: self.newer,
+            inbox: self.inbox,
             peers: self.peers,
             ended: ended.clone(),
         };
@@ -217,6 +222,7 @@
     shared: Arc<Shared>,
     publish: watch::Sender<Current>,
     newer: mpsc::Receiver<Newer>,
+    inbox: ledger::Inbox,
     peers: std::net::TcpListener,
     ended: watch::Receiver<bool>,
 }
@@ -241,12 +247,18 @@
         };
         let server = tonic::transport::Server::builder()
             .add_service(SyncServer::new(sync::Service(self.shared.clone())))
+            .add_service(LedgerServer::new(ledger::Service(self.shared.clone())))
             .serve_with_incoming_shutdown(peers, until(self.ended.clone()));
         let served = tokio::spawn(server);
+        let owners = ledger::run(self.shared.clone(), self.inbox, self.ended.clone());
+        let owners = tokio::spawn(owners);
         tokio::select! {
             () = control::run(self.shared, self.publish, self.newer) => {}
             () = until(self.ended) => {}
         }
+        if let Err(error) = owners.await {
+            tracing::error!(%error, "ledger loops ended");
+        }
         if let Ok(Err(error)) = served.await {
             tracing::warn!(%error, "peer server ended");
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -25,6 +25,29 @@
     /// Limits and timeouts.
     #[serde(default)]
     pub limits: Limits,
+    /// Claims of idempotency keys.
+    #[serde(default)]
+    pub ledger: Ledger,
+}
+
+/// Claims of idempotency keys.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Ledger {
+    /// Number of partitions. It has to be the same at all entries: with
+    /// another number a key has another owner, and a resend could run again.
+    pub partitions: u32,
+    /// Term of a partition's lease.
+    pub term_ms: u64,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Ledger {
+            partitions: 16,
+            term_ms: 6_000,
+        }
+    }
 }
 
 /// Addresses to bind; port 0 lets the system choose.
@@ -131,6 +154,8 @@
             ("limits.progress_ms", self.limits.progress_ms),
             ("limits.connect_ms", self.limits.connect_ms),
             ("limits.request_ms", self.limits.request_ms),
+            ("ledger.partitions", self.ledger.partitions.into()),
+            ("ledger.term_ms", self.ledger.term_ms),
         ];
         for (field, value) in positive {
             if value == 0 {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{mpsc, watch};
 
+use crate::ledger;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -63,6 +64,9 @@
     pub stopping: watch::Receiver<bool>,
     pub pool: Pool,
     pub metrics: Metrics,
+    pub ledger: ledger::Handle,
+    // Incarnations of agents and peers by name, sorted.
+    incarnations: Mutex<Vec<(Arc<str>, u64)>>,
     table: Mutex<route::Table>,
     rng: Mutex<ChaCha8Rng>,
     retries: Mutex<retry::Budget>,
@@ -77,6 +81,7 @@
         newer: mpsc::Sender<Newer>,
         stopping: watch::Receiver<bool>,
         metrics: Metrics,
+        ledger: ledger::Handle,
     ) -> Self {
         let clock = Clock::start();
         let limits = &settings.limits;
@@ -90,6 +95,8 @@
             stopping,
             pool: Pool::new(limits.connect()),
             metrics,
+            ledger,
+            incarnations: Mutex::default(),
             table: Mutex::new(route::Table::new(&settings.domain)),
             rng: Mutex::new(rng),
             retries: Mutex::new(retry::Budget::new(clock.now())),
@@ -139,6 +146,7 @@
     /// Asks the control thread to pull if the process at `address` knows more.
     pub fn saw(&self, address: SocketAddr, sender: Option<&wire::Sender>) {
         let Some(sender) = sender else { return };
+        self.note_incarnation(sender);
         let version = sender.config_version;
         if version > self.current.borrow().view.version().into() {
             // If the queue is full, a pull is under way already.
@@ -147,6 +155,23 @@
     }
 }
 
+impl Shared {
+    /// Incarnation of the process with this name in its last message.
+    pub fn incarnation_of(&self, name: &str) -> Option<u64> {
+        let known = lock(&self.incarnations);
+        let index = known.binary_search_by(|(of, _)| (**of).cmp(name)).ok()?;
+        Some(known[index].1)
+    }
+
+    fn note_incarnation(&self, sender: &wire::Sender) {
+        let mut known = lock(&self.incarnations);
+        match known.binary_search_by(|(of, _)| (**of).cmp(&sender.name)) {
+            Ok(index) => known[index].1 = sender.incarnation,
+            Err(index) => known.insert(index, (sender.name.as_str().into(), sender.incarnation)),
+        }
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -1,16 +1,18 @@
 //! In-process stand-ins for the platform and an agent.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use axum::extract::{Path, Query, Request, State};
+use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, put};
 use axum::{Json, Router};
-use berylgw_entry::{Entry, Limits, Listen, Platform, Settings};
+use berylgw_entry::{Entry, Ledger, Limits, Listen, Platform, Settings};
 use berylgw_wire as wire;
 use futures_util::Stream;
 use http_body_util::{BodyExt, Full};
@@ -67,6 +69,7 @@
 pub struct FakePlatform {
     pub sheet: Arc<watch::Sender<(u64, Value)>>,
     pub hosts: Arc<watch::Sender<Vec<Value>>>,
+    ledger: Arc<Mutex<BTreeMap<String, (u64, Value)>>>,
 }
 
 impl FakePlatform {
@@ -74,9 +77,11 @@
         let platform = FakePlatform {
             sheet: Arc::new(watch::Sender::new((7, sheet))),
             hosts: Arc::new(watch::Sender::new(Vec::new())),
+            ledger: Arc::default(),
         };
         let router = Router::new()
             .route("/v1/objects/config", get(objects))
+            .route("/v1/objects/ledger/{name}", get(read).put(write))
             .route("/v1/hosts", get(|| async { Json(json!({"hosts": []})) }))
             .route("/v1/hosts/{name}", put(register))
             .with_state(platform.clone());
@@ -116,6 +121,31 @@
     axum::body::Body::from_stream(lines).into_response()
 }
 
+async fn read(State(platform): State<FakePlatform>, Path(name): Path<String>) -> Response {
+    match platform.ledger.lock().unwrap().get(&name) {
+        Some((version, value)) => {
+            Json(json!({"name": name, "version": version, "value": value})).into_response()
+        }
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+async fn write(
+    State(platform): State<FakePlatform>,
+    Path(name): Path<String>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let mut objects = platform.ledger.lock().unwrap();
+    let version = objects.get(&name).map_or(0, |object| object.0);
+    if headers["if-match"] != version.to_string() {
+        return (StatusCode::CONFLICT, Json(json!({"version": version}))).into_response();
+    }
+    let value = serde_json::from_slice(&body).unwrap();
+    objects.insert(name, (version + 1, value));
+    Json(json!({"version": version + 1})).into_response()
+}
+
 async fn register(
     State(platform): State<FakePlatform>,
     Path(_): Path<String>,
@@ -198,6 +228,17 @@
     script: Arc<Script>,
 }
 
+impl FakeAgent {
+    // Claims name the plain service's server.
+    fn sender(&self) -> wire::Sender {
+        wire::Sender {
+            name: format!("p{}", self.index),
+            incarnation: 7,
+            config_version: 0,
+        }
+    }
+}
+
 #[tonic::async_trait]
 impl wire::agent_server::Agent for FakeAgent {
     type DispatchStream =
@@ -226,6 +267,7 @@
             ..wire::Load::default()
         });
         Ok(tonic::Response::new(wire::ProbeReply {
+            sender: Some(self.sender()),
             load,
             ..wire::ProbeReply::default()
         }))
@@ -235,7 +277,12 @@
         &self,
         _: tonic::Request<wire::SealRequest>,
     ) -> Result<tonic::Response<wire::SealReply>, Status> {
-        Err(Status::unimplemented("seal"))
+        // The agent passed the request on and has no result.
+        Ok(tonic::Response::new(wire::SealReply {
+            sender: Some(self.sender()),
+            outcome: wire::Outcome::Unknown.into(),
+            result: None,
+        }))
     }
 
     async fn issue_ticket(
@@ -314,6 +361,7 @@
         },
         seeds: Vec::new(),
         limits,
+        ledger: Ledger::default(),
     }
 }
 
--- a/crates/entry/tests/retry.rs
+++ b/crates/entry/tests/retry.rs
@@ -59,19 +59,77 @@
     assert_eq!(count.load(Ordering::SeqCst), 1);
 }
 
-/// Guards against a second run of a keyed request while there are no claims.
+/// Guards against a second dispatch of a keyed request whose first one may run.
 #[tokio::test]
 async fn keyed_silent_not_repeated() {
     let held = Mutex::new(Vec::new());
     let (script, count) = after(move |arrival| held.lock().unwrap().push(arrival), body);
     let rig = Rig::start(&agents(2, script).await, short()).await;
     let headers = [("idempotency-key", "k")];
-    let (_, refusal) = rig.call("GET", "/services/p/x", &headers, "").await;
+    let refusal = keyed(&rig, &headers, "").await;
     assert_eq!(refusal["error"]["reason"], "connection_lost");
     assert_eq!(refusal["error"]["outcome"], "unknown");
+    let resent = keyed(&rig, &headers, "").await;
+    assert_eq!(resent["error"]["reason"], "key_pending");
+    assert_eq!(resent["error"]["outcome"], "unknown");
     assert_eq!(count.load(Ordering::SeqCst), 1);
 }
 
+/// The answer to a keyed request, once the ledger partition is held.
+async fn keyed(rig: &Rig, headers: &[(&str, &str)], body: &'static str) -> serde_json::Value {
+    loop {
+        let (_, answer) = rig.call("POST", "/services/p/x", headers, body).await;
+        if answer["error"]["reason"] != "ledger_unavailable" {
+            return answer;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against a resend that runs again, or that gets another answer than
+/// the first run.
+#[tokio::test]
+async fn keyed_resent_replayed() {
+    let first = |arrival: Arrival| {
+        assert!(arrival.request.claim.is_some());
+        arrival.answer(200, &["{\"serial\":1}".to_owned()]);
+    };
+    let (script, count) = after(first, body);
+    let rig = Rig::start(&agents(2, script).await, short()).await;
+    let headers = [("idempotency-key", "k")];
+    let answer = keyed(&rig, &headers, "a").await;
+    assert_eq!(answer["serial"], 1);
+    // The result is reported after the answer.
+    let resent = loop {
+        let resent = keyed(&rig, &headers, "a").await;
+        if resent["error"]["reason"] != "key_pending" {
+            break resent;
+        }
+    };
+    assert_eq!(resent, answer);
+    let other = keyed(&rig, &headers, "b").await;
+    assert_eq!(other["error"]["reason"], "key_reused");
+    assert_eq!(other["error"]["outcome"], "unknown");
+    assert_eq!(count.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against `not run` where the ledger was not asked, and against
+/// `unknown` for the first sending.
+#[tokio::test]
+async fn keyed_refused_before_ledger() {
+    let (script, _) = after(body, body);
+    let rig = Rig::start(&agents(1, script).await, short()).await;
+    let key = ("idempotency-key", "k");
+    let (_, refusal) = rig.call("POST", "/services/x/x", &[key], "").await;
+    assert_eq!(refusal["error"]["outcome"], "unknown");
+    let headers = [key, ("berylgw-sending", "1")];
+    let (_, refusal) = rig.call("POST", "/services/x/x", &headers, "").await;
+    assert_eq!(refusal["error"]["outcome"], "not-run");
+    let headers = [key, ("berylgw-sending", "2")];
+    let (_, refusal) = rig.call("POST", "/services/x/x", &headers, "").await;
+    assert_eq!(refusal["error"]["outcome"], "unknown");
+}
+
 /// Guards against tokens lost or repeated when a connection breaks.
 #[tokio::test]
 async fn stream_broken_resumes() {
@@ -244,6 +302,7 @@
     };
     let rig = Rig::start(&agents(1, script).await, limits).await;
     let response = rig.send("GET", "/services/p/x", &[], "").await;
+    assert_eq!(response.status(), 200);
     while rig.refusals("slow_reader") < 1.0 {
         tokio::task::yield_now().await;
     }
--- a/crates/testkit/src/bin/berylgw-demo.rs
+++ b/crates/testkit/src/bin/berylgw-demo.rs
@@ -174,11 +174,13 @@
         method: Method::POST,
         path,
         key: Some(booking),
+        sending: None,
         ticket: None,
         body: json!({ "booking": booking }),
     };
-    let first: Value = retried(async || client.call(call.clone()).await).await?;
-    let second: Value = retried(async || client.call(call.clone()).await).await?;
+    // A key makes it safe to send again after any refusal.
+    let first: Value = resent(async || client.call(call.clone()).await).await?;
+    let second: Value = resent(async || client.call(call.clone()).await).await?;
     println!("{service}: {first}, sent again: {second}");
     if first != second {
         return Err(format!("{service}: the request ran twice").into());
@@ -188,16 +190,26 @@
 
 /// Repeats a call that was not run, as its refusal asks.
 async fn retried<T>(call: impl AsyncFn() -> Result<T, client::Error>) -> Result<T, client::Error> {
+    repeated(call, |refusal| refusal.outcome == Outcome::NotRun).await
+}
+
+/// Repeats a call with an idempotency key, as its refusal asks.
+async fn resent<T>(call: impl AsyncFn() -> Result<T, client::Error>) -> Result<T, client::Error> {
+    repeated(call, |_| true).await
+}
+
+async fn repeated<T>(
+    call: impl AsyncFn() -> Result<T, client::Error>,
+    again: impl Fn(&Refusal) -> bool,
+) -> Result<T, client::Error> {
     let mut attempt = 1;
     loop {
         let error = match call().await {
             Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
-        let not_run = error
-            .refusal()
-            .filter(|refusal| refusal.outcome == Outcome::NotRun);
-        let Some(refusal) = not_run.filter(|_| attempt < ATTEMPTS) else {
+        let refusal = error.refusal().filter(|refusal| again(refusal));
+        let Some(refusal) = refusal.filter(|_| attempt < ATTEMPTS) else {
             return Err(error);
         };
         if attempt == 1 {
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -18,6 +18,7 @@
 use serde_json::{Value, json};
 
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const SENDING: &str = "berylgw-sending";
 const TICKET: &str = "berylgw-ticket";
 
 /// Why a call has no complete answer.
@@ -91,6 +92,8 @@
     pub path: &'a str,
     /// Idempotency key.
     pub key: Option<&'a str>,
+    /// Number of this sending of the key, from 1, if the caller tells it.
+    pub sending: Option<u32>,
     /// Ticket.
     pub ticket: Option<&'a str>,
     /// JSON body.
@@ -148,6 +151,9 @@
         if let Some(key) = call.key {
             request = request.header(IDEMPOTENCY_KEY, key);
         }
+        if let Some(sending) = call.sending {
+            request = request.header(SENDING, sending);
+        }
         if let Some(ticket) = call.ticket {
             request = request.header(TICKET, ticket);
         }
