Encrypt connections with callers and between processes

Cause: bearer tokens and requests were sent in clear text, and an agent took work from every process that could connect to it.

Change: optional tls sections in entry.yaml and agent.yaml. Callers get TLS, entries and agents mutual TLS by rustls with the ring provider. A receiver compares the sender of each message with the certificate's name and the sheet; the connecting side compares the certificate with the name that the sheet has at the address. Files are read again at an interval and on SIGHUP. Connections, streams per connection, request heads and bodies, and peer messages are bounded.

A seed's name is not known before the first sheet, so any certificate of the authority is accepted there.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use berylgw_core::config::{Snapshot, Version, View};
+use berylgw_runtime::tls::{Connector, Peers};
 use berylgw_wire as wire;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -71,6 +72,8 @@
     pub published: watch::Sender<Arc<Published>>,
     /// Versions seen in requests.
     pub hints: mpsc::Receiver<Hint>,
+    /// Credentials of connections with entries.
+    pub peers: Option<Arc<Peers>>,
     /// Ends the thread when set.
     pub stop: watch::Receiver<bool>,
 }
@@ -83,6 +86,7 @@
     view: View,
     gate: Arc<Gate>,
     published: watch::Sender<Arc<Published>>,
+    peers: Option<Arc<Peers>>,
 }
 
 /// Starts the control thread.
@@ -113,6 +117,7 @@
         view: View::new(),
         gate: inputs.gate.clone(),
         published: inputs.published,
+        peers: inputs.peers,
     }));
     for home in 0..HOMES {
         tokio::task::spawn_local(follow(control.clone(), home));
@@ -152,7 +157,8 @@
     control: &Rc<RefCell<Control>>,
     address: SocketAddr,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let mut client = connect(address).await?;
+    let connector = control.borrow().connector(address);
+    let mut client = connect(address, connector).await?;
     let mut since = control.borrow().view.version();
     let request = control.borrow().request(since);
     let mut stream = timeout(SILENCE, client.follow(request))
@@ -176,7 +182,8 @@
     let addresses = control.borrow().addresses_of(&hint.entry);
     for address in addresses {
         let pull = async {
-            let mut client = connect(address).await.ok()?;
+            let connector = control.borrow().connector(address);
+            let mut client = connect(address, connector).await.ok()?;
             let request = control.borrow().request(since);
             Some(client.pull(request).await.ok()?.into_inner())
         };
@@ -190,14 +197,24 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SyncClient<Channel>, tonic::transport::Error> {
+async fn connect(
+    address: SocketAddr,
+    connector: Connector,
+) -> Result<SyncClient<Channel>, tonic::transport::Error> {
     let channel = Endpoint::from_shared(format!("http://{address}"))?
         .connect_timeout(CALL_TIMEOUT)
-        .connect()
+        .connect_with_connector(connector)
         .await?;
     Ok(SyncClient::new(channel).max_decoding_message_size(MAX_MESSAGE))
 }
 
+/// Name of the entry that the sheet has at `address`.
+fn entry_at(snapshot: &Snapshot, address: SocketAddr) -> Option<Arc<str>> {
+    let entries = &snapshot.sheet.entries;
+    let entry = entries.iter().find(|entry| entry.peer_address == address);
+    entry.map(|entry| entry.name.clone())
+}
+
 async fn watch_load(gate: Arc<Gate>, server: Server, metrics: Arc<Metrics>) {
     loop {
         match timeout(CALL_TIMEOUT, server.load()).await {
@@ -212,6 +229,12 @@
 }
 
 impl Control {
+    fn connector(&self, address: SocketAddr) -> Connector {
+        let published = self.published.subscribe();
+        let expected = move |address| entry_at(&published.borrow().snapshot, address);
+        Connector::new(address, self.peers.clone(), Arc::new(expected))
+    }
+
     /// The next candidate that no other home follows.
     fn choose(&mut self, home: usize) -> Option<SocketAddr> {
         let candidates = self.candidates();
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use berylgw_core::config::Version;
+use berylgw_core::config::{Snapshot, Version};
+use berylgw_core::outcome::{Reason, Refusal};
+use berylgw_runtime::tls;
 use berylgw_wire as wire;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -23,6 +25,16 @@
 /// Wait for a configuration that the sender has and the agent has not.
 const CATCH_UP: Duration = Duration::from_secs(1);
 
+/// Retry time for an entry whose certificate or name is not accepted.
+const RETRY_UNTRUSTED: Duration = Duration::from_secs(1);
+
+/// Whether the sheet has an entry with this name; before the first sheet, any
+/// process with a certificate may call.
+pub fn is_known(snapshot: &Snapshot, name: &str) -> bool {
+    let entries = &snapshot.sheet.entries;
+    entries.is_empty() || entries.iter().any(|entry| *entry.name == *name)
+}
+
 /// Serves the `Agent` interface.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -39,6 +51,18 @@
 }
 
 impl Service {
+    /// Refuses a process that is not the one it claims to be. The sheet counts
+    /// only if the agent has the sender's configuration.
+    fn check<T>(&self, request: &Request<T>, sender: Option<&wire::Sender>) -> Result<(), Status> {
+        let name = sender.map(|sender| &*sender.name);
+        let version = sender.map_or(0, |sender| sender.config_version);
+        let published = self.published.borrow().clone();
+        let newer = Version::from(version) > published.snapshot.version;
+        tls::check(request.extensions(), name, |name| {
+            newer || is_known(&published.snapshot, name)
+        })
+    }
+
     /// Waits briefly for the configuration version of the sender.
     async fn catch_up(&self, sender: Option<&wire::Sender>) {
         let Some(sender) = sender else { return };
@@ -57,12 +81,25 @@
         let _ = timeout(CATCH_UP, caught_up).await;
     }
 
-    async fn serve(self, request: wire::DispatchRequest, frames: mpsc::Sender<run::Frame>) {
-        let mut answer = run::Answer::new(&request, self.gate.clone(), frames);
+    async fn serve(
+        self,
+        request: Request<wire::DispatchRequest>,
+        frames: mpsc::Sender<run::Frame>,
+    ) {
+        let message = request.get_ref();
+        let mut answer = run::Answer::new(message, self.gate.clone(), frames);
         tokio::select! {
-            () = self.catch_up(request.sender.as_ref()) => {}
+            () = self.catch_up(message.sender.as_ref()) => {}
             () = answer.dropped() => return,
         }
+        // The configuration that came meanwhile may not have the sender.
+        if let Err(status) = self.check(&request, message.sender.as_ref()) {
+            let refusal = Refusal::not_run(Reason::AgentUnreachable, RETRY_UNTRUSTED);
+            let refusal = refusal.with_message(status.message());
+            self.metrics.refused(refusal.reason);
+            return answer.refuse(&refusal).await;
+        }
+        let request = request.into_inner();
         let refusal = match self.gate.admit(&request) {
             Ok(admitted) => run::run(&self, request, admitted, &mut answer).await.err(),
             Err(refusal) => Some(refusal),
@@ -82,8 +119,9 @@
         &self,
         request: Request<wire::DispatchRequest>,
     ) -> Result<Response<Self::DispatchStream>, Status> {
+        self.check(&request, request.get_ref().sender.as_ref())?;
         let (sender, receiver) = mpsc::channel(FRAMES_BUFFERED);
-        tokio::spawn(self.clone().serve(request.into_inner(), sender));
+        tokio::spawn(self.clone().serve(request, sender));
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
@@ -91,6 +129,7 @@
         &self,
         request: Request<wire::ProbeRequest>,
     ) -> Result<Response<wire::ProbeReply>, Status> {
+        self.check(&request, request.get_ref().sender.as_ref())?;
         if let Some(sender) = &request.get_ref().sender {
             self.hint(sender);
         }
@@ -105,6 +144,7 @@
         &self,
         request: Request<wire::SealRequest>,
     ) -> Result<Response<wire::SealReply>, Status> {
+        self.check(&request, request.get_ref().sender.as_ref())?;
         let Some(claim) = &request.get_ref().claim else {
             return Err(Status::invalid_argument("claim is missing"));
         };
@@ -115,6 +155,7 @@
         &self,
         request: Request<wire::TicketRequest>,
     ) -> Result<Response<wire::TicketReply>, Status> {
+        self.check(&request, request.get_ref().sender.as_ref())?;
         let mut reply = wire::TicketReply {
             sender: Some(self.gate.current_sender()),
             ..Default::default()
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -3,11 +3,12 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
+use berylgw_runtime::tls::{self, Peers, Reload};
 use berylgw_wire as wire;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport;
 use wire::agent_server::AgentServer;
 use wire::sync_server::SyncServer;
@@ -25,6 +26,15 @@
 /// Largest request, in bytes.
 const MAX_REQUEST: usize = 64 << 20;
 
+/// Connections that are open at the same time: 380 entries and replacements.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// Calls that run at the same time on one connection.
+const MAX_STREAMS: u32 = 1_024;
+
+/// Interval of HTTP/2 pings on connections of entries.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Why an agent could not start or run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -34,6 +44,9 @@
     /// The gRPC server failed.
     #[error("gRPC server failed: {0}")]
     Serve(#[from] transport::Error),
+    /// A certificate or key file cannot be used.
+    #[error("cannot use TLS: {0}")]
+    Tls(#[from] tls::Error),
     /// A metric could not be registered.
     #[error("cannot register metrics: {0}")]
     Metrics(#[from] prometheus::Error),
@@ -59,6 +72,8 @@
     listener: TcpListener,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
+    let peers = settings.tls.peers.as_ref().map(Peers::load).transpose()?;
+    let peers = peers.map(Arc::new);
     let gate = Arc::new(Gate::new(&settings, rand::random()));
     let metrics = Arc::new(Metrics::new()?);
     let (publish, published) = watch::channel(Arc::new(Published::default()));
@@ -72,6 +87,7 @@
         published: publish,
         hints: hinted,
         stop: stopped.clone(),
+        peers: peers.clone(),
     })?;
     let service = dispatch::Service {
         gate: gate.clone(),
@@ -91,11 +107,18 @@
     );
     let scraped = tokio::spawn(scraped);
     berylgw_runtime::log::listening("agent", listener.local_addr()?);
+    let interval = Duration::from_millis(settings.tls.reload_ms);
+    let files = peers.clone().map(|files| files as Arc<dyn Reload>);
+    let reloads = tokio::spawn(tls::keep_fresh(interval, files.into_iter().collect()));
     let agent = AgentServer::new(service).max_decoding_message_size(MAX_REQUEST);
+    let incoming = tls::incoming(listener, peers, MAX_CONNECTIONS);
     let served = transport::Server::builder()
+        .max_concurrent_streams(MAX_STREAMS)
+        .http2_keepalive_interval(Some(PING_INTERVAL))
+        .http2_keepalive_timeout(Some(PING_INTERVAL))
         .add_service(agent)
         .add_service(SyncServer::new(sync))
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), until(stopped));
+        .serve_with_incoming_shutdown(incoming, until(stopped));
     let leave = async {
         stop.await;
         tracing::info!("leaving");
@@ -109,6 +132,7 @@
     control
         .join()
         .map_err(|_| io::Error::other("the control thread panicked"))?;
+    reloads.abort();
     tracing::info!("stopped");
     Ok(())
 }
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use berylgw_runtime::settings::{Error, Finding};
+use berylgw_runtime::tls::{PeerFiles, Peers};
 use serde::Deserialize;
 
 use crate::call::MAX_RESULT;
@@ -35,6 +36,28 @@
     /// Poison requests.
     #[serde(default)]
     pub quarantine: Quarantine,
+    /// Certificate and key files; connections are plain without them.
+    #[serde(default)]
+    pub tls: Tls,
+}
+
+/// Certificate and key files.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tls {
+    /// For connections with entries, in both directions.
+    pub peers: Option<PeerFiles>,
+    /// Interval at which changed files are looked for; SIGHUP does so at once.
+    pub reload_ms: u64,
+}
+
+impl Default for Tls {
+    fn default() -> Self {
+        Tls {
+            peers: None,
+            reload_ms: 10_000,
+        }
+    }
 }
 
 /// Listener addresses.
@@ -173,5 +196,11 @@
             findings.push(Finding::new(field, "must be at least 1"));
         }
     }
+    if let Some(Err(error)) = settings.tls.peers.as_ref().map(Peers::load) {
+        findings.push(Finding::new("tls.peers", error.to_string()));
+    }
+    if settings.tls.reload_ms == 0 {
+        findings.push(Finding::new("tls.reload_ms", "must be at least 1"));
+    }
     findings
 }
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use berylgw_core::config::Version;
+use berylgw_runtime::tls;
 use berylgw_wire as wire;
 use tokio::sync::watch;
 use tokio_stream::Empty;
@@ -10,6 +11,7 @@
 
 use crate::control::Published;
 use crate::convert;
+use crate::dispatch::is_known;
 use crate::gate::Gate;
 
 /// Serves `Sync.Pull`.
@@ -27,6 +29,12 @@
         &self,
         request: Request<wire::PullRequest>,
     ) -> Result<Response<wire::PullReply>, Status> {
+        let sender = request.get_ref().sender.as_ref();
+        let name = sender.map(|sender| &*sender.name);
+        let snapshot = self.published.borrow().clone();
+        tls::check(request.extensions(), name, |name| {
+            is_known(&snapshot.snapshot, name)
+        })?;
         let since = Version::from(request.get_ref().since);
         let published = self.published.borrow().clone();
         let view = &published.view;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -115,7 +115,7 @@
 
 async fn read_body(shared: &Shared, body: Body) -> Result<Bytes> {
     let limit = shared.settings.limits.body_bytes;
-    let wait = Duration::from_millis(shared.settings.limits.request_ms);
+    let wait = Duration::from_millis(shared.settings.limits.body_ms);
     let bytes = tokio::time::timeout(wait, axum::body::to_bytes(body, limit)).await;
     let bytes = bytes.map_err(|_| refuse(Reason::Deadline, "the body did not arrive in time"))?;
     bytes.map_err(|_| {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! traffic threads authenticate callers, choose backend servers with
 //! [`berylgw_core::route`] and dispatch requests to their agents.
 
+mod accept;
 mod answer;
 mod attempt;
 mod callers;
@@ -15,10 +16,11 @@
 mod probe;
 mod register;
 mod render;
+mod secure;
 mod server;
 mod settings;
 mod shared;
 mod sync;
 
 pub use server::Entry;
-pub use settings::{Limits, Listen, Platform, Settings};
+pub use settings::{Limits, Listen, Platform, Settings, Tls};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -18,6 +18,7 @@
     pub buffered_bytes: IntGauge,
     pub probes: IntCounter,
     pub probe_failures: IntCounter,
+    pub connections_refused: IntCounter,
 }
 
 impl Metrics {
@@ -38,6 +39,10 @@
             buffered_bytes: IntGauge::new("berylgw_buffered_bytes", "Held for slow readers")?,
             probes: IntCounter::new("berylgw_probes_total", "Probes sent")?,
             probe_failures: IntCounter::new("berylgw_probe_failures_total", "Probes failed")?,
+            connections_refused: IntCounter::new(
+                "berylgw_connections_refused_total",
+                "Connections of callers closed at the connection limit",
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -52,6 +57,7 @@
         registry.register(Box::new(metrics.buffered_bytes.clone()))?;
         registry.register(Box::new(metrics.probes.clone()))?;
         registry.register(Box::new(metrics.probe_failures.clone()))?;
+        registry.register(Box::new(metrics.connections_refused.clone()))?;
         Ok(metrics)
     }
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,25 +1,31 @@
 //! Pooled gRPC channels to agents and peers.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use berylgw_runtime::tls::{Connector, Expected, Peers};
 use tonic::transport::{Channel, Endpoint, Error};
 
 /// Interval of HTTP/2 pings on a connection with running calls.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Channels by address, sorted.
-#[derive(Debug)]
 pub struct Pool {
     connect: Duration,
+    peers: Option<Arc<Peers>>,
+    expected: Expected,
     channels: Mutex<Vec<(SocketAddr, Channel)>>,
 }
 
 impl Pool {
-    pub fn new(connect: Duration) -> Self {
+    /// An empty pool; a connection is refused if `expected` has another name
+    /// for its address than the certificate.
+    pub fn new(connect: Duration, peers: Option<Arc<Peers>>, expected: Expected) -> Self {
         Pool {
             connect,
+            peers,
+            expected,
             channels: Mutex::new(Vec::new()),
         }
     }
@@ -33,12 +39,12 @@
         if let Some(channel) = self.known(address) {
             return Ok(channel);
         }
+        let connector = Connector::new(address, self.peers.clone(), self.expected.clone());
         let channel = Endpoint::from_shared(format!("http://{address}"))?
             .connect_timeout(self.connect)
-            .tcp_nodelay(true)
             .http2_keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_INTERVAL)
-            .connect()
+            .connect_with_connector(connector)
             .await?;
         let mut channels = self.lock();
         let by_address = |(known, _): &(SocketAddr, Channel)| known.cmp(&address);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -6,23 +6,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use berylgw_runtime::{log, metrics as endpoint};
+use berylgw_runtime::{log, metrics as endpoint, tls};
 use berylgw_wire::sync_server::SyncServer;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tonic::transport::server::TcpIncoming;
 
 use crate::metrics::Metrics;
+use crate::secure::Credentials;
 use crate::settings::Settings;
 use crate::shared::{Current, Newer, Shared};
-use crate::{callers, control, probe, register, sync};
+use crate::{accept, control, probe, register, sync};
 
-/// Longest time a caller may take to send a request head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Interval of HTTP/2 pings on connections of other processes.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Calls that run at the same time on one connection of another process.
+const PEER_STREAMS: u32 = 64;
+
+/// Largest request of another process, in bytes: a pull has a name and two numbers.
+const PEER_REQUEST: usize = 64 << 10;
 
 /// Hints about newer configurations kept; every further frame repeats them.
 const NEWER_WAITING: usize = 4;
@@ -42,7 +45,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if an address cannot be bound.
+    /// Fails if an address cannot be bound or a certificate file cannot be used.
     pub async fn bind(settings: Settings) -> io::Result<Self> {
         let callers = TcpListener::bind(settings.listen.callers).await?;
         let peers = std::net::TcpListener::bind(settings.listen.peers)?;
@@ -51,7 +54,8 @@
         let (sender, newer) = mpsc::channel(NEWER_WAITING);
         let (stopping, stopped) = watch::channel(false);
         let metrics = Metrics::new().map_err(io::Error::other)?;
-        let shared = Shared::new(settings, current, sender, stopped, metrics);
+        let tls = Credentials::load(&settings.tls).map_err(io::Error::other)?;
+        let shared = Shared::new(settings, tls, current, sender, stopped, metrics);
         Ok(Entry {
             shared: Arc::new(shared),
             callers,
@@ -108,16 +112,19 @@
         let metrics = shared.settings.listen.metrics;
         let scrape = tokio::spawn(endpoint::serve(metrics, registry, until(ended)));
         let probes = tokio::spawn(probe::run(shared.clone()));
+        let interval = Duration::from_millis(shared.settings.tls.reload_ms);
+        let reloads = tokio::spawn(tls::keep_fresh(interval, shared.tls.reloads()));
         let announced = tokio::spawn(announce(shared.clone(), address));
 
         let connections = GracefulShutdown::new();
         tokio::select! {
-            () = accept(&self.callers, &shared, &connections) => {}
+            () = accept::run(&self.callers, &shared, &connections) => {}
             () = leave(stop, &shared, address, &self.stopping, announced) => {}
         }
         drop(self.callers);
         connections.shutdown().await;
         probes.abort();
+        reloads.abort();
         // Receivers are gone only if their task ended before.
         let _ = ending.send(true);
         let joined = tokio::task::spawn_blocking(move || thread.join()).await;
@@ -169,49 +176,6 @@
     let _ = ended.wait_for(|ended| *ended).await;
 }
 
-async fn accept(listener: &TcpListener, shared: &Arc<Shared>, connections: &GracefulShutdown) {
-    let router = callers::router(shared.clone());
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => serve(stream, &router, shared, connections),
-            Err(error) => {
-                // Out of file descriptors: give running requests time to end.
-                tracing::warn!(%error, "connection not accepted");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
-fn serve(
-    stream: TcpStream,
-    router: &axum::Router,
-    shared: &Shared,
-    connections: &GracefulShutdown,
-) {
-    // Without the option only latency suffers.
-    let _ = stream.set_nodelay(true);
-    let head = shared.settings.limits.header_bytes;
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(head);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_header_list_size(u32::try_from(head).unwrap_or(u32::MAX));
-    let service = TowerToHyperService::new(router.clone());
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let connection = connections.watch(connection.into_owned());
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(%error, "connection ended");
-        }
-    });
-}
-
 /// What the control thread works with.
 struct Control {
     shared: Arc<Shared>,
@@ -233,14 +197,22 @@
 
     async fn run(self) {
         let peers = match TcpListener::from_std(self.peers) {
-            Ok(peers) => TcpIncoming::from(peers).with_nodelay(Some(true)),
+            Ok(peers) => tls::incoming(
+                peers,
+                self.shared.tls.peers.clone(),
+                self.shared.settings.limits.peer_connections,
+            ),
             Err(error) => {
                 tracing::error!(%error, "peers cannot be served");
                 return;
             }
         };
+        let service = SyncServer::new(sync::Service(self.shared.clone()));
         let server = tonic::transport::Server::builder()
-            .add_service(SyncServer::new(sync::Service(self.shared.clone())))
+            .max_concurrent_streams(PEER_STREAMS)
+            .http2_keepalive_interval(Some(PING_INTERVAL))
+            .http2_keepalive_timeout(Some(PING_INTERVAL))
+            .add_service(service.max_decoding_message_size(PEER_REQUEST))
             .serve_with_incoming_shutdown(peers, until(self.ended.clone()));
         let served = tokio::spawn(server);
         tokio::select! {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use berylgw_runtime::settings::Finding;
+use berylgw_runtime::tls::{CallerFiles, PeerFiles};
 use serde::Deserialize;
 
+use crate::secure;
+
 /// Settings of one entry.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +28,31 @@
     /// Limits and timeouts.
     #[serde(default)]
     pub limits: Limits,
+    /// Certificate and key files; connections are plain without them.
+    #[serde(default)]
+    pub tls: Tls,
+}
+
+/// Certificate and key files.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tls {
+    /// For connections of callers.
+    pub callers: Option<CallerFiles>,
+    /// For connections with other berylgw processes, in both directions.
+    pub peers: Option<PeerFiles>,
+    /// Interval at which changed files are looked for; SIGHUP does so at once.
+    pub reload_ms: u64,
+}
+
+impl Default for Tls {
+    fn default() -> Self {
+        Tls {
+            callers: None,
+            peers: None,
+            reload_ms: 10_000,
+        }
+    }
 }
 
 /// Addresses to bind; port 0 lets the system choose.
@@ -82,6 +110,16 @@
     pub directory_ms: u64,
     /// Backend servers probed per service and second.
     pub probes: usize,
+    /// Connections of callers that are open at the same time.
+    pub connections: usize,
+    /// Connections of other processes that are open at the same time.
+    pub peer_connections: usize,
+    /// Requests that run at the same time on one HTTP/2 connection.
+    pub streams: u32,
+    /// Longest time until a request head has arrived.
+    pub head_ms: u64,
+    /// Longest time until a request body has arrived.
+    pub body_ms: u64,
 }
 
 impl Default for Limits {
@@ -99,6 +137,11 @@
             leave_ms: 1_000,
             directory_ms: 10_000,
             probes: 3,
+            connections: 8_192,
+            peer_connections: 8_192,
+            streams: 100,
+            head_ms: 10_000,
+            body_ms: 60_000,
         }
     }
 }
@@ -131,6 +174,14 @@
             ("limits.progress_ms", self.limits.progress_ms),
             ("limits.connect_ms", self.limits.connect_ms),
             ("limits.request_ms", self.limits.request_ms),
+            ("limits.connections", self.limits.connections as u64),
+            (
+                "limits.peer_connections",
+                self.limits.peer_connections as u64,
+            ),
+            ("limits.streams", u64::from(self.limits.streams)),
+            ("limits.head_ms", self.limits.head_ms),
+            ("limits.body_ms", self.limits.body_ms),
         ];
         for (field, value) in positive {
             if value == 0 {
@@ -145,6 +196,7 @@
                 findings.push(Finding::new(field, "must not be empty"));
             }
         }
+        findings.extend(secure::check(&self.tls));
         findings
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::secure::{self, Credentials};
 use crate::settings::Settings;
 
 /// What the control thread publishes.
@@ -63,6 +64,7 @@
     pub stopping: watch::Receiver<bool>,
     pub pool: Pool,
     pub metrics: Metrics,
+    pub tls: Credentials,
     table: Mutex<route::Table>,
     rng: Mutex<ChaCha8Rng>,
     retries: Mutex<retry::Budget>,
@@ -73,6 +75,7 @@
 impl Shared {
     pub fn new(
         settings: Settings,
+        tls: Credentials,
         current: watch::Receiver<Current>,
         newer: mpsc::Sender<Newer>,
         stopping: watch::Receiver<bool>,
@@ -82,14 +85,18 @@
         let limits = &settings.limits;
         let buffers = buffer::Budget::new(limits.stream_buffer_bytes, limits.buffer_bytes);
         let mut rng = ChaCha8Rng::from_os_rng();
+        let names = current.clone();
+        let expected = move |address| secure::name_at(&names.borrow().snapshot, address);
+        let pool = Pool::new(limits.connect(), tls.peers.clone(), Arc::new(expected));
         Shared {
             clock,
             incarnation: rng.random(),
             current,
             newer,
             stopping,
-            pool: Pool::new(limits.connect()),
+            pool,
             metrics,
+            tls,
             table: Mutex::new(route::Table::new(&settings.domain)),
             rng: Mutex::new(rng),
             retries: Mutex::new(retry::Budget::new(clock.now())),
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use berylgw_core::config::{Object, Version};
+use berylgw_runtime::tls;
 use berylgw_wire as wire;
 use futures_util::{Stream, stream};
 use tonic::{Request, Response, Status};
 
+use crate::secure;
 use crate::shared::{Current, Shared};
 
 /// Longest pause between replies of a follow stream.
@@ -23,6 +25,16 @@
 pub struct Service(pub Arc<Shared>);
 
 impl Service {
+    /// Refuses a process that is not the one it claims to be.
+    fn check(&self, request: &Request<wire::PullRequest>) -> Result<(), Status> {
+        let snapshot = self.0.current().snapshot;
+        let sender = request.get_ref().sender.as_ref();
+        let name = sender.map(|sender| &*sender.name);
+        tls::check(request.extensions(), name, |name| {
+            secure::is_known(&snapshot, name)
+        })
+    }
+
     /// Notes the version of the asking process, to pull from it if it is newer.
     fn note(&self, sender: Option<&wire::Sender>) {
         let Some(sender) = sender else { return };
@@ -90,6 +102,7 @@
         &self,
         request: Request<wire::PullRequest>,
     ) -> Result<Response<wire::PullReply>, Status> {
+        self.check(&request)?;
         let request = request.into_inner();
         self.note(request.sender.as_ref());
         let current = self.0.current();
@@ -100,6 +113,7 @@
         &self,
         request: Request<wire::PullRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
+        self.check(&request)?;
         let request = request.into_inner();
         self.note(request.sender.as_ref());
         let mut changes = self.0.current.clone();
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`metrics`] serves a Prometheus registry over HTTP.
 //! - [`signal`] waits for the request to stop.
 //! - [`clock`] turns the process clock into [`berylgw_core::clock::Instant`].
+//! - [`tls`] encrypts connections of callers and between processes.
 //! - [`args`] parses the command line that all servers share.
 
 pub mod args;
@@ -14,3 +15,4 @@
 pub mod metrics;
 pub mod settings;
 pub mod signal;
+pub mod tls;
--- /dev/null
+++ b/crates/runtime/src/tls/client.rs
@@ -0,0 +1,150 @@
+//! Connections to other berylgw processes.
+
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use hyper_util::rt::TokioIo;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::client::verify_server_cert_signed_by_trust_anchor;
+use rustls::crypto::{WebPkiSupportedAlgorithms, verify_tls12_signature, verify_tls13_signature};
+use rustls::pki_types::{CertificateDer, ServerName, UnixTime};
+use rustls::server::ParsedCertificate;
+use rustls::{DigitallySignedStruct, RootCertStore, SignatureScheme};
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+
+use super::files::{Peers, provider};
+use super::peer::Peer;
+use super::stream::Stream;
+
+/// Verifies the chain of a server certificate; its name is compared after the
+/// handshake, because the name behind a seed address is not known.
+#[derive(Debug)]
+pub(super) struct ChainOnly {
+    roots: Arc<RootCertStore>,
+    algorithms: WebPkiSupportedAlgorithms,
+}
+
+impl ChainOnly {
+    pub(super) fn new(roots: Arc<RootCertStore>) -> Self {
+        let algorithms = provider().signature_verification_algorithms;
+        ChainOnly { roots, algorithms }
+    }
+}
+
+impl ServerCertVerifier for ChainOnly {
+    fn verify_server_cert(
+        &self,
+        end_entity: &CertificateDer<'_>,
+        intermediates: &[CertificateDer<'_>],
+        _server_name: &ServerName<'_>,
+        _ocsp_response: &[u8],
+        now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        let certificate = ParsedCertificate::try_from(end_entity)?;
+        verify_server_cert_signed_by_trust_anchor(
+            &certificate,
+            &self.roots,
+            intermediates,
+            now,
+            self.algorithms.all,
+        )?;
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        verify_tls12_signature(message, certificate, signature, &self.algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        verify_tls13_signature(message, certificate, signature, &self.algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.algorithms.supported_schemes()
+    }
+}
+
+/// Name of the process that the sheet has at an address, if it is known.
+pub type Expected = Arc<dyn Fn(SocketAddr) -> Option<Arc<str>> + Send + Sync>;
+
+/// Connects to one address, with mutual TLS if there are credentials.
+///
+/// It is meant for `tonic::transport::Endpoint::connect_with_connector`. The
+/// credentials and the expected name are looked up for each connection.
+#[derive(Clone)]
+pub struct Connector {
+    address: SocketAddr,
+    peers: Option<Arc<Peers>>,
+    expected: Expected,
+}
+
+impl fmt::Debug for Connector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connector")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Connector {
+    /// A connector to `address`; it is plain without `peers`.
+    pub fn new(address: SocketAddr, peers: Option<Arc<Peers>>, expected: Expected) -> Self {
+        Connector {
+            address,
+            peers,
+            expected,
+        }
+    }
+
+    async fn connect(self) -> io::Result<TokioIo<Stream>> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let Some(peers) = self.peers else {
+            return Ok(TokioIo::new(Stream::plain(stream)));
+        };
+        let connector = TlsConnector::from(peers.current().client.clone());
+        let name = ServerName::from(self.address.ip());
+        let stream = connector.connect(name, stream).await?;
+        let peer = Peer::of(stream.get_ref().1.peer_certificates());
+        if let Some(expected) = (self.expected)(self.address)
+            && !peer.is(&expected)
+        {
+            let message = format!(
+                "the certificate at {} is not for {expected:?}, which the sheet has there",
+                self.address
+            );
+            return Err(io::Error::new(io::ErrorKind::PermissionDenied, message));
+        }
+        Ok(TokioIo::new(Stream::client(stream, peer)))
+    }
+}
+
+impl<R> tower_service::Service<R> for Connector {
+    type Response = TokioIo<Stream>;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _: R) -> Self::Future {
+        Box::pin(self.clone().connect())
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/tls/incoming.rs
@@ -0,0 +1,81 @@
+//! Connections that other berylgw processes open.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{sleep, timeout};
+use tokio_rustls::TlsAcceptor;
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::HANDSHAKE_TIMEOUT;
+use super::files::Peers;
+use super::stream::Stream;
+
+/// Accepted connections, for `tonic`'s `serve_with_incoming`.
+pub type Incoming = ReceiverStream<io::Result<Stream>>;
+
+/// Connections whose handshake is finished and that wait to be served.
+const WAITING: usize = 16;
+
+/// Accepts connections, with mutual TLS if there are credentials.
+///
+/// At most `connections` are open at the same time; further ones wait in the
+/// listener's backlog. The listener closes when the result is dropped.
+pub fn incoming(listener: TcpListener, peers: Option<Arc<Peers>>, connections: usize) -> Incoming {
+    let (sender, receiver) = mpsc::channel(WAITING);
+    tokio::spawn(accept(listener, peers, connections, sender));
+    ReceiverStream::new(receiver)
+}
+
+async fn accept(
+    listener: TcpListener,
+    peers: Option<Arc<Peers>>,
+    connections: usize,
+    sender: mpsc::Sender<io::Result<Stream>>,
+) {
+    let permits = Arc::new(Semaphore::new(connections));
+    loop {
+        let next = async {
+            // The semaphore is never closed.
+            let permit = permits.clone().acquire_owned().await.ok()?;
+            Some((permit, listener.accept().await))
+        };
+        let next = tokio::select! {
+            next = next => next,
+            () = sender.closed() => return,
+        };
+        let Some((permit, accepted)) = next else {
+            return;
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // Out of file descriptors: give running calls time to end.
+                tracing::warn!(%error, "connection of a process not accepted");
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let (peers, sender) = (peers.clone(), sender.clone());
+        tokio::spawn(async move {
+            match timeout(HANDSHAKE_TIMEOUT, shake(stream, peers)).await {
+                // Without a receiver the server is stopping.
+                Ok(Ok(stream)) => drop(sender.send(Ok(stream.holding(permit))).await),
+                Ok(Err(error)) => tracing::debug!(%error, "connection of a process refused"),
+                Err(_) => tracing::debug!("handshake of a process timed out"),
+            }
+        });
+    }
+}
+
+async fn shake(stream: TcpStream, peers: Option<Arc<Peers>>) -> io::Result<Stream> {
+    stream.set_nodelay(true)?;
+    let Some(peers) = peers else {
+        return Ok(Stream::plain(stream));
+    };
+    let acceptor = TlsAcceptor::from(peers.current().server.clone());
+    Ok(Stream::server(acceptor.accept(stream).await?))
+}
--- /dev/null
+++ b/crates/runtime/src/tls/peer.rs
@@ -0,0 +1,73 @@
+//! The process at the other end of a connection.
+
+use rustls::client::verify_server_name;
+use rustls::pki_types::{CertificateDer, ServerName};
+use rustls::server::ParsedCertificate;
+use tonic::{Extensions, Status};
+
+/// Identity of the process at the other end.
+#[derive(Clone, Debug, Default)]
+pub struct Peer {
+    /// Verified certificate; a plain connection has none.
+    certificate: Option<CertificateDer<'static>>,
+}
+
+impl Peer {
+    pub(super) fn of(chain: Option<&[CertificateDer<'static>]>) -> Self {
+        let certificate = chain.and_then(|chain| chain.first());
+        Peer {
+            certificate: certificate.cloned(),
+        }
+    }
+
+    /// Whether the certificate is for `name`; a plain connection is trusted.
+    pub fn is(&self, name: &str) -> bool {
+        let Some(certificate) = &self.certificate else {
+            return true;
+        };
+        let Ok(name) = ServerName::try_from(name) else {
+            return false;
+        };
+        ParsedCertificate::try_from(certificate)
+            .is_ok_and(|parsed| verify_server_name(&parsed, &name).is_ok())
+    }
+
+    /// Whether the peer proved its identity.
+    pub fn is_authenticated(&self) -> bool {
+        self.certificate.is_some()
+    }
+}
+
+/// Checks that a message comes from the process that it names.
+///
+/// `known` tells whether the sheet has the name. A message over a plain
+/// connection passes.
+///
+/// # Errors
+///
+/// Fails with `PERMISSION_DENIED` if the certificate is for another name, no
+/// sender is named or the name is not known.
+pub fn check(
+    extensions: &Extensions,
+    sender: Option<&str>,
+    known: impl FnOnce(&str) -> bool,
+) -> Result<(), Status> {
+    let Some(peer) = extensions.get::<Peer>() else {
+        return Ok(());
+    };
+    if !peer.is_authenticated() {
+        return Ok(());
+    }
+    let Some(sender) = sender else {
+        return Err(Status::permission_denied("the message names no sender"));
+    };
+    if !peer.is(sender) {
+        let message = format!("the certificate of the connection is not for {sender:?}");
+        return Err(Status::permission_denied(message));
+    }
+    if !known(sender) {
+        let message = format!("{sender:?} is not an entry or server in the sheet");
+        return Err(Status::permission_denied(message));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/runtime/tests/tls.rs
@@ -0,0 +1,186 @@
+//! Mutual TLS between processes.
+
+#[path = "support/pki.rs"]
+mod pki;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use berylgw_runtime::tls::{Connector, Incoming, Peer, Peers, Stream, check, incoming};
+use hyper_util::rt::TokioIo;
+use pki::{Authority, Files};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_stream::StreamExt;
+use tonic::transport::server::Connected;
+use tonic::{Code, Extensions};
+use tower_service::Service;
+
+async fn listen(peers: &Arc<Peers>) -> (SocketAddr, Incoming) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (address, incoming(listener, Some(peers.clone()), 8))
+}
+
+fn load(files: &Files) -> Arc<Peers> {
+    Arc::new(Peers::load(&files.peers()).unwrap())
+}
+
+async fn connect(
+    address: SocketAddr,
+    peers: &Arc<Peers>,
+    expected: Option<&str>,
+) -> io::Result<TokioIo<Stream>> {
+    let expected: Option<Arc<str>> = expected.map(Into::into);
+    let lookup = Arc::new(move |_| expected.clone());
+    Connector::new(address, Some(peers.clone()), lookup)
+        .call(())
+        .await
+}
+
+async fn exchange(from: &mut Stream, to: &mut Stream) {
+    from.write_all(b"x").await.unwrap();
+    from.flush().await.unwrap();
+    assert_eq!(to.read_u8().await.unwrap(), b'x');
+}
+
+/// Guards against a pair of processes of one authority that cannot connect.
+#[tokio::test]
+async fn peers_same_authority() {
+    let authority = Authority::new();
+    let server = Files::new("peers_same_authority", "e1", &authority, &authority);
+    let client = Files::new("peers_same_authority", "s1", &authority, &authority);
+    let (address, mut incoming) = listen(&load(&server)).await;
+    let mut near = connect(address, &load(&client), Some("e1"))
+        .await
+        .unwrap()
+        .into_inner();
+    let mut far = incoming.next().await.unwrap().unwrap();
+    exchange(&mut near, &mut far).await;
+    exchange(&mut far, &mut near).await;
+    assert!(near.connect_info().is("e1"));
+    assert!(far.connect_info().is("s1"));
+    assert!(!far.connect_info().is("e1"));
+}
+
+/// Guards against a server of another authority that is trusted.
+#[tokio::test]
+async fn connector_wrong_authority_refused() {
+    let (own, other) = (Authority::new(), Authority::new());
+    let server = Files::new("connector_wrong_authority", "e1", &other, &own);
+    let client = Files::new("connector_wrong_authority", "s1", &own, &own);
+    let (address, _incoming) = listen(&load(&server)).await;
+    let error = connect(address, &load(&client), Some("e1")).await;
+    assert!(
+        error
+            .unwrap_err()
+            .to_string()
+            .contains("invalid peer certificate")
+    );
+}
+
+/// Guards against a client of another authority, or one without a certificate,
+/// that is let in.
+#[tokio::test]
+async fn incoming_wrong_authority_refused() {
+    let (own, other) = (Authority::new(), Authority::new());
+    let server = Files::new("incoming_wrong_authority", "e1", &own, &own);
+    let stranger = Files::new("incoming_wrong_authority", "s1", &other, &own);
+    let friend = Files::new("incoming_wrong_authority", "s2", &own, &own);
+    let (address, mut incoming) = listen(&load(&server)).await;
+    let mut refused = connect(address, &load(&stranger), Some("e1"))
+        .await
+        .unwrap()
+        .into_inner();
+    refused.read_u8().await.unwrap_err();
+    let mut plain = TcpStream::connect(address).await.unwrap();
+    plain.write_all(b"PRI * HTTP/2.0\r\n\r\n").await.unwrap();
+    let mut alert = Vec::new();
+    // The server ends the connection; whether by FIN or RST does not matter.
+    let _ = plain.read_to_end(&mut alert).await;
+    let _near = connect(address, &load(&friend), None).await.unwrap();
+    let served = incoming.next().await.unwrap().unwrap();
+    assert!(served.connect_info().is("s2"), "only the friend is served");
+}
+
+/// Guards against a process that answers at the address of another one.
+#[tokio::test]
+async fn connector_other_name_refused() {
+    let authority = Authority::new();
+    let server = Files::new("connector_other_name", "e1", &authority, &authority);
+    let client = Files::new("connector_other_name", "s1", &authority, &authority);
+    let (address, _incoming) = listen(&load(&server)).await;
+    let error = connect(address, &load(&client), Some("e2")).await;
+    assert_eq!(error.unwrap_err().kind(), io::ErrorKind::PermissionDenied);
+}
+
+/// Guards against a message in the name of another process, of one that the
+/// sheet does not have, or of none.
+#[tokio::test]
+async fn check_sender() {
+    let authority = Authority::new();
+    let server = Files::new("check_sender", "e1", &authority, &authority);
+    let client = Files::new("check_sender", "s1", &authority, &authority);
+    let (address, mut incoming) = listen(&load(&server)).await;
+    let _near = connect(address, &load(&client), None).await.unwrap();
+    let far = incoming.next().await.unwrap().unwrap();
+    let mut extensions = Extensions::new();
+    extensions.insert(far.connect_info());
+    let code = |sender, known| {
+        let checked = check(&extensions, sender, |_| known);
+        checked.map_err(|status| status.code())
+    };
+    assert_eq!(code(Some("s1"), true), Ok(()));
+    assert_eq!(code(Some("s1"), false), Err(Code::PermissionDenied));
+    assert_eq!(code(Some("s2"), true), Err(Code::PermissionDenied));
+    assert_eq!(code(Some("not a name"), true), Err(Code::PermissionDenied));
+    assert_eq!(code(None, true), Err(Code::PermissionDenied));
+    let mut plain = Extensions::new();
+    plain.insert(Peer::default());
+    assert!(check(&plain, Some("s2"), |_| false).is_ok());
+}
+
+/// Guards against a reload that cuts open connections or does not take effect.
+#[tokio::test]
+async fn reload_new_connections_only() {
+    let (old, new) = (Authority::new(), Authority::new());
+    let server_files = Files::new("reload", "e1", &old, &old);
+    let client_files = Files::new("reload", "s1", &old, &old);
+    let (server, client) = (load(&server_files), load(&client_files));
+    let (address, mut incoming) = listen(&server).await;
+    let mut near = connect(address, &client, None).await.unwrap().into_inner();
+    let mut far = incoming.next().await.unwrap().unwrap();
+    assert!(!server.reload().unwrap());
+    server_files.write("e9", &new, &new);
+    assert!(server.reload().unwrap());
+    // The client still trusts only the old authority.
+    connect(address, &client, None).await.unwrap_err();
+    client_files.write("s1", &new, &new);
+    assert!(client.reload().unwrap());
+    let renewed = connect(address, &client, Some("e9")).await.unwrap();
+    assert!(renewed.into_inner().connect_info().is("e9"));
+    exchange(&mut near, &mut far).await;
+    exchange(&mut far, &mut near).await;
+}
+
+/// Guards against files that are caught in the middle of a replacement.
+#[tokio::test]
+async fn reload_unusable_keeps_last() {
+    let authority = Authority::new();
+    let files = Files::new("reload_unusable", "e1", &authority, &authority);
+    let peers = load(&files);
+    let (address, _incoming) = listen(&peers).await;
+    let (certificate, key) = authority.issue("e2");
+    files.put("certificate.pem", &certificate);
+    let error = peers.reload().unwrap_err().to_string();
+    assert!(error.contains("certificate.pem"), "{error}");
+    connect(address, &peers, Some("e1")).await.unwrap();
+    files.put("key.pem", &key);
+    assert!(peers.reload().unwrap());
+    connect(address, &peers, Some("e2")).await.unwrap();
+    files.put("key.pem", "");
+    let error = peers.reload().unwrap_err().to_string();
+    assert!(error.contains("key.pem"), "{error}");
+    connect(address, &peers, Some("e2")).await.unwrap();
+}
