Report all findings about settings at once

Cause: a settings file with several mistakes was refused one mistake at a time, the samples were missing, and exit codes did not tell settings from failures.

Change: after a problem, the part that holds it is removed and the rest parsed again, so that unknown fields and wrong values are all reported with file, line and field. examples/entry.yaml and examples/agent.yaml show every field. Exit codes are 0, 1 (failed at run time) and 2 (command line or settings).

Result: the tests in runtime/tests/settings.rs and the process tests of entry and agent pass. A property test found that an empty file was refused without a finding; this is fixed.

Conclusion: a missing required field ends the search, as the YAML library reports only one; the next check finds the rest.

--- a/crates/agent/tests/process.rs
+++ b/crates/agent/tests/process.rs
@@ -102,8 +102,39 @@
     let files = Files::new("process_check_settings.yaml", text);
     let output = files.command().arg("--check-settings").output();
     let output = output.await.unwrap();
-    assert!(!output.status.success());
+    assert_eq!(output.status.code(), Some(2));
     let message = String::from_utf8(output.stderr).unwrap();
     assert!(message.contains("name: must not be empty"), "{message}");
     assert!(message.contains("entries: at least one"), "{message}");
 }
+
+/// Guards against a documented sample that does not load, and against a check
+/// that starts the process.
+#[tokio::test]
+async fn process_check_sample() {
+    let sample = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/agent.yaml");
+    berylgw_agent::settings::load(sample.as_ref()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_berylgw-agent"));
+    command.args(["--settings", sample, "--check-settings"]);
+    let output = command.output().await.unwrap();
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.ends_with("agent.yaml: settings are valid\n"), "{text}");
+}
+
+/// Guards against exit codes that do not tell wrong use from a failure.
+#[tokio::test]
+async fn process_exit_codes() {
+    let agent = || Command::new(env!("CARGO_BIN_EXE_berylgw-agent"));
+    let output = agent().arg("--bogus").output().await.unwrap();
+    assert_eq!(output.status.code(), Some(2), "command line");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap();
+    let text = format!(
+        "name: s\ndomain: d\nlisten: {{agent: '{address}', metrics: '127.0.0.1:0'}}\n\
+         entries: ['127.0.0.1:1']\nserver: {{address: '127.0.0.1:1'}}\n"
+    );
+    let files = Files::new("process_exit_codes.yaml", &text);
+    let output = files.command().output().await.unwrap();
+    assert_eq!(output.status.code(), Some(1), "address in use");
+}
--- a/crates/runtime/src/args.rs
+++ b/crates/runtime/src/args.rs
@@ -2,6 +2,12 @@
 
 use std::path::PathBuf;
 
+/// Exit code of a server that failed while running.
+pub const FAILED_CODE: u8 = 1;
+
+/// Exit code for a wrong command line or settings file.
+pub const USAGE_CODE: u8 = 2;
+
 /// What a server was asked to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -1,10 +1,14 @@
 //! Settings files in YAML.
 
+mod outline;
+
 use std::fmt;
 use std::path::Path;
 
 use serde::de::DeserializeOwned;
 
+use outline::Outline;
+
 /// One problem in a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finding {
@@ -73,44 +77,117 @@
     check: impl Fn(&T) -> Vec<Finding>,
 ) -> Result<T, Error> {
     let file = path.display().to_string();
-    let fail = |findings| Error {
-        file: file.clone(),
-        findings,
+    let findings = match std::fs::read_to_string(path) {
+        Ok(text) => match parse(&text, check) {
+            Ok(settings) => return Ok(settings),
+            Err(findings) => findings,
+        },
+        Err(error) => vec![Finding::new("", error.to_string())],
     };
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| fail(vec![Finding::new("", error.to_string())]))?;
-    let settings: T = serde_saphyr::from_str(&text).map_err(|error| {
-        let line = error.location().map(|location| location.line());
-        fail(vec![Finding {
-            field: String::new(),
-            line,
-            message: error.to_string(),
-        }])
-    })?;
-    let mut findings = check(&settings);
-    for finding in &mut findings {
-        finding.line = line_of(&text, &finding.field);
+    Err(Error { file, findings })
+}
+
+/// Parses the text of a settings file and checks it whole.
+///
+/// # Errors
+///
+/// Fails with the findings, at least one. The YAML library ends at the first
+/// problem, so the part with the problem is removed and the rest parsed again;
+/// where that is not possible, later problems are not found.
+pub fn parse<T: DeserializeOwned>(
+    text: &str,
+    check: impl Fn(&T) -> Vec<Finding>,
+) -> Result<T, Vec<Finding>> {
+    let outline = Outline::new(text);
+    let mut findings: Vec<Finding> = Vec::new();
+    let mut removed: Vec<String> = Vec::new();
+    let mut rest = text.to_owned();
+    let parsed = loop {
+        let error = match serde_saphyr::from_str::<T>(&rest) {
+            Ok(settings) => break Some(settings),
+            Err(error) => error,
+        };
+        let problem = Problem::new(&error, &outline);
+        let field = &*problem.finding.field;
+        // A part whose content was removed looks empty or missing.
+        let inner = format!("{field}.");
+        let nothing_left = !findings.is_empty() && rest.trim().is_empty();
+        if nothing_left || removed.iter().any(|known| known == field) {
+            break None;
+        }
+        let emptied = removed.iter().any(|known| known.starts_with(&inner));
+        removed.push(field.to_owned());
+        let line = problem.finding.line;
+        let next = line.and_then(|line| Outline::new(&rest).without(line, problem.flow.as_deref()));
+        let ends = problem.missing || findings.len() >= MAX_FINDINGS;
+        if !emptied {
+            findings.push(problem.finding);
+        }
+        match next {
+            Some(next) if next != rest && !ends => rest = next,
+            _ => break None,
+        }
+    };
+    let Some(settings) = parsed else {
+        return Err(findings);
+    };
+    for mut finding in check(&settings) {
+        finding.line = outline.line_of(&finding.field);
+        findings.push(finding);
     }
     if findings.is_empty() {
         Ok(settings)
     } else {
-        Err(fail(findings))
+        Err(findings)
     }
 }
 
-/// Line of the last segment of a dotted field path, found by indentation order.
-fn line_of(text: &str, field: &str) -> Option<u64> {
-    let mut segments = field.split('.').peekable();
-    for (index, line) in text.lines().enumerate() {
-        let segment = segments.peek()?;
-        let key = line.trim_start().split(':').next()?;
-        if key != *segment {
-            continue;
-        }
-        segments.next();
-        if segments.peek().is_none() {
-            return Some(index as u64 + 1);
+/// Findings after which a file is not looked at any more.
+const MAX_FINDINGS: usize = 64;
+
+/// What the YAML library reports about a text.
+struct Problem {
+    finding: Finding,
+    /// Whether a field is missing.
+    missing: bool,
+    /// Name of the field that is not known.
+    flow: Option<String>,
+}
+
+impl Problem {
+    fn new(error: &serde_saphyr::Error, outline: &Outline) -> Self {
+        let error = error.without_snippet();
+        let line = error.location().map(|location| location.line());
+        let at = line.and_then(|line| outline.path_at(line)).unwrap_or("");
+        let mut problem = Problem {
+            finding: Finding {
+                field: at.to_owned(),
+                line,
+                message: error.to_string(),
+            },
+            missing: false,
+            flow: None,
+        };
+        match error {
+            serde_saphyr::Error::SerdeUnknownField {
+                field, expected, ..
+            } => {
+                let own = at.rsplit('.').next() == Some(field);
+                if !own {
+                    problem.finding.field = format!("{at}.{field}");
+                }
+                let expected = expected.join(", ");
+                problem.finding.message = format!("unknown field; expected one of {expected}");
+                problem.flow = Some(field.clone());
+            }
+            serde_saphyr::Error::SerdeMissingField { field, .. } => {
+                let outer = at.rsplit_once('.').map(|(outer, _)| format!("{outer}."));
+                problem.finding.field = outer.unwrap_or_default() + field;
+                problem.finding.message = "is required and missing".to_owned();
+                problem.missing = true;
+            }
+            _ => {}
         }
+        problem
     }
-    None
 }
