Log one bounded line for each refused request

Cause: a refused or failed request left no line, and a silent engine could flood the log of its agent with failed cancel calls.

Change: entries write one line for each refused or failed request and agents one for each refused attempt, with request id, account, server, configuration version, reason and outcome. Failed cancel calls are bounded alike.

Conclusion: requests that succeed are not logged; metrics count them.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -5,6 +5,7 @@
 
 use berylgw_core::outcome::{Reason, Refusal};
 use berylgw_core::service::Kind;
+use berylgw_runtime::log::Limiter;
 use berylgw_wire as wire;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -253,18 +254,29 @@
     }
 }
 
+/// Lines per second about failed cancel calls; a silent engine fails them for
+/// every request it holds.
+const CANCEL_LINES: u32 = 5;
+
 /// Repeats the cancel call until the engine confirms it.
 async fn cancel(server: &Server, engine_id: &str) {
     loop {
         match timeout(CANCEL_TIMEOUT, server.cancel(engine_id)).await {
             Ok(Ok(())) => return,
-            Ok(Err(error)) => tracing::warn!(engine_id, %error, "cancel call failed"),
-            Err(_) => tracing::warn!(engine_id, "cancel call timed out"),
+            Ok(Err(error)) => warn_cancel(engine_id, &error.to_string()),
+            Err(_) => warn_cancel(engine_id, "timed out"),
         }
         sleep(CANCEL_PAUSE).await;
     }
 }
 
+fn warn_cancel(engine_id: &str, detail: &str) {
+    static LINES: Limiter = Limiter::new(CANCEL_LINES);
+    if let Some(suppressed) = LINES.pass(std::time::Instant::now()) {
+        tracing::warn!(engine_id, detail, suppressed, "cancel call failed");
+    }
+}
+
 fn server_failed() -> Refusal {
     Refusal::unknown(Reason::ServerFailed, RETRY_FAILED)
 }
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use berylgw_core::config::{Snapshot, Version};
 use berylgw_core::outcome::{Reason, Refusal};
-use berylgw_runtime::tls;
+use berylgw_runtime::{log, tls};
 use berylgw_wire as wire;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -35,6 +35,23 @@
     entries.is_empty() || entries.iter().any(|entry| *entry.name == *name)
 }
 
+/// What log lines say about an attempt.
+struct About {
+    request_id: String,
+    attempt: u32,
+    account: String,
+}
+
+impl About {
+    fn new(request: &wire::DispatchRequest) -> Self {
+        About {
+            request_id: request.request_id.clone(),
+            attempt: request.attempt,
+            account: request.account.clone(),
+        }
+    }
+}
+
 /// Serves the `Agent` interface.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -63,6 +80,27 @@
         })
     }
 
+    /// Counts and logs a refused attempt.
+    fn note(&self, about: &About, refusal: &Refusal) {
+        self.metrics.refused(refusal.reason);
+        let Some(suppressed) = log::pass_refusal(refusal.reason) else {
+            return;
+        };
+        let sender = self.gate.current_sender();
+        tracing::info!(
+            request_id = about.request_id,
+            attempt = about.attempt,
+            account = about.account,
+            server = sender.name,
+            config_version = sender.config_version,
+            reason = refusal.reason.label(),
+            outcome = %refusal.outcome,
+            detail = &*refusal.message,
+            suppressed,
+            "attempt refused",
+        );
+    }
+
     /// Waits briefly for the configuration version of the sender.
     async fn catch_up(&self, sender: Option<&wire::Sender>) {
         let Some(sender) = sender else { return };
@@ -96,16 +134,17 @@
         if let Err(status) = self.check(&request, message.sender.as_ref()) {
             let refusal = Refusal::not_run(Reason::AgentUnreachable, RETRY_UNTRUSTED);
             let refusal = refusal.with_message(status.message());
-            self.metrics.refused(refusal.reason);
+            self.note(&About::new(message), &refusal);
             return answer.refuse(&refusal).await;
         }
         let request = request.into_inner();
+        let about = About::new(&request);
         let refusal = match self.gate.admit(&request) {
             Ok(admitted) => run::run(&self, request, admitted, &mut answer).await.err(),
             Err(refusal) => Some(refusal),
         };
         if let Some(refusal) = refusal {
-            self.metrics.refused(refusal.reason);
+            self.note(&about, &refusal);
             answer.refuse(&refusal).await;
         }
     }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -20,6 +20,7 @@
 
 use crate::dispatch::{self, Admitted, Call, Mode};
 use crate::render;
+use crate::scope;
 use crate::shared::{Current, Shared};
 
 /// Bytes of the messages that decide on prefix affinity.
@@ -42,6 +43,7 @@
             shared.clone(),
             announce_stop,
         ))
+        .layer(middleware::from_fn_with_state(shared.clone(), scope::open))
         .with_state(shared)
 }
 
@@ -79,6 +81,7 @@
         .and_then(|value| value.strip_prefix("Bearer "));
     token
         .and_then(|token| current.snapshot.authenticate(&token_digest(token)))
+        .inspect(|account| scope::current().account(&account.name))
         .ok_or_else(|| refuse(Reason::Unauthenticated, "a valid bearer token is required"))
 }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::answer::{self, Item, Pushed, Sink, Source};
 use crate::attempt::{self, End, Fault};
 use crate::render;
+use crate::scope::{self, Scope};
 use crate::shared::Shared;
 
 /// Failed attempts after which a request is given up on.
@@ -109,6 +110,7 @@
         crashes: 0,
         head: None,
         collected: Vec::new(),
+        scope: scope::current(),
     };
     tokio::spawn(async move {
         driver.run().await;
@@ -141,6 +143,7 @@
     tried: Vec<Key>,
     ran: bool,
     crashes: u32,
+    scope: Scope,
 }
 
 impl Driver {
@@ -236,7 +239,11 @@
         };
         let table = self.shared.table();
         let key = table.pick(request, now, &mut *self.shared.rng());
-        let found = key.and_then(|key| table.server(key).map(|(_, address)| (key, address)));
+        let found = key.and_then(|key| {
+            let (name, address) = table.server(key)?;
+            self.scope.server(name);
+            Some((key, address))
+        });
         drop(table);
         let (key, address) =
             found.ok_or_else(|| Refusal::not_run(Reason::NoServer, NO_SERVER_RETRY))?;
@@ -272,7 +279,7 @@
         let reason = fault.refusal.reason;
         let retries = &self.shared.metrics.retries;
         retries.with_label_values(&[reason.label()]).inc();
-        tracing::debug!(request = self.call.id, %reason, message = %fault.refusal.message, "retry");
+        self.scope.retried(&fault.refusal, &self.call.id);
         let Some(version) = fault.stale else { return };
         let mut current = self.shared.current.clone();
         let known = current.wait_for(|current| u64::from(current.view.version()) >= version);
@@ -311,6 +318,7 @@
             None => {
                 // Counted here: a caller that stopped reading never gets it.
                 render::count(&self.shared, &refusal);
+                self.scope.refused(&refusal, &self.call.id);
                 self.sink.end(Item::Failed(refusal));
             }
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod probe;
 mod register;
 mod render;
+mod scope;
 mod secure;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/entry/src/scope.rs
@@ -0,0 +1,92 @@
+//! What log lines say about the request that a task works on.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use axum::extract::{Request, State};
+use axum::http::Response;
+use axum::middleware::Next;
+use berylgw_core::outcome::Refusal;
+use berylgw_runtime::log;
+
+use crate::shared::Shared;
+
+tokio::task_local! {
+    static CURRENT: Scope;
+}
+
+/// A request; clones share what is known about it.
+#[derive(Clone, Debug, Default)]
+pub struct Scope(Arc<Mutex<Known>>);
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    account: Option<Arc<str>>,
+    server: Option<Arc<str>>,
+    config_version: u64,
+}
+
+/// The request of the current task; outside a request, an empty one.
+pub fn current() -> Scope {
+    CURRENT.try_with(Scope::clone).unwrap_or_default()
+}
+
+/// Opens a scope for each request.
+pub async fn open(
+    State(shared): State<Arc<Shared>>,
+    request: Request,
+    next: Next,
+) -> Response<axum::body::Body> {
+    let scope = Scope::default();
+    let version = shared.current.borrow().view.version();
+    scope.with(|known| known.config_version = version.into());
+    CURRENT.scope(scope, next.run(request)).await
+}
+
+impl Scope {
+    /// Notes the client account of the request.
+    pub fn account(&self, name: &Arc<str>) {
+        self.with(|known| known.account = Some(name.clone()));
+    }
+
+    /// Notes the backend server of the current attempt.
+    pub fn server(&self, name: &Arc<str>) {
+        self.with(|known| known.server = Some(name.clone()));
+    }
+
+    /// Writes the line about a request that was refused or failed.
+    pub fn refused(&self, refusal: &Refusal, request_id: &str) {
+        let Some(suppressed) = log::pass_refusal(refusal.reason) else {
+            return;
+        };
+        let known = self.with(|known| known.clone());
+        tracing::info!(
+            request_id,
+            account = known.account.as_deref().unwrap_or(""),
+            server = known.server.as_deref().unwrap_or(""),
+            config_version = known.config_version,
+            reason = refusal.reason.label(),
+            outcome = %refusal.outcome,
+            detail = &*refusal.message,
+            suppressed,
+            "request refused",
+        );
+    }
+
+    /// Writes the line about an attempt that is followed by another one.
+    pub fn retried(&self, refusal: &Refusal, request_id: &str) {
+        let known = self.with(|known| known.clone());
+        tracing::debug!(
+            request_id,
+            account = known.account.as_deref().unwrap_or(""),
+            server = known.server.as_deref().unwrap_or(""),
+            config_version = known.config_version,
+            reason = refusal.reason.label(),
+            detail = &*refusal.message,
+            "retry",
+        );
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut Known) -> T) -> T {
+        act(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/runtime/src/log.rs
+++ b/crates/runtime/src/log.rs
@@ -1,18 +1,31 @@
 //! Logs as JSON lines on standard output.
 
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
+use berylgw_core::outcome::Reason;
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
 
-/// Installs the JSON log writer.
+/// Installs the JSON log writer for standard output.
 ///
 /// The level comes from the environment variable `BERYLGW_LOG` and defaults to
 /// `info`. Each line has the event's fields at the top level.
 pub fn install() {
+    install_to(std::io::stdout);
+}
+
+/// Like [`install`], for another output.
+pub fn install_to<W>(output: W)
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
     let filter = EnvFilter::try_from_env("BERYLGW_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     let writer = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
+        .with_writer(output)
         .with_env_filter(filter);
     // A second call, for example from a test, keeps the first writer.
     let _ = writer.try_init();
@@ -25,3 +38,75 @@
 pub fn listening(interface: &str, address: SocketAddr) {
     tracing::info!(interface, address = %address, "listening");
 }
+
+/// Lines per second about refusals for one reason.
+const REFUSAL_LINES: u32 = 10;
+
+static REFUSALS: [Limiter; Reason::ALL.len()] =
+    [const { Limiter::new(REFUSAL_LINES) }; Reason::ALL.len()];
+
+/// Returns the number of lines suppressed since the last one if a line about a
+/// refusal for this reason may be written now.
+pub fn pass_refusal(reason: Reason) -> Option<u64> {
+    // The reasons are numbered in the order of `ALL`.
+    REFUSALS[reason as usize].pass(Instant::now())
+}
+
+/// Bounds the lines of one kind of message, so that a failure does not flood
+/// the log.
+///
+/// ```
+/// use berylgw_runtime::log::Limiter;
+/// use std::time::{Duration, Instant};
+///
+/// let limiter = Limiter::new(1);
+/// let now = Instant::now();
+/// assert_eq!(limiter.pass(now), Some(0));
+/// assert_eq!(limiter.pass(now), None);
+/// assert_eq!(limiter.pass(now + Duration::from_secs(1)), Some(1));
+/// ```
+#[derive(Debug)]
+pub struct Limiter {
+    lines_per_second: u32,
+    window: Mutex<Window>,
+}
+
+#[derive(Debug)]
+struct Window {
+    start: Option<Instant>,
+    lines: u32,
+    suppressed: u64,
+}
+
+impl Limiter {
+    /// Lets `lines_per_second` lines pass in each second.
+    pub const fn new(lines_per_second: u32) -> Self {
+        Limiter {
+            lines_per_second,
+            window: Mutex::new(Window {
+                start: None,
+                lines: 0,
+                suppressed: 0,
+            }),
+        }
+    }
+
+    /// Returns the number of lines suppressed since the last one if a line may
+    /// be written now.
+    pub fn pass(&self, now: Instant) -> Option<u64> {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        let age = window
+            .start
+            .map(|start| now.saturating_duration_since(start));
+        if age.is_none_or(|age| age >= Duration::from_secs(1)) {
+            window.start = Some(now);
+            window.lines = 0;
+        }
+        if window.lines >= self.lines_per_second {
+            window.suppressed += 1;
+            return None;
+        }
+        window.lines += 1;
+        Some(std::mem::take(&mut window.suppressed))
+    }
+}
