Send objects over one of two even home streams, test the spread

Cause: agents chose their home entries from the same list and both streams carried objects.

Change: home::order spreads agents evenly over the entries of their region and the agents of a lost entry over all others. The first home sends objects, the second only its version; if a version is shown and its objects do not arrive within 200 ms, the agent pulls. An agent returns to its home after 10 s.

Times under faults are not measured.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use berylgw_core::config::{Snapshot, Version, View};
+use berylgw_core::home;
 use berylgw_wire as wire;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tonic::transport::{Channel, Endpoint};
 use wire::sync_client::SyncClient;
 
@@ -21,6 +22,16 @@
 /// Entries followed at the same time.
 const HOMES: usize = 2;
 
+/// The home that sends objects; the others send only their version, because
+/// objects over two streams exceed the control traffic allowed per entry.
+const OBJECT_HOME: usize = 0;
+
+/// Wait for the objects of a version that another home has shown.
+const OBJECT_WAIT: Duration = Duration::from_millis(200);
+
+/// Time after which an entry followed in place of a home is left for the home.
+const RETURN: Duration = Duration::from_secs(10);
+
 /// Time without a message after which an entry is replaced.
 const SILENCE: Duration = Duration::from_secs(3);
 
@@ -59,6 +70,8 @@
 /// What the control thread works with.
 #[derive(Debug)]
 pub struct Inputs {
+    /// Name of the backend server.
+    pub name: Arc<str>,
     /// Peer addresses from the settings.
     pub entries: Vec<SocketAddr>,
     /// Receives configuration and load reports.
@@ -76,10 +89,14 @@
 }
 
 struct Control {
+    name: Arc<str>,
     seeds: Vec<SocketAddr>,
     learned: Vec<SocketAddr>,
+    /// Entries of the sheet, best home first.
+    listed: Vec<SocketAddr>,
     followed: [Option<SocketAddr>; HOMES],
-    next: usize,
+    /// Position of the next candidate of each home.
+    next: [usize; HOMES],
     view: View,
     gate: Arc<Gate>,
     published: watch::Sender<Arc<Published>>,
@@ -105,11 +122,18 @@
 async fn run(inputs: Inputs) {
     let mut stop = inputs.stop;
     let mut hints = inputs.hints;
+    let mut seeds = inputs.entries;
+    // Agents with the same settings do not all start at the same entry.
+    let turn = inputs.gate.current_sender().incarnation as usize;
+    let count = seeds.len().max(1);
+    seeds.rotate_left(turn % count);
     let control = Rc::new(RefCell::new(Control {
-        seeds: inputs.entries,
+        name: inputs.name,
+        seeds,
         learned: Vec::new(),
+        listed: Vec::new(),
         followed: [None; HOMES],
-        next: 0,
+        next: std::array::from_fn(|home| home),
         view: View::new(),
         gate: inputs.gate.clone(),
         published: inputs.published,
@@ -140,7 +164,7 @@
             sleep(PAUSE).await;
             continue;
         };
-        if let Err(error) = follow_entry(&control, address).await {
+        if let Err(error) = follow_entry(&control, home, address).await {
             tracing::info!(%address, %error, "entry is not followed any more");
         }
         control.borrow_mut().followed[home] = None;
@@ -150,11 +174,16 @@
 
 async fn follow_entry(
     control: &Rc<RefCell<Control>>,
+    home: usize,
     address: SocketAddr,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let mut client = connect(address).await?;
+    let started = Instant::now();
     let mut since = control.borrow().view.version();
-    let request = control.borrow().request(since);
+    let request = wire::PullRequest {
+        versions_only: home != OBJECT_HOME,
+        ..control.borrow().request(since)
+    };
     let mut stream = timeout(SILENCE, client.follow(request))
         .await??
         .into_inner();
@@ -163,28 +192,51 @@
         let Some(reply) = message else {
             return Err("stream ended".into());
         };
-        control.borrow_mut().merge(since, &reply);
-        since = since.max(Version::from(reply.version));
+        let version = Version::from(reply.version);
+        if home == OBJECT_HOME {
+            control.borrow_mut().merge(since, &reply);
+            since = since.max(version);
+        } else {
+            control.borrow_mut().hear(&reply);
+            if version > control.borrow().view.version() {
+                let late = pull_late(control.clone(), address, version);
+                tokio::task::spawn_local(late);
+            }
+        }
+        if started.elapsed() >= RETURN && control.borrow_mut().returns(home, address) {
+            return Err("returning to the home entry".into());
+        }
     }
 }
 
-async fn catch_up(control: Rc<RefCell<Control>>, hint: Hint) {
+/// Pulls a version if its objects do not arrive from the object home.
+async fn pull_late(control: Rc<RefCell<Control>>, address: SocketAddr, version: Version) {
+    sleep(OBJECT_WAIT).await;
+    pull(&control, address, version).await;
+}
+
+/// Pulls from an entry unless `version` is known; returns whether it is then.
+async fn pull(control: &Rc<RefCell<Control>>, address: SocketAddr, version: Version) -> bool {
     let since = control.borrow().view.version();
-    if since >= hint.version {
-        return;
+    if since >= version {
+        return true;
     }
+    let call = async {
+        let mut client = connect(address).await.ok()?;
+        let request = control.borrow().request(since);
+        Some(client.pull(request).await.ok()?.into_inner())
+    };
+    let Ok(Some(reply)) = timeout(CALL_TIMEOUT, call).await else {
+        return false;
+    };
+    control.borrow_mut().merge(since, &reply);
+    control.borrow().view.version() >= version
+}
+
+async fn catch_up(control: Rc<RefCell<Control>>, hint: Hint) {
     let addresses = control.borrow().addresses_of(&hint.entry);
     for address in addresses {
-        let pull = async {
-            let mut client = connect(address).await.ok()?;
-            let request = control.borrow().request(since);
-            Some(client.pull(request).await.ok()?.into_inner())
-        };
-        let Ok(Some(reply)) = timeout(CALL_TIMEOUT, pull).await else {
-            continue;
-        };
-        control.borrow_mut().merge(since, &reply);
-        if control.borrow().view.version() >= hint.version {
+        if pull(&control, address, hint.version).await {
             return;
         }
     }
@@ -216,8 +268,8 @@
     fn choose(&mut self, home: usize) -> Option<SocketAddr> {
         let candidates = self.candidates();
         for _ in 0..candidates.len() {
-            let address = candidates[self.next % candidates.len()];
-            self.next += 1;
+            let address = candidates[self.next[home] % candidates.len()];
+            self.next[home] += 1;
             if !self.followed.contains(&Some(address)) {
                 self.followed[home] = Some(address);
                 return Some(address);
@@ -226,13 +278,25 @@
         None
     }
 
+    /// Whether to leave `address` and try the home entry again.
+    fn returns(&mut self, home: usize, address: SocketAddr) -> bool {
+        let wanted = self.listed.get(home).copied();
+        let returns = wanted
+            .is_some_and(|wanted| wanted != address && !self.followed.contains(&Some(wanted)));
+        if returns {
+            self.next[home] = home;
+        }
+        returns
+    }
+
+    /// Entries that can be followed, best first, each once.
     fn candidates(&self) -> Vec<SocketAddr> {
-        let mut addresses = self.learned.clone();
-        addresses.extend(
-            self.seeds
-                .iter()
-                .filter(|seed| !self.learned.contains(seed)),
-        );
+        let mut addresses: Vec<SocketAddr> = Vec::new();
+        for address in self.listed.iter().chain(&self.learned).chain(&self.seeds) {
+            if !addresses.contains(address) {
+                addresses.push(*address);
+            }
+        }
         addresses
     }
 
@@ -254,10 +318,13 @@
         wire::PullRequest {
             sender: Some(self.gate.sender(self.view.version())),
             since: since.into(),
+            versions_only: false,
         }
     }
 
-    fn merge(&mut self, since: Version, reply: &wire::PullReply) {
+    /// Takes in what a reply says beside its objects; returns whether the
+    /// entries it names changed.
+    fn hear(&mut self, reply: &wire::PullReply) -> bool {
         self.gate.confirm();
         self.gate.merge_suspects(&reply.suspects);
         let learned: Vec<SocketAddr> = reply
@@ -265,10 +332,15 @@
             .iter()
             .filter_map(|address| address.parse().ok())
             .collect();
-        let entries_changed = !learned.is_empty() && learned != self.learned;
-        if entries_changed {
+        let changed = !learned.is_empty() && learned != self.learned;
+        if changed {
             self.learned = learned;
         }
+        changed
+    }
+
+    fn merge(&mut self, since: Version, reply: &wire::PullReply) {
+        let entries_changed = self.hear(reply);
         let objects: Option<Vec<_>> = reply.objects.iter().map(convert::object).collect();
         let Some(objects) = objects else {
             tracing::error!("configuration object is not UTF-8");
@@ -282,7 +354,7 @@
         }
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
         let snapshot = match self.view.snapshot() {
             Ok(snapshot) => snapshot,
             Err(error) => {
@@ -290,6 +362,7 @@
                 return;
             }
         };
+        self.listed = home::addresses(&snapshot, &self.name);
         let published = Arc::new(Published {
             view: self.view.clone(),
             snapshot,
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -65,6 +65,7 @@
     let (hints, hinted) = mpsc::channel(HINTS_BUFFERED);
     let (stopping, stopped) = watch::channel(false);
     let control = control::spawn(control::Inputs {
+        name: settings.name.clone(),
         entries: settings.entries.clone(),
         gate: gate.clone(),
         server: settings.server.address,
--- a/crates/core/src/config/spread.rs
+++ b/crates/core/src/config/spread.rs
@@ -2,16 +2,18 @@
 //!
 //! The model follows the protocol of the processes: entries learn a change from
 //! their platform watch or, if the watch is down, from a peer they exchange
-//! versions with; each agent follows two home entries.
+//! versions with; each agent follows two home entries, of which the first sends
+//! objects and the second only its version.
 
 use std::time::Duration;
 
 use rand::Rng;
 
 use crate::clock::Instant;
+use crate::home;
 
-/// Home entries that an agent follows.
-const HOME_ENTRIES: usize = 2;
+/// Wait of an agent for the objects of a version that its second home shows.
+const OBJECT_WAIT: Duration = Duration::from_millis(200);
 
 /// Time between two version exchanges of an entry with a random peer.
 const EXCHANGE_PERIOD: Duration = Duration::from_secs(1);
@@ -41,7 +43,7 @@
     pub entry_messages: u64,
     /// Bytes that the busiest entry sent and received for the change.
     pub entry_bytes: u64,
-    /// Bytes that an agent received for the change.
+    /// Most bytes that an agent received for the change.
     pub agent_bytes: u64,
     /// Time until every process had the change.
     pub time: Duration,
@@ -54,25 +56,39 @@
     let mut known = watches(fleet, &mut messages, random);
     exchanges(fleet, &mut known, &mut messages, random);
     let mut last = known.iter().flatten().copied().max().unwrap_or_default();
-    for _ in 0..fleet.agents {
-        let homes =
-            rand::seq::index::sample(random, fleet.entries, HOME_ENTRIES.min(fleet.entries));
-        let mut first: Option<Instant> = None;
-        for home in homes {
-            messages[home] += 1;
-            let Some(at) = known[home] else {
-                continue;
-            };
-            let at = at + delay(fleet.peer_delay, random);
-            first = Some(first.map_or(at, |known| known.min(at)));
+    let mut versions = vec![0; fleet.entries];
+    let mut agent_bytes = 0;
+    for agent in 0..fleet.agents {
+        let order = home::order(agent, fleet.entries);
+        let first = order[0];
+        messages[first] += 1;
+        let mut received = size;
+        let mut at = known[first].map(|at| at + delay(fleet.peer_delay, random));
+        if let Some(&second) = order.get(1) {
+            versions[second] += 1;
+            received += MESSAGE_OVERHEAD;
+            let shown = known[second].map(|at| at + delay(fleet.peer_delay, random));
+            let due = shown.map(|shown| shown + OBJECT_WAIT);
+            if due.is_some_and(|due| at.is_none_or(|at| due < at)) {
+                messages[second] += 1;
+                received += size;
+                let there_and_back =
+                    delay(fleet.peer_delay, random) + delay(fleet.peer_delay, random);
+                at = due
+                    .map(|due| at.map_or(due + there_and_back, |at| at.min(due + there_and_back)));
+            }
         }
-        last = last.max(first.unwrap_or_default());
+        agent_bytes = agent_bytes.max(received);
+        last = last.max(at.unwrap_or_default());
     }
-    let entry_messages = messages.iter().copied().max().unwrap_or_default();
+    let bytes = messages
+        .iter()
+        .zip(&versions)
+        .map(|(messages, versions)| messages * size + versions * MESSAGE_OVERHEAD);
     Cost {
-        entry_messages,
-        entry_bytes: entry_messages * size,
-        agent_bytes: HOME_ENTRIES as u64 * size,
+        entry_messages: messages.iter().copied().max().unwrap_or_default(),
+        entry_bytes: bytes.max().unwrap_or_default(),
+        agent_bytes,
         time: last.since(Instant::ORIGIN),
     }
 }
--- /dev/null
+++ b/crates/core/src/home.rs
@@ -0,0 +1,73 @@
+//! Home entries of an agent: those it follows to learn the configuration.
+
+use std::net::SocketAddr;
+
+use crate::config::Snapshot;
+use crate::directory::region_of;
+use crate::host::Entry;
+
+/// Order in which the agent at position `index` tries `count` entries.
+///
+/// The first choices of consecutive agents differ by at most one per entry, and
+/// the agents of one entry have different second choices, so that the load of a
+/// lost entry spreads over all others.
+///
+/// ```
+/// use berylgw_core::home::order;
+///
+/// assert_eq!(order(4, 3), [1, 0, 2]);
+/// assert_eq!(order(7, 3), [1, 2, 0]);
+/// ```
+pub fn order(index: usize, count: usize) -> Vec<usize> {
+    let mut order = Vec::with_capacity(count);
+    if count == 0 {
+        return order;
+    }
+    let first = index % count;
+    order.push(first);
+    let others = count - 1;
+    for next in 0..others {
+        let step = 1 + (index / count + next) % others;
+        order.push((first + step) % count);
+    }
+    order
+}
+
+/// Peer addresses that the agent of the backend server `name` follows, best first.
+///
+/// Entries of its region come first and those out of service last. The second
+/// is in another failure domain than the first if there is one. Empty if the
+/// sheet does not have the server.
+pub fn addresses(snapshot: &Snapshot, name: &str) -> Vec<SocketAddr> {
+    let Some(server) = snapshot.server(name) else {
+        return Vec::new();
+    };
+    let region = region_of(snapshot, &server.domain);
+    let is_near = |domain: &str| region_of(snapshot, domain) == region;
+    let servers = snapshot.sheet.servers.iter();
+    let index = servers
+        .take_while(|other| *other.name < *name)
+        .filter(|other| is_near(&other.domain))
+        .count();
+    let entries = snapshot.sheet.entries.iter();
+    let (near, far): (Vec<&Entry>, Vec<&Entry>) = entries.partition(|entry| is_near(&entry.domain));
+    let mut chosen = Vec::new();
+    for entries in [near, far] {
+        let places = order(index, entries.len());
+        chosen.extend(places.into_iter().map(|place| entries[place]));
+    }
+    chosen.sort_by_key(|entry| (!is_near(&entry.domain), snapshot.is_out(&entry.domain)));
+    separate(&mut chosen);
+    chosen.iter().map(|entry| entry.peer_address).collect()
+}
+
+/// Moves the next entry of another failure domain to the second place.
+fn separate(entries: &mut [&Entry]) {
+    let Some((first, rest)) = entries.split_first_mut() else {
+        return;
+    };
+    let other = rest.iter().position(|entry| entry.domain != first.domain);
+    if let Some(other) = other {
+        rest[..=other].rotate_right(1);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,7 +11,8 @@
 //! - A request's way through an entry: [`directory`], [`route`], [`retry`],
 //!   [`ledger`], [`stream`], [`buffer`], with [`outcome`] for its end.
 //! - A request's way through an agent: [`admission`], [`fair`], [`ticket`],
-//!   [`quarantine`], [`drain`].
+//!   [`quarantine`], [`drain`]. It learns the configuration from its [`home`]
+//!   entries.
 //! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`].
 
 pub mod admission;
@@ -26,6 +27,7 @@
 pub mod expert;
 pub mod failure;
 pub mod fair;
+pub mod home;
 pub mod host;
 pub mod lease;
 pub mod ledger;
--- /dev/null
+++ b/crates/core/tests/home.rs
@@ -0,0 +1,62 @@
+//! Home entries of agents.
+
+use berylgw_core::config::Snapshot;
+use berylgw_core::home::{addresses, order};
+use berylgw_core::sheet::parse;
+
+const EXAMPLE: &str = include_str!("../../../examples/sheet.csv");
+
+fn snapshot() -> Snapshot {
+    Snapshot {
+        sheet: parse(EXAMPLE).unwrap(),
+        ..Snapshot::default()
+    }
+}
+
+/// Guards against an entry that sends objects to more agents than its share,
+/// and against the agents of a lost entry that all move to the same other one.
+#[test]
+fn order_even() {
+    for (agents, entries) in [(38, 8), (2_600, 380), (5, 8), (70, 7)] {
+        let mut firsts = vec![0; entries];
+        let mut moved = vec![0; entries];
+        for agent in 0..agents {
+            let order = order(agent, entries);
+            let mut sorted = order.clone();
+            sorted.sort_unstable();
+            assert!(sorted.into_iter().eq(0..entries));
+            firsts[order[0]] += 1;
+            if order[0] == 0 {
+                moved[order[1]] += 1;
+            }
+        }
+        assert!(firsts.iter().max().unwrap() - firsts.iter().min().unwrap() <= 1);
+        assert!(moved[1..].iter().max().unwrap() - moved[1..].iter().min().unwrap() <= 1);
+    }
+    assert!(order(3, 0).is_empty());
+    assert_eq!(order(3, 1), [0]);
+}
+
+/// Guards against homes in another region, both in one failure domain or in a
+/// failure domain out of service, while better ones exist.
+#[test]
+fn addresses_near_and_apart() {
+    let mut snapshot = snapshot();
+    snapshot.domains_out = vec!["office-loft".into()];
+    let entry = |address| {
+        let mut entries = snapshot.sheet.entries.iter();
+        entries.find(|entry| entry.peer_address == address).unwrap()
+    };
+    for server in &snapshot.sheet.servers {
+        let homes = addresses(&snapshot, &server.name);
+        assert_eq!(homes.len(), snapshot.sheet.entries.len());
+        let (first, second) = (entry(homes[0]), entry(homes[1]));
+        assert_ne!(first.domain, second.domain);
+        let region = |domain: &str| berylgw_core::directory::region_of(&snapshot, domain);
+        for home in [first, second] {
+            assert_eq!(region(&home.domain), region(&server.domain));
+            assert!(!snapshot.is_out(&home.domain));
+        }
+    }
+    assert!(addresses(&snapshot, "unknown").is_empty());
+}
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -104,8 +104,9 @@
         self.note(request.sender.as_ref());
         let mut changes = self.0.current.clone();
         changes.mark_changed();
+        let versions_only = request.versions_only;
         let start = (self.0.clone(), changes, request.since);
-        let replies = stream::unfold(start, |(shared, mut changes, since)| async move {
+        let replies = stream::unfold(start, move |(shared, mut changes, since)| async move {
             let mut stopping = shared.stopping.clone();
             let stopped = async move {
                 let _ = stopping.wait_for(|stopping| *stopping).await;
@@ -115,7 +116,8 @@
                 () = stopped => return None,
             }
             let current = changes.borrow_and_update().clone();
-            let reply = reply(&shared, &current, since);
+            let from = if versions_only { u64::MAX } else { since };
+            let reply = reply(&shared, &current, from);
             let since = since.max(reply.version);
             Some((Ok(reply), (shared, changes, since)))
         });
@@ -131,8 +133,12 @@
         let channel = shared.pool.get(peer).await.map_err(unreachable)?;
         let mut client =
             wire::sync_client::SyncClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
-        let sender = Some(shared.sender());
-        let reply = client.pull(wire::PullRequest { sender, since }).await?;
+        let request = wire::PullRequest {
+            sender: Some(shared.sender()),
+            since,
+            versions_only: false,
+        };
+        let reply = client.pull(request).await?;
         Ok::<_, Status>(reply.into_inner())
     };
     let timed_out = |_| Status::deadline_exceeded("no answer from peer");
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -20,6 +20,12 @@
 #[error("{0}")]
 pub struct Error(String);
 
+impl Error {
+    pub(crate) fn new(message: impl Into<String>) -> Self {
+        Error(message.into())
+    }
+}
+
 impl From<launch::Error> for Error {
     fn from(error: launch::Error) -> Self {
         Error(error.to_string())
@@ -43,6 +49,13 @@
     pub service: Vec<String>,
     /// Whether a fault proxy stands in front of each agent.
     pub proxied: bool,
+    /// Whether a fault proxy stands between each entry and the platform, and
+    /// one in front of its peer address.
+    pub proxied_entries: bool,
+    /// Further lines of the settings of each entry.
+    pub entry: String,
+    /// Further lines of the settings of each agent.
+    pub agent: String,
 }
 
 /// A process of the product.
@@ -56,14 +69,47 @@
     pub address: SocketAddr,
     /// Fault proxy that listens on the address, if there is one.
     pub proxy: Option<Fake>,
+    /// Fault proxies of an entry, if it has them.
+    pub links: Option<Links>,
+    /// Settings file.
+    pub settings: PathBuf,
     /// The process.
     pub process: Process,
 }
 
+/// Fault proxies of one entry.
+#[derive(Debug)]
+pub struct Links {
+    /// Between the entry and the platform.
+    pub platform: Fake,
+    /// In front of the peer address, where other entries and agents come in.
+    pub peers: Fake,
+}
+
 impl Member {
+    /// Address for other berylgw processes that no fault affects.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not listen.
+    pub async fn direct(&self) -> Result<SocketAddr, Error> {
+        let interface = if self.process.name() == "berylgw-entry" {
+            "peers"
+        } else {
+            "agent"
+        };
+        Ok(self.process.address(interface).await?)
+    }
+
+    async fn peer_address(&self) -> Result<SocketAddr, Error> {
+        match &self.links {
+            Some(links) => Ok(links.peers.process.address("proxy").await?),
+            None => Ok(self.process.address("peers").await?),
+        }
+    }
+
     async fn behind_proxy(mut self) -> Result<Member, Error> {
-        let args = ["--upstream".to_owned(), self.address.to_string()];
-        let proxy = start_fake(&self.name, "fault-proxy", &args).await?;
+        let proxy = start_proxy(&self.name, self.address).await?;
         self.address = proxy.process.address("proxy").await?;
         self.proxy = Some(proxy);
         Ok(self)
@@ -113,9 +159,9 @@
         let platform_fake = start_fake("platform", "fake-platform", &extra.platform).await?;
         let platform = platform_fake.process.address("platform").await?;
         let fakes = start_fakes(&plan, extra).await?;
-        let entries = start_entries(&plan, &scratch, platform).await?;
+        let entries = start_entries(&plan, &scratch, platform, extra).await?;
         let mut agents = Vec::new();
-        for agent in start_agents(&plan, &scratch, &entries, &fakes).await? {
+        for agent in start_agents(&plan, &scratch, &entries, &fakes, extra).await? {
             agents.push(if extra.proxied {
                 agent.behind_proxy().await?
             } else {
@@ -124,7 +170,7 @@
         }
         let mut addresses = Vec::new();
         for member in &entries {
-            let peer = member.process.address("peers").await?;
+            let peer = member.peer_address().await?;
             addresses.push((member.name.clone(), member.address, Some(peer)));
         }
         for member in &agents {
@@ -223,6 +269,11 @@
     })
 }
 
+async fn start_proxy(name: &str, upstream: SocketAddr) -> Result<Fake, Error> {
+    let args = ["--upstream".to_owned(), upstream.to_string()];
+    start_fake(name, "fault-proxy", &args).await
+}
+
 async fn start_fakes(plan: &Plan, extra: &Extra) -> Result<Vec<Fake>, Error> {
     let mut fakes = Vec::new();
     for fake in &plan.fakes {
@@ -246,23 +297,37 @@
     plan: &Plan,
     scratch: &Scratch,
     platform: SocketAddr,
+    extra: &Extra,
 ) -> Result<Vec<Member>, Error> {
     let mut entries: Vec<Member> = Vec::new();
     let mut seeds: Vec<SocketAddr> = Vec::new();
     for entry in &plan.entries {
+        let mut link = None;
+        let mut reached = platform;
+        if extra.proxied_entries {
+            let proxy = start_proxy(&entry.name, platform).await?;
+            reached = proxy.process.address("proxy").await?;
+            link = Some(proxy);
+        }
         let settings = format!(
             "name: {}\ndomain: {}\n\
              listen: {{callers: '127.0.0.1:0', peers: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
-             platform: {{address: '{platform}', timeout_ms: 1000}}\n\
-             seeds: {}\n",
+             platform: {{address: '{reached}', timeout_ms: 1000}}\n\
+             seeds: {}\n{}",
             entry.name,
             entry.domain,
             quoted(&seeds),
+            extra.entry,
         );
-        let member = start_member("berylgw-entry", "callers", entry, scratch, &settings).await?;
+        let mut member =
+            start_member("berylgw-entry", "callers", entry, scratch, &settings).await?;
+        if let Some(platform) = link {
+            let peers = start_proxy(&entry.name, member.direct().await?).await?;
+            member.links = Some(Links { platform, peers });
+        }
         // Two seeds are enough: the sheet names all other entries.
         if seeds.len() < 2 {
-            seeds.push(member.process.address("peers").await?);
+            seeds.push(member.peer_address().await?);
         }
         entries.push(member);
     }
@@ -274,13 +339,15 @@
     scratch: &Scratch,
     entries: &[Member],
     fakes: &[Fake],
+    extra: &Extra,
 ) -> Result<Vec<Member>, Error> {
     let mut agents = Vec::new();
     for server in &plan.servers {
         let mut homes = Vec::new();
         for entry in entries {
             if plan.region(&entry.domain) == plan.region(&server.domain) {
-                homes.push(entry.process.address("peers").await?);
+                // A fault between entries leaves agents this way.
+                homes.push(entry.direct().await?);
             }
         }
         let mut served = fakes.iter().flat_map(|fake| &fake.servers);
@@ -290,10 +357,11 @@
             "name: {}\ndomain: {}\n\
              listen: {{agent: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
              entries: {}\n\
-             server: {{address: '{local}'}}\n",
+             server: {{address: '{local}'}}\n{}",
             server.name,
             server.domain,
             quoted(&homes),
+            extra.agent,
         );
         agents.push(start_member("berylgw-agent", "agent", server, scratch, &settings).await?);
     }
@@ -314,6 +382,8 @@
         domain: host.domain.clone(),
         address: process.address(interface).await?,
         proxy: None,
+        links: None,
+        settings: file,
         process,
     })
 }
--- a/crates/testkit/src/launch.rs
+++ b/crates/testkit/src/launch.rs
@@ -103,6 +103,11 @@
 }
 
 impl Process {
+    /// Name of the binary.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Process id.
     pub fn id(&self) -> i32 {
         self.pid.as_raw()
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //!   connections.
 //! - [`launch`] starts processes, [`cluster`] a whole system of them; [`control`]
 //!   drives the control listeners and [`client`] makes calls as a caller would.
+//! - [`version`] watches the configuration versions of processes.
 //! - [`serve`] and [`bucket`] are shared by the fakes.
 
 pub mod bucket;
@@ -20,5 +21,6 @@
 pub mod serve;
 pub mod service;
 pub mod store;
+pub mod version;
 
 pub use engine::answer;
