Specify the switch of expert maps

Change: controllers and messages leave the state. It records instead what was ever true (maps written, loaded, begun), and an order reaches a rank as soon as that history allows some controller to send it. This includes every late, repeated or lost message and any number of controllers with old knowledge, so no kind of fault is dropped. Conclusion: an old map may be unloaded only after a step with the new stamp has begun; unloading once the stamp is accepted stalls a step that began before.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod claim;
 pub mod config;
 pub mod lease;
+pub mod step;
--- /dev/null
+++ b/crates/spec/src/step/check.rs
@@ -0,0 +1,39 @@
+//! Properties and their exploration.
+
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+
+use super::state::{Setup, State};
+
+/// A property that does not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// Two ranks use different maps in one step.
+    MixedStep,
+    /// No rank restarted, and a rank cannot take part in the step.
+    StalledStep,
+}
+
+impl State {
+    /// The property that this state violates, if any.
+    pub fn check(&self) -> Option<Violation> {
+        let stamp = self.step?;
+        let used = self.ranks.iter().filter_map(|rank| rank.used);
+        if { used }.any(|map| map != stamp) {
+            return Some(Violation::MixedStep);
+        }
+        let absent = self.ranks.iter().filter(|rank| rank.used.is_none());
+        let waits = { absent }.any(|rank| !self.holds_stamped(rank));
+        (waits && !self.restarted).then_some(Violation::StalledStep)
+    }
+}
+
+/// Shortest sequence of states that ends in `violation`.
+pub fn find(setup: &Setup, violation: Violation) -> Option<Vec<State>> {
+    let success = |state: &State| state.check() == Some(violation);
+    bfs(&State::new(setup), |state| state.successors(setup), success)
+}
+
+/// Number of reachable states.
+pub fn count(setup: &Setup) -> usize {
+    bfs_reach(State::new(setup), |state| state.successors(setup)).count()
+}
--- /dev/null
+++ b/crates/spec/src/step/state.rs
@@ -0,0 +1,301 @@
+//! States and transitions.
+
+/// Number of ranks in the group; rank 0 stamps the steps.
+pub const RANKS: usize = 3;
+
+/// A map: twice its number, plus 1 if another map with that number was written
+/// before.
+///
+/// Conditional updates make the number unique. Two maps with the same number
+/// count as different.
+type Map = u8;
+
+/// The map that every rank starts with.
+const FIRST: Map = 0;
+
+/// A set of maps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Maps(u8);
+
+impl Maps {
+    fn only(map: Map) -> Self {
+        Maps(1 << map)
+    }
+
+    fn has(self, map: Map) -> bool {
+        self.0 & (1 << map) != 0
+    }
+
+    fn insert(&mut self, map: Map) {
+        self.0 |= 1 << map;
+    }
+
+    fn remove(&mut self, map: Map) {
+        self.0 &= !(1 << map);
+    }
+
+    fn iter(self) -> impl DoubleEndedIterator<Item = Map> {
+        (0..8).filter(move |map| self.has(*map))
+    }
+
+    /// The map with the same number as `map`.
+    fn with_number(self, map: Map) -> Option<Map> {
+        self.iter().find(|held| number(*held) == number(map))
+    }
+}
+
+fn number(map: Map) -> u8 {
+    map / 2
+}
+
+/// A mistake that the exploration has to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mistake {
+    /// A rank that lacks the stamped map takes part with its newest one.
+    JoinWithoutMap,
+    /// A rank uses its newest map and ignores the stamp.
+    IgnoreStamp,
+    /// Maps are written without a condition, so numbers repeat.
+    UnconditionalWrite,
+    /// The controller gives the stamp before every rank has loaded the map.
+    StampBeforeLoaded,
+    /// The controller unloads the old map before the new one is stamped.
+    UnloadBeforeStamped,
+    /// The controller unloads the old map while a step that began with it runs.
+    UnloadBeforeStep,
+    /// The first rank accepts a lower number than it has stamped.
+    StampGoesBack,
+    /// A rank that restarts in a step goes on with the map it starts with.
+    RejoinAfterRestart,
+}
+
+/// Bounds of the exploration.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Number of maps that are written after the first, at most 3.
+    pub maps: u8,
+    /// Number of rank restarts.
+    pub restarts: u8,
+    /// Mistake that is switched on.
+    pub mistake: Option<Mistake>,
+}
+
+/// One rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Rank {
+    loaded: Maps,
+    /// Maps that the rank reported as loaded at any time.
+    ever_loaded: Maps,
+    /// Map that the rank uses in the step in progress.
+    pub(super) used: Option<Map>,
+}
+
+/// The whole system between two events, with the history that controllers can
+/// know of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    restarts: u8,
+    pub(super) restarted: bool,
+    /// Maps that were ever in the store.
+    written: Maps,
+    /// Maps on steps that have begun, as rank 0 reported them at any time.
+    ever_begun: Maps,
+    stamp: Map,
+    /// Map on the step in progress.
+    pub(super) step: Option<Map>,
+    pub(super) ranks: [Rank; RANKS],
+}
+
+impl State {
+    /// The state at start.
+    pub fn new(setup: &Setup) -> Self {
+        let rank = Rank {
+            loaded: Maps::only(FIRST),
+            ever_loaded: Maps::only(FIRST),
+            used: None,
+        };
+        State {
+            restarts: setup.restarts,
+            restarted: false,
+            written: Maps::only(FIRST),
+            ever_begun: Maps::default(),
+            stamp: FIRST,
+            step: None,
+            ranks: [rank; RANKS],
+        }
+    }
+
+    /// All states that one event leads to.
+    pub fn successors(&self, setup: &Setup) -> Vec<State> {
+        let mut next = Vec::new();
+        self.write(setup, &mut next);
+        for map in self.written.iter() {
+            self.stamp(map, setup, &mut next);
+            for rank in 0..RANKS {
+                self.load(rank, map, &mut next);
+                self.unload(rank, map, setup, &mut next);
+            }
+        }
+        for rank in 0..RANKS {
+            self.restart(rank, setup, &mut next);
+            self.join(rank, setup, &mut next);
+        }
+        self.begin(&mut next);
+        self.end(&mut next);
+        for state in &mut next {
+            // Ranks other than the first differ in nothing but their state.
+            state.ranks[1..].sort_unstable();
+        }
+        next
+    }
+
+    pub(super) fn holds_stamped(&self, rank: &Rank) -> bool {
+        let stamped = self.step.and_then(|map| rank.loaded.with_number(map));
+        stamped.is_some()
+    }
+
+    fn change(&self, apply: impl FnOnce(&mut State)) -> State {
+        let mut state = *self;
+        apply(&mut state);
+        state
+    }
+
+    /// A controller writes the next map on a version that it has read.
+    fn write(&self, setup: &Setup, next: &mut Vec<State>) {
+        let unconditional = setup.mistake == Some(Mistake::UnconditionalWrite);
+        let newest = self.written.iter().next_back().unwrap_or(FIRST);
+        let seen = self.written.iter();
+        for seen in seen.filter(|map| unconditional || *map == newest) {
+            let mut map = 2 * (number(seen) + 1);
+            if number(map) > setup.maps {
+                continue;
+            }
+            map += u8::from(self.written.has(map));
+            next.push(self.change(|state| state.written.insert(map)));
+        }
+    }
+
+    /// An order to load a map reaches a rank; one is sent to a rank that lacks
+    /// the newest map known.
+    fn load(&self, rank: usize, map: Map, next: &mut Vec<State>) {
+        // A rank that holds a map with this number keeps it.
+        if self.ranks[rank].loaded.with_number(map).is_some() {
+            return;
+        }
+        next.push(self.change(|state| {
+            state.ranks[rank].loaded.insert(map);
+            state.ranks[rank].ever_loaded.insert(map);
+        }));
+    }
+
+    /// An order to stamp a map reaches rank 0; one is sent after every rank
+    /// reported the map as loaded.
+    fn stamp(&self, map: Map, setup: &Setup, next: &mut Vec<State>) {
+        let early = setup.mistake == Some(Mistake::StampBeforeLoaded);
+        let back = setup.mistake == Some(Mistake::StampGoesBack);
+        let sent = early || self.all_loaded(map);
+        let newer = back || number(map) >= number(self.stamp);
+        if !sent || !newer || !self.ranks[0].loaded.has(map) {
+            return;
+        }
+        next.push(self.change(|state| {
+            state.stamp = map;
+            if setup.mistake == Some(Mistake::UnloadBeforeStep) {
+                state.ever_begun.insert(map);
+            }
+        }));
+    }
+
+    /// An order to unload a map reaches a rank; one is sent after a step with a
+    /// newer map has begun.
+    fn unload(&self, rank: usize, map: Map, setup: &Setup, next: &mut Vec<State>) {
+        let early = setup.mistake == Some(Mistake::UnloadBeforeStamped);
+        let newer = self.written.iter().filter(|new| number(*new) > number(map));
+        let sent = { newer }.any(|new| self.ever_begun.has(new) || (early && self.all_loaded(new)));
+        let target = &self.ranks[rank];
+        let stamped = rank == 0 && self.stamp == map;
+        let in_step = target.used == Some(map);
+        if !sent || stamped || in_step || !target.loaded.has(map) {
+            return;
+        }
+        next.push(self.change(|state| state.ranks[rank].loaded.remove(map)));
+    }
+
+    fn all_loaded(&self, map: Map) -> bool {
+        self.ranks.iter().all(|rank| rank.ever_loaded.has(map))
+    }
+
+    /// A rank dies and starts with the first map; its step is given up.
+    fn restart(&self, rank: usize, setup: &Setup, next: &mut Vec<State>) {
+        if self.restarts == 0 {
+            return;
+        }
+        next.push(self.change(|state| {
+            state.restarts -= 1;
+            state.restarted = true;
+            state.ranks[rank].loaded = Maps::only(FIRST);
+            if rank == 0 {
+                state.stamp = FIRST;
+            }
+            let rejoin = setup.mistake == Some(Mistake::RejoinAfterRestart);
+            if rejoin && rank != 0 && state.step.is_some() {
+                state.ranks[rank].used = Some(FIRST);
+                return;
+            }
+            state.leave_step();
+        }));
+    }
+
+    fn leave_step(&mut self) {
+        self.step = None;
+        for rank in &mut self.ranks {
+            rank.used = None;
+        }
+    }
+
+    /// Rank 0 begins a step.
+    fn begin(&self, next: &mut Vec<State>) {
+        if self.step.is_some() {
+            return;
+        }
+        next.push(self.change(|state| {
+            state.step = Some(state.stamp);
+            state.ranks[0].used = Some(state.stamp);
+            state.ever_begun.insert(state.stamp);
+        }));
+    }
+
+    /// A rank takes part in the step.
+    fn join(&self, rank: usize, setup: &Setup, next: &mut Vec<State>) {
+        let Some(stamp) = self.step else {
+            return;
+        };
+        if self.ranks[rank].used.is_some() {
+            return;
+        }
+        let Some(map) = self.map_for(rank, stamp, setup) else {
+            return;
+        };
+        next.push(self.change(|state| state.ranks[rank].used = Some(map)));
+    }
+
+    fn map_for(&self, rank: usize, stamp: Map, setup: &Setup) -> Option<Map> {
+        let loaded = self.ranks[rank].loaded;
+        let newest = loaded.iter().next_back();
+        // The stamp carries the number only.
+        let held = loaded.with_number(stamp);
+        match setup.mistake {
+            Some(Mistake::IgnoreStamp) => newest,
+            Some(Mistake::JoinWithoutMap) => held.or(newest),
+            _ => held,
+        }
+    }
+
+    /// All ranks have taken part.
+    fn end(&self, next: &mut Vec<State>) {
+        let complete = self.ranks.iter().all(|rank| rank.used.is_some());
+        if complete {
+            next.push(self.change(State::leave_step));
+        }
+    }
+}
--- /dev/null
+++ b/crates/spec/tests/step.rs
@@ -0,0 +1,71 @@
+//! Exhaustive exploration of the expert map switch.
+
+use berylgw_spec::step::{Mistake, Setup, Violation, count, find};
+
+const SETUP: Setup = Setup {
+    maps: 2,
+    restarts: 2,
+    mistake: None,
+};
+
+fn finds(mistake: Mistake, violation: Violation) -> bool {
+    let mistake = Some(mistake);
+    let with_restart = Setup { mistake, ..SETUP };
+    find(&with_restart, violation).is_some()
+}
+
+// Guards against a step in which two ranks use different maps, with several
+// controllers, late and repeated messages and a rank that restarts.
+#[test]
+fn explore_mixed_step() {
+    assert!(find(&SETUP, Violation::MixedStep).is_none());
+    println!("explore_mixed_step: {} states", count(&SETUP));
+}
+
+// Guards against a switch that makes a step wait for a rank to load a map.
+#[test]
+fn explore_stalled_step() {
+    assert!(find(&SETUP, Violation::StalledStep).is_none());
+}
+
+#[test]
+fn find_join_without_map() {
+    assert!(finds(Mistake::JoinWithoutMap, Violation::MixedStep));
+}
+
+#[test]
+fn find_ignore_stamp() {
+    assert!(finds(Mistake::IgnoreStamp, Violation::MixedStep));
+}
+
+#[test]
+fn find_unconditional_write() {
+    assert!(finds(Mistake::UnconditionalWrite, Violation::MixedStep));
+}
+
+#[test]
+fn find_rejoin_after_restart() {
+    assert!(finds(Mistake::RejoinAfterRestart, Violation::MixedStep));
+}
+
+#[test]
+fn find_stamp_before_loaded() {
+    assert!(finds(Mistake::StampBeforeLoaded, Violation::StalledStep));
+}
+
+#[test]
+fn find_unload_before_stamped() {
+    assert!(finds(Mistake::UnloadBeforeStamped, Violation::StalledStep));
+}
+
+#[test]
+fn find_stamp_goes_back() {
+    assert!(finds(Mistake::StampGoesBack, Violation::StalledStep));
+}
+
+// Found by this exploration: the stamp had moved on while a step with the old
+// map still waited for a rank, and the old map was unloaded from that rank.
+#[test]
+fn find_unload_before_step() {
+    assert!(finds(Mistake::UnloadBeforeStep, Violation::StalledStep));
+}
