Decide the switch of expert maps in the core

Cause: nothing in the core decided which orders bring a group from one expert map to the next. An old map is unloaded only after a step with the new one has begun.

--- /dev/null
+++ b/crates/core/src/step/group.rs
@@ -0,0 +1,156 @@
+use std::time::Duration;
+
+use super::{Action, Number, Order, Report};
+use crate::clock::Instant;
+use crate::expert::Rank;
+
+/// What a group controller knows of its ranks.
+///
+/// Old knowledge is safe: the rules of [`Member`](super::Member) and the order
+/// of load, stamp and unload hold for any age of a report. The age limit keeps a
+/// controller from repeating orders to a rank that does not answer.
+#[derive(Clone, Debug)]
+pub struct Group {
+    max_age: Duration,
+    sightings: Vec<Option<Sighting>>,
+}
+
+#[derive(Clone, Debug)]
+struct Sighting {
+    asked: Instant,
+    report: Report,
+}
+
+/// How far a group has come with its newest map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// A rank has not reported lately.
+    Unknown,
+    /// A step with a newer map has begun, so the target is out of date.
+    Overtaken,
+    /// A rank has not loaded the map.
+    Loading,
+    /// No step with the map has begun.
+    Stamping,
+    /// A rank still holds an older map.
+    Unloading,
+    /// Every rank holds the map and no older one; steps use it.
+    Settled,
+}
+
+impl Group {
+    /// Makes a group of `ranks` ranks; reports count for `max_age`.
+    pub fn new(ranks: usize, max_age: Duration) -> Self {
+        Group {
+            max_age,
+            sightings: vec![None; ranks],
+        }
+    }
+
+    /// Number of ranks.
+    pub fn ranks(&self) -> usize {
+        self.sightings.len()
+    }
+
+    /// Records the answer to a question that was sent to a rank at `asked`.
+    ///
+    /// Returns whether it is newer than what was known. A report of a rank that
+    /// the group does not have is ignored.
+    pub fn report(&mut self, rank: Rank, report: Report, asked: Instant) -> bool {
+        let Some(slot) = self.sightings.get_mut(rank.index()) else {
+            return false;
+        };
+        if slot.as_ref().is_some_and(|known| known.asked > asked) {
+            return false;
+        }
+        *slot = Some(Sighting { asked, report });
+        true
+    }
+
+    /// Orders that bring the group closer to using `target`.
+    pub fn plan(&self, target: Number, now: Instant) -> Vec<Order> {
+        let first = self.seen(0, now);
+        // A newer map exists that this controller has not read.
+        if first.is_some_and(|first| first.stamp > target) {
+            return Vec::new();
+        }
+        let mut orders = Vec::new();
+        let mut all_loaded = true;
+        for index in 0..self.ranks() {
+            let report = self.seen(index, now);
+            if report.is_some_and(|report| report.holds(target)) {
+                continue;
+            }
+            all_loaded = false;
+            if report.is_some() {
+                orders.push(order(index, Action::Load(target)));
+            }
+        }
+        let Some(first) = first else {
+            return orders;
+        };
+        if all_loaded && first.stamp < target {
+            orders.push(order(0, Action::Stamp(target)));
+        }
+        // The stamp is not enough: a step that began with the old map may still
+        // wait for a rank.
+        if first.begun == target {
+            self.unload(target, now, &mut orders);
+        }
+        orders
+    }
+
+    fn unload(&self, target: Number, now: Instant, orders: &mut Vec<Order>) {
+        for index in 0..self.ranks() {
+            let Some(report) = self.seen(index, now) else {
+                continue;
+            };
+            let old = report.loaded.iter().filter(|map| **map < target);
+            orders.extend(old.map(|map| order(index, Action::Unload(*map))));
+        }
+    }
+
+    /// How far the group has come with `target`.
+    ///
+    /// A controller that writes the next map before the group has settled would
+    /// make ranks hold more than two maps.
+    pub fn progress(&self, target: Number, now: Instant) -> Progress {
+        let reports: Option<Vec<&Report>> = (0..self.ranks())
+            .map(|index| self.seen(index, now))
+            .collect();
+        let Some(reports) = reports else {
+            return Progress::Unknown;
+        };
+        let Some(first) = reports.first() else {
+            return Progress::Unknown;
+        };
+        if first.stamp > target {
+            return Progress::Overtaken;
+        }
+        if !reports.iter().all(|report| report.holds(target)) {
+            return Progress::Loading;
+        }
+        if first.begun != target {
+            return Progress::Stamping;
+        }
+        let alone = |report: &&Report| report.loaded.iter().all(|map| *map >= target);
+        if reports.iter().all(alone) {
+            Progress::Settled
+        } else {
+            Progress::Unloading
+        }
+    }
+
+    fn seen(&self, index: usize, now: Instant) -> Option<&Report> {
+        let sighting = self.sightings[index].as_ref()?;
+        let fresh = now.since(sighting.asked) <= self.max_age;
+        fresh.then_some(&sighting.report)
+    }
+}
+
+fn order(index: usize, action: Action) -> Order {
+    Order {
+        rank: Rank::from(index as u16),
+        action,
+    }
+}
