Keep the orders to an engine in one line

Cause: nothing decided when an agent may pass an order to its engine. Change: order::Line posts one order at a time and reads it back by id until it is done. It refuses a fencing token older than one it has seen (also one read back from the ids of earlier orders after a restart) and an order from an older platform object than one seen for the same subject. A lost answer is settled by reading back and posting the same id again. After a start of the agent, and with a new token if the engine ignores tokens, the first order waits for the longest time an order can take.

--- /dev/null
+++ b/crates/core/src/order/line.rs
@@ -0,0 +1,361 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::{Id, Order, Progress, Report, Subject};
+use crate::clock::Instant;
+
+/// Orders whose end is remembered for a sender that asks again.
+const ENDED_KEPT: usize = 64;
+
+/// Settings of a [`Line`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Whether the engine refuses orders with an old fencing token.
+    pub fencing: bool,
+    /// Longest time from sending an order to its end at the engine.
+    pub longest: Duration,
+    /// Time between two reads of the engine's orders.
+    pub poll: Duration,
+    /// Orders that can wait.
+    pub capacity: usize,
+}
+
+/// How a post ended, as far as the agent knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Post {
+    /// The engine has the order.
+    Accepted,
+    /// The engine has seen this newer token.
+    Stale(u64),
+    /// The engine does not understand the order.
+    Rejected,
+    /// No answer; the order may arrive, even later.
+    Unknown,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// An order arrived from a role holder.
+    Submit(Order),
+    /// The outstanding [`Task::Post`] ended.
+    Posted(Post),
+    /// The outstanding [`Task::Read`] returned a report, or failed.
+    Read(Option<Report>),
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Task {
+    /// Pass the order to the engine.
+    Post(Order),
+    /// Read the engine's orders.
+    Read,
+    /// Tell everyone who waits for the order how it ended.
+    Answer(Id, Outcome),
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The engine carried it out.
+    Done,
+    /// A newer token was seen; the order was not carried out.
+    Stale(u64),
+    /// An order from a newer object was seen; this one was not carried out.
+    Superseded(u64),
+    /// The line is full; the order was not carried out.
+    Full,
+    /// The id was used for another order; this one was not carried out.
+    Reused,
+    /// The engine rejected the order or ended it without effect.
+    Failed,
+    /// The order may be carried out, even later.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Current {
+    order: Order,
+    deadline: Instant,
+    /// The next call is a post instead of a read.
+    post: bool,
+    /// A post had no answer.
+    unsettled: bool,
+}
+
+/// The orders of one engine, at its agent.
+///
+/// At most one call to the engine is outstanding.
+///
+/// ```
+/// use berylgw_core::clock::Instant;
+/// use berylgw_core::order::{Action, Event, Id, Line, Order, Report, Settings, Task};
+/// use std::time::Duration;
+///
+/// let start = Instant::ORIGIN;
+/// let mut line = Line::new(Settings {
+///     fencing: true,
+///     longest: Duration::from_secs(1),
+///     poll: Duration::from_millis(50),
+///     capacity: 8,
+/// }, start);
+/// assert_eq!(line.step(Event::Tick, start), [Task::Read]);
+/// line.step(Event::Read(Some(Report::default())), start);
+/// let order = Order {
+///     id: Id { token: 1, sequence: 1 },
+///     version: 40,
+///     action: Action::LoadMap { map: 7.into() },
+/// };
+/// assert!(line.step(Event::Submit(order.clone()), start).is_empty());
+/// let later = start + Duration::from_secs(1);
+/// assert_eq!(line.step(Event::Tick, later), [Task::Post(order)]);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Line {
+    settings: Settings,
+    newest_token: u64,
+    /// Newest object version of each subject, sorted by subject.
+    versions: Vec<(Subject, u64)>,
+    waiting: VecDeque<Order>,
+    current: Option<Current>,
+    ended: VecDeque<(Order, Outcome)>,
+    /// The orders of earlier incarnations of the agent have been read back.
+    recovered: bool,
+    calling: bool,
+    next_call: Instant,
+    /// No order is posted before.
+    quiet_until: Instant,
+}
+
+impl Line {
+    /// A line of an agent that starts at `now`.
+    ///
+    /// An order of an earlier incarnation may still be on its way.
+    pub fn new(settings: Settings, now: Instant) -> Self {
+        Line {
+            settings,
+            newest_token: 0,
+            versions: Vec::new(),
+            waiting: VecDeque::new(),
+            current: None,
+            ended: VecDeque::new(),
+            recovered: false,
+            calling: false,
+            next_call: now,
+            quiet_until: now + settings.longest,
+        }
+    }
+
+    /// Replaces the settings for orders that have not been posted.
+    pub fn set(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// When to send the next [`Event::Tick`], if no other event comes first.
+    pub fn wake_at(&self) -> Option<Instant> {
+        if self.calling {
+            return None;
+        }
+        if !self.recovered || self.current.is_some() {
+            return Some(self.next_call);
+        }
+        let waits = !self.waiting.is_empty();
+        waits.then(|| self.next_call.max(self.quiet_until))
+    }
+
+    /// Takes an event and returns what to do, in order.
+    pub fn step(&mut self, event: Event, now: Instant) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        match event {
+            Event::Tick => {}
+            Event::Submit(order) => self.submit(order, now, &mut tasks),
+            Event::Posted(post) => self.posted(post, now, &mut tasks),
+            Event::Read(report) => self.read(report, now, &mut tasks),
+        }
+        self.call(now, &mut tasks);
+        tasks
+    }
+
+    fn submit(&mut self, order: Order, now: Instant, tasks: &mut Vec<Task>) {
+        let id = order.id;
+        if let Some((known, outcome)) = self.known(id) {
+            if *known != order {
+                tasks.push(Task::Answer(id, Outcome::Reused));
+            } else if let Some(outcome) = outcome {
+                tasks.push(Task::Answer(id, outcome));
+            }
+            return;
+        }
+        if let Some(outcome) = self.refusal(&order) {
+            tasks.push(Task::Answer(id, outcome));
+            return;
+        }
+        if id.token > self.newest_token {
+            self.raise(id.token, tasks);
+            if !self.settings.fencing {
+                // An order of the former holder may still be on its way.
+                self.quiet_until = self.quiet_until.max(now + self.settings.longest);
+            }
+        }
+        self.supersede(order.action.subject(), order.version, tasks);
+        self.waiting.push_back(order);
+    }
+
+    /// The order with this id, and how it ended.
+    fn known(&self, id: Id) -> Option<(&Order, Option<Outcome>)> {
+        let current = self.current.iter().map(|current| (&current.order, None));
+        let waiting = self.waiting.iter().map(|order| (order, None));
+        let ended = self.ended.iter();
+        let ended = ended.map(|(order, outcome)| (order, Some(*outcome)));
+        { current.chain(waiting).chain(ended) }.find(|(order, _)| order.id == id)
+    }
+
+    fn refusal(&self, order: &Order) -> Option<Outcome> {
+        if order.id.token < self.newest_token {
+            return Some(Outcome::Stale(self.newest_token));
+        }
+        let newest = self.version(order.action.subject());
+        if order.version < newest {
+            return Some(Outcome::Superseded(newest));
+        }
+        (self.waiting.len() >= self.settings.capacity).then_some(Outcome::Full)
+    }
+
+    fn version(&self, subject: Subject) -> u64 {
+        let found = self.versions.iter().find(|(known, _)| *known == subject);
+        found.map_or(0, |(_, version)| *version)
+    }
+
+    /// Refuses waiting orders with an older token.
+    fn raise(&mut self, token: u64, tasks: &mut Vec<Task>) {
+        if token <= self.newest_token {
+            return;
+        }
+        self.newest_token = token;
+        self.refuse(|order| order.id.token < token, Outcome::Stale(token), tasks);
+    }
+
+    /// Refuses waiting orders for the subject that follow from an older object.
+    fn supersede(&mut self, subject: Subject, version: u64, tasks: &mut Vec<Task>) {
+        match self
+            .versions
+            .binary_search_by_key(&subject, |known| known.0)
+        {
+            Ok(index) => self.versions[index].1 = version,
+            Err(index) => self.versions.insert(index, (subject, version)),
+        }
+        let older = |order: &Order| order.action.subject() == subject && order.version < version;
+        self.refuse(older, Outcome::Superseded(version), tasks);
+    }
+
+    fn refuse(&mut self, old: impl Fn(&Order) -> bool, outcome: Outcome, tasks: &mut Vec<Task>) {
+        let refused = self.waiting.iter().filter(|order| old(order));
+        tasks.extend(refused.map(|order| Task::Answer(order.id, outcome)));
+        self.waiting.retain(|order| !old(order));
+    }
+
+    fn posted(&mut self, post: Post, now: Instant, tasks: &mut Vec<Task>) {
+        self.calling = false;
+        let Some(current) = &mut self.current else {
+            return;
+        };
+        current.post = false;
+        self.next_call = now;
+        match post {
+            Post::Accepted => self.next_call = now + self.settings.poll,
+            Post::Unknown => current.unsettled = true,
+            // A refusal of a repeated post says nothing about the earlier one.
+            Post::Stale(token) => {
+                let unsettled = current.unsettled;
+                self.raise(token, tasks);
+                if !unsettled {
+                    self.end(Outcome::Stale(token), tasks);
+                }
+            }
+            Post::Rejected => self.end(Outcome::Failed, tasks),
+        }
+    }
+
+    fn read(&mut self, report: Option<Report>, now: Instant, tasks: &mut Vec<Task>) {
+        self.calling = false;
+        self.next_call = now + self.settings.poll;
+        let Some(report) = report else {
+            return;
+        };
+        self.raise(report.newest_token(), tasks);
+        if !self.recovered {
+            self.recovered = !report.running();
+            return;
+        }
+        let Some(current) = &mut self.current else {
+            return;
+        };
+        match report.progress(current.order.id) {
+            Some(Progress::Done) => self.end(Outcome::Done, tasks),
+            Some(Progress::Failed) => self.end(Outcome::Failed, tasks),
+            Some(Progress::Running) => {}
+            None if self.settings.fencing && report.token > current.order.id.token => {
+                // The engine refuses an earlier post that is still on its way.
+                self.end(Outcome::Stale(report.token), tasks);
+            }
+            None if now < current.deadline && current.order.id.token >= self.newest_token => {
+                current.post = true;
+            }
+            None => {
+                self.quiet_until = self.quiet_until.max(now + self.settings.longest);
+                self.end(Outcome::Unknown, tasks);
+            }
+        }
+    }
+
+    fn end(&mut self, outcome: Outcome, tasks: &mut Vec<Task>) {
+        let Some(current) = self.current.take() else {
+            return;
+        };
+        tasks.push(Task::Answer(current.order.id, outcome));
+        if self.ended.len() >= ENDED_KEPT {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((current.order, outcome));
+    }
+
+    fn call(&mut self, now: Instant, tasks: &mut Vec<Task>) {
+        if self.calling {
+            return;
+        }
+        if self.recovered && self.current.is_none() {
+            self.begin(now, tasks);
+            return;
+        }
+        if now < self.next_call {
+            return;
+        }
+        self.calling = true;
+        let repeat = self.current.as_ref().filter(|current| current.post);
+        let task = match repeat {
+            Some(current) => Task::Post(current.order.clone()),
+            None => Task::Read,
+        };
+        tasks.push(task);
+    }
+
+    fn begin(&mut self, now: Instant, tasks: &mut Vec<Task>) {
+        if now < self.quiet_until {
+            return;
+        }
+        let Some(order) = self.waiting.pop_front() else {
+            return;
+        };
+        self.calling = true;
+        tasks.push(Task::Post(order.clone()));
+        self.current = Some(Current {
+            order,
+            deadline: now + self.settings.longest,
+            post: false,
+            unsettled: false,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/tests/order.rs
@@ -0,0 +1,199 @@
+//! The line of orders to one engine.
+
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::order::{
+    Action, Event, Id, Line, Order, Outcome, Post, Progress, Report, Settings, Task,
+};
+
+const LONGEST: Duration = Duration::from_millis(1_000);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn settings(fencing: bool) -> Settings {
+    Settings {
+        fencing,
+        longest: LONGEST,
+        poll: Duration::from_millis(10),
+        capacity: 4,
+    }
+}
+
+fn id(token: u64, sequence: u64) -> Id {
+    Id { token, sequence }
+}
+
+fn order(token: u64, sequence: u64) -> Order {
+    Order {
+        id: id(token, sequence),
+        version: 1,
+        action: Action::LoadMap {
+            map: sequence.into(),
+        },
+    }
+}
+
+fn report(token: u64, orders: &[(Id, Progress)]) -> Event {
+    Event::Read(Some(Report {
+        token,
+        orders: orders.to_vec(),
+    }))
+}
+
+/// A line that has waited out its start and read back an empty list at 1 s.
+fn ready(fencing: bool) -> Line {
+    let mut line = Line::new(settings(fencing), at(0));
+    assert_eq!(line.step(Event::Tick, at(1_000)), [Task::Read]);
+    assert!(line.step(report(0, &[]), at(1_000)).is_empty());
+    line
+}
+
+#[test]
+fn submit_one_at_a_time() {
+    let mut line = ready(true);
+    let first = line.step(Event::Submit(order(1, 1)), at(1_000));
+    assert_eq!(first, [Task::Post(order(1, 1))]);
+    assert!(line.step(Event::Submit(order(1, 2)), at(1_000)).is_empty());
+    assert!(
+        line.step(Event::Posted(Post::Accepted), at(1_001))
+            .is_empty()
+    );
+    assert_eq!(line.step(Event::Tick, at(1_011)), [Task::Read]);
+    let running = report(1, &[(id(1, 1), Progress::Running)]);
+    assert!(line.step(running, at(1_012)).is_empty());
+    assert_eq!(line.step(Event::Tick, at(1_022)), [Task::Read]);
+    let done = line.step(report(1, &[(id(1, 1), Progress::Done)]), at(1_023));
+    let answer = Task::Answer(id(1, 1), Outcome::Done);
+    assert_eq!(done, [answer.clone(), Task::Post(order(1, 2))]);
+    // The sender lost the answer and asks again.
+    assert_eq!(line.step(Event::Submit(order(1, 1)), at(1_024)), [answer]);
+}
+
+// Guards against a former role holder that acts after its successor.
+#[test]
+fn submit_stale_token() {
+    let mut line = ready(true);
+    line.step(Event::Submit(order(2, 1)), at(1_000));
+    line.step(Event::Submit(order(2, 2)), at(1_000));
+    let stale = line.step(Event::Submit(order(1, 9)), at(1_000));
+    assert_eq!(stale, [Task::Answer(id(1, 9), Outcome::Stale(2))]);
+    let newer = line.step(Event::Submit(order(3, 1)), at(1_000));
+    assert_eq!(newer, [Task::Answer(id(2, 2), Outcome::Stale(3))]);
+}
+
+// Guards against an agent that restarts and forgets the newest token.
+#[test]
+fn submit_stale_token_after_restart() {
+    let mut line = Line::new(settings(false), at(0));
+    line.step(Event::Tick, at(0));
+    line.step(report(0, &[(id(7, 3), Progress::Done)]), at(0));
+    let stale = line.step(Event::Submit(order(6, 4)), at(0));
+    assert_eq!(stale, [Task::Answer(id(6, 4), Outcome::Stale(7))]);
+}
+
+// Guards against the order of a former holder that arrives late at an engine
+// that ignores tokens.
+#[test]
+fn submit_new_token_waits() {
+    let mut line = ready(false);
+    assert!(line.step(Event::Submit(order(1, 1)), at(5_000)).is_empty());
+    assert_eq!(line.wake_at(), Some(at(6_000)));
+    assert!(line.step(Event::Tick, at(5_999)).is_empty());
+    let tasks = line.step(Event::Tick, at(6_000));
+    assert_eq!(tasks, [Task::Post(order(1, 1))]);
+}
+
+// Guards against an order that runs while one of an earlier agent does.
+#[test]
+fn submit_while_earlier_order_runs() {
+    let mut line = Line::new(settings(true), at(0));
+    line.step(Event::Submit(order(2, 1)), at(0));
+    line.step(report(1, &[(id(1, 5), Progress::Running)]), at(0));
+    let tasks = line.step(Event::Tick, at(2_000));
+    assert_eq!(tasks, [Task::Read]);
+    let tasks = line.step(report(1, &[(id(1, 5), Progress::Done)]), at(2_000));
+    assert_eq!(tasks, [Task::Post(order(2, 1))]);
+}
+
+// Guards against a race between an operator and rebalancing that the older
+// object wins.
+#[test]
+fn submit_superseded() {
+    let mut line = ready(true);
+    line.step(Event::Submit(order(1, 1)), at(1_000));
+    let older = Order {
+        version: 4,
+        ..order(1, 2)
+    };
+    assert!(line.step(Event::Submit(older), at(1_000)).is_empty());
+    let newer = Order {
+        version: 5,
+        ..order(1, 3)
+    };
+    let tasks = line.step(Event::Submit(newer), at(1_000));
+    assert_eq!(tasks, [Task::Answer(id(1, 2), Outcome::Superseded(5))]);
+    let late = Order {
+        version: 4,
+        ..order(1, 4)
+    };
+    let tasks = line.step(Event::Submit(late), at(1_000));
+    assert_eq!(tasks, [Task::Answer(id(1, 4), Outcome::Superseded(5))]);
+    // Another part of the engine's state is not affected.
+    let other = Order {
+        id: id(1, 5),
+        version: 1,
+        action: Action::LoadModel {
+            model: "draft".into(),
+        },
+    };
+    assert!(line.step(Event::Submit(other), at(1_000)).is_empty());
+}
+
+// Guards against a lost answer taken for a refusal, or for success.
+#[test]
+fn post_without_answer() {
+    let mut line = ready(true);
+    line.step(Event::Submit(order(1, 1)), at(1_000));
+    let tasks = line.step(Event::Posted(Post::Unknown), at(1_100));
+    assert_eq!(tasks, [Task::Read]);
+    assert!(line.step(report(0, &[]), at(1_100)).is_empty());
+    let tasks = line.step(Event::Tick, at(1_110));
+    assert_eq!(tasks, [Task::Post(order(1, 1))]);
+    let tasks = line.step(Event::Posted(Post::Unknown), at(1_200));
+    assert_eq!(tasks, [Task::Read]);
+    let tasks = line.step(report(1, &[(id(1, 1), Progress::Done)]), at(1_200));
+    assert_eq!(tasks, [Task::Answer(id(1, 1), Outcome::Done)]);
+}
+
+// Guards against a next order while a lost one may still arrive.
+#[test]
+fn post_without_trace() {
+    let mut line = ready(true);
+    line.step(Event::Submit(order(1, 1)), at(1_000));
+    line.step(Event::Submit(order(1, 2)), at(1_000));
+    line.step(Event::Posted(Post::Unknown), at(2_000));
+    let tasks = line.step(report(0, &[]), at(2_000));
+    assert_eq!(tasks, [Task::Answer(id(1, 1), Outcome::Unknown)]);
+    assert!(line.step(Event::Tick, at(2_999)).is_empty());
+    let tasks = line.step(Event::Tick, at(3_000));
+    assert_eq!(tasks, [Task::Post(order(1, 2))]);
+}
+
+#[test]
+fn submit_full_and_reused() {
+    let mut line = ready(true);
+    for sequence in 1..=5 {
+        line.step(Event::Submit(order(1, sequence)), at(1_000));
+    }
+    let full = line.step(Event::Submit(order(1, 6)), at(1_000));
+    assert_eq!(full, [Task::Answer(id(1, 6), Outcome::Full)]);
+    let other = Order {
+        version: 2,
+        ..order(1, 3)
+    };
+    let reused = line.step(Event::Submit(other), at(1_000));
+    assert_eq!(reused, [Task::Answer(id(1, 3), Outcome::Reused)]);
+}
--- /dev/null
+++ b/crates/core/tests/order_schedule.rs
@@ -0,0 +1,301 @@
+//! Random schedules of orders from changing role holders through an agent that
+//! restarts to an engine that fences or ignores tokens.
+
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::order::{
+    Action, Event, Id, Line, Order, Outcome, Post, Progress, Report, Settings, Task,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SEEDS: u64 = 300;
+const EVENTS: u64 = 3_000;
+/// Longest time on the way to the engine and longest time of an order there.
+const WAY: u64 = 40;
+const RUN: u64 = 40;
+const LONGEST: Duration = Duration::from_millis(WAY + RUN);
+
+/// A mistake that the schedules have to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mistake {
+    /// The agent does not wait for orders that may still arrive.
+    NoWait,
+    /// The agent takes an engine that ignores tokens for one that checks them.
+    TrustFencing,
+    /// A post without an answer counts as rejected.
+    LostIsRejected,
+    /// All role holders use the same token.
+    OneToken,
+    /// The agent posts orders without reading back those of its predecessor.
+    NoRecovery,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Violation {
+    /// An order began while another one was being carried out.
+    Overlap,
+    /// An order of a former holder began after one of its successor.
+    Stale,
+    /// An order was reported as not carried out, and was.
+    FalseRefusal,
+    /// An order was reported as done, and was not.
+    FalseDone,
+}
+
+struct Execution {
+    id: Id,
+    until: Instant,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: Instant,
+    mistake: Option<Mistake>,
+    /// Whether the engine refuses old tokens.
+    fencing: bool,
+    line: Line,
+    /// Call of the present agent, with the time of its answer.
+    call: Option<(Instant, Event)>,
+    /// Posts on their way to the engine.
+    posts: Vec<(Instant, Order)>,
+    engine: Vec<Execution>,
+    highest_token: u64,
+    /// Present and former holder by token; sequences differ between both.
+    token: u64,
+    sequence: u64,
+    refused: Vec<Id>,
+    done: u64,
+    violation: Option<Violation>,
+}
+
+impl World {
+    fn new(seed: u64, fencing: bool, mistake: Option<Mistake>) -> Self {
+        let mut world = World {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Instant::ORIGIN,
+            mistake,
+            fencing,
+            line: Line::new(settings(fencing, mistake), Instant::ORIGIN),
+            call: None,
+            posts: Vec::new(),
+            engine: Vec::new(),
+            highest_token: 0,
+            token: 1,
+            sequence: 0,
+            refused: Vec::new(),
+            done: 0,
+            violation: None,
+        };
+        world.restart_agent();
+        world
+    }
+
+    fn event(&mut self) {
+        self.now = self.now + Duration::from_millis(1);
+        self.arrive();
+        match self.rng.random_range(0..1_000) {
+            0..60 => self.submit(self.token),
+            60..80 if self.token > 1 => self.submit(self.token - 1),
+            80..84 => self.token += 1,
+            84..88 => self.restart_agent(),
+            _ => self.step(Event::Tick),
+        }
+        let due = self.call.take_if(|(at, _)| *at <= self.now);
+        if let Some((_, event)) = due {
+            self.step(event);
+        }
+    }
+
+    fn submit(&mut self, holder: u64) {
+        self.sequence += 1;
+        let same = self.mistake == Some(Mistake::OneToken);
+        let order = Order {
+            id: Id {
+                token: if same { 1 } else { holder },
+                // The holder is part of the sequence for the check.
+                sequence: self.sequence * 1_000 + holder,
+            },
+            version: 1,
+            action: Action::LoadMap {
+                map: self.sequence.into(),
+            },
+        };
+        self.step(Event::Submit(order));
+    }
+
+    fn step(&mut self, event: Event) {
+        for task in self.line.step(event, self.now) {
+            match task {
+                Task::Post(order) => self.post(order),
+                Task::Read => self.read(),
+                Task::Answer(id, outcome) => self.answered(id, outcome),
+            }
+        }
+    }
+
+    /// A post may be lost before or after the engine gets it.
+    fn post(&mut self, order: Order) {
+        let way = Duration::from_millis(self.rng.random_range(0..WAY));
+        let arrives = self.now + way;
+        if self.rng.random_bool(0.8) {
+            self.posts.push((arrives, order.clone()));
+        }
+        // The agent stops waiting for an answer before the post arrives.
+        let answered = self.now + Duration::from_millis(self.rng.random_range(0..WAY));
+        let lost = answered < arrives || self.rng.random_bool(0.2);
+        let event = match self.mistake {
+            _ if !lost => Event::Posted(Post::Accepted),
+            Some(Mistake::LostIsRejected) => Event::Posted(Post::Rejected),
+            _ => Event::Posted(Post::Unknown),
+        };
+        self.call = Some((answered, event));
+    }
+
+    fn arrive(&mut self) {
+        let (due, later) =
+            { std::mem::take(&mut self.posts).into_iter() }.partition(|(at, _)| *at <= self.now);
+        self.posts = later;
+        let due: Vec<(Instant, Order)> = due;
+        for (_, order) in due {
+            self.accept(order.id);
+        }
+    }
+
+    fn accept(&mut self, id: Id) {
+        if self.engine.iter().any(|known| known.id == id) {
+            return;
+        }
+        if self.fencing && id.token < self.highest_token {
+            return;
+        }
+        self.highest_token = self.highest_token.max(id.token);
+        if self.engine.iter().any(|known| known.until > self.now) {
+            self.violation = Some(Violation::Overlap);
+        }
+        let holder = |id: Id| id.sequence % 1_000;
+        if { self.engine.iter() }.any(|known| holder(known.id) > holder(id)) {
+            self.violation = Some(Violation::Stale);
+        }
+        if self.refused.contains(&id) {
+            self.violation = Some(Violation::FalseRefusal);
+        }
+        let run = Duration::from_millis(self.rng.random_range(0..RUN));
+        let until = self.now + run;
+        self.engine.push(Execution { id, until });
+    }
+
+    fn read(&mut self) {
+        let answered = self.now + Duration::from_millis(self.rng.random_range(0..5));
+        if self.rng.random_bool(0.2) {
+            self.call = Some((answered, Event::Read(None)));
+            return;
+        }
+        let progress = |known: &Execution| match known.until > self.now {
+            true => (known.id, Progress::Running),
+            false => (known.id, Progress::Done),
+        };
+        let report = Report {
+            token: if self.fencing { self.highest_token } else { 0 },
+            orders: self.engine.iter().map(progress).collect(),
+        };
+        self.call = Some((answered, Event::Read(Some(report))));
+    }
+
+    fn answered(&mut self, id: Id, outcome: Outcome) {
+        let ran = self.engine.iter().find(|known| known.id == id);
+        match outcome {
+            Outcome::Done => {
+                self.done += 1;
+                if ran.is_none_or(|known| known.until > self.now) {
+                    self.violation = Some(Violation::FalseDone);
+                }
+            }
+            Outcome::Unknown => {}
+            _ if ran.is_some() => self.violation = Some(Violation::FalseRefusal),
+            _ => self.refused.push(id),
+        }
+    }
+
+    fn restart_agent(&mut self) {
+        self.line = Line::new(settings(self.fencing, self.mistake), self.now);
+        self.call = None;
+        if self.mistake == Some(Mistake::NoRecovery) {
+            self.line.step(Event::Tick, self.now);
+            let empty = Event::Read(Some(Report::default()));
+            self.step(empty);
+        }
+    }
+}
+
+fn settings(fencing: bool, mistake: Option<Mistake>) -> Settings {
+    let trust = mistake == Some(Mistake::TrustFencing);
+    let longest = match mistake {
+        Some(Mistake::NoWait) => Duration::ZERO,
+        _ => LONGEST,
+    };
+    Settings {
+        fencing: fencing || trust,
+        longest,
+        poll: Duration::from_millis(5),
+        capacity: 4,
+    }
+}
+
+fn run(seed: u64, fencing: bool, mistake: Option<Mistake>) -> World {
+    let mut world = World::new(seed, fencing, mistake);
+    for _ in 0..EVENTS {
+        world.event();
+        if world.violation.is_some() {
+            break;
+        }
+    }
+    world
+}
+
+fn finds(fencing: bool, mistake: Mistake) -> Option<Violation> {
+    let violation = |seed| run(seed, fencing, Some(mistake)).violation;
+    (0..SEEDS).find_map(violation)
+}
+
+// Guards against overlapping and stale orders and false answers.
+#[test]
+fn schedule_of_orders() {
+    for fencing in [true, false] {
+        let mut done = 0;
+        for seed in 0..SEEDS {
+            let world = run(seed, fencing, None);
+            assert_eq!(world.violation, None, "seed {seed}, fencing {fencing}");
+            done += world.done;
+        }
+        println!("schedule_of_orders: {done} orders done, fencing {fencing}");
+        assert!(done > SEEDS, "{done} orders");
+    }
+}
+
+#[test]
+fn schedule_finds_no_wait() {
+    assert!(finds(false, Mistake::NoWait).is_some());
+}
+
+#[test]
+fn schedule_finds_trusted_fencing() {
+    assert!(finds(false, Mistake::TrustFencing).is_some());
+}
+
+#[test]
+fn schedule_finds_lost_answer_taken_for_rejection() {
+    let found = finds(true, Mistake::LostIsRejected);
+    assert!(found.is_some());
+}
+
+#[test]
+fn schedule_finds_missing_token() {
+    assert_eq!(finds(true, Mistake::OneToken), Some(Violation::Stale));
+}
+
+#[test]
+fn schedule_finds_missing_recovery() {
+    assert!(finds(false, Mistake::NoRecovery).is_some());
+}
