Serve engine orders and rank reports from the agent

Cause: the Engine interface was declared and nothing served it, and the fake engine's orders had no effect on its expert maps. Change: agents serve Engine.Order with order::Line against POST and GET /orders of the engine, and Engine.Rank from GET /map and GET /steps. Orders to a server come from the holder of group/<group> only, so that their tokens can be compared. The fake engine carries out map orders, keeps the stamp of a step while it waits, restarts with the initial map, and its step time follows the most loaded rank under a drifting seeded demand. Result: orders to two real agents switch a map, stale tokens are refused also after the agent was killed, with and without fencing (3 tests); the tests of agent, core and fake engine pass.

--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -178,16 +178,25 @@
 
     async fn call(&self, method: Method, path: &str) -> Result<(StatusCode, Bytes), Error> {
         let request = self.request(method, path, Bytes::new())?;
+        self.exchange(request, MAX_REPORT).await
+    }
+
+    /// Sends a request and reads an answer of at most `limit` bytes.
+    pub(crate) async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+    ) -> Result<(StatusCode, Bytes), Error> {
         let response = self.send(request).await?;
         let status = response.status();
-        let body = http_body_util::Limited::new(response.into_body(), MAX_REPORT)
+        let body = http_body_util::Limited::new(response.into_body(), limit)
             .collect()
             .await
             .map_err(|error| Error::Answer(error.to_string()))?;
         Ok((status, body.to_bytes()))
     }
 
-    fn request(
+    pub(crate) fn request(
         &self,
         method: Method,
         path: &str,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`dispatch`] serves the `Agent` interface, [`sync`] the `Sync` interface.
 //! - [`run`] takes a request from the queue to its last frame, [`call`] holds it
 //!   while it is at the server, [`forward`] speaks HTTP with the server.
+//! - [`engine`] serves the `Engine` interface: [`orders`] passes orders to the
+//!   engine one at a time, [`report`] reads its state.
 //! - [`process`] runs everything until a graceful shutdown has finished.
 
 pub mod call;
@@ -18,12 +20,15 @@
 pub mod control;
 pub mod convert;
 pub mod dispatch;
+pub mod engine;
 pub mod forward;
 pub mod gate;
 pub mod metrics;
 pub mod once;
+pub mod orders;
 pub mod place;
 pub mod process;
+pub mod report;
 pub mod run;
 pub mod settings;
 pub mod sse;
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -10,6 +10,7 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport;
 use wire::agent_server::AgentServer;
+use wire::engine_server::EngineServer;
 use wire::sync_server::SyncServer;
 
 use crate::control::{self, Published};
@@ -17,7 +18,7 @@
 use crate::gate::Gate;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::{dispatch, sync};
+use crate::{dispatch, engine, orders, sync};
 
 /// Versions that wait for the control thread.
 const HINTS_BUFFERED: usize = 16;
@@ -80,6 +81,19 @@
         published: published.clone(),
         hints,
     };
+    let engine = engine::Service {
+        gate: gate.clone(),
+        orders: orders::spawn(
+            Server::new(settings.server.address),
+            gate.clock(),
+            settings.orders.clone(),
+            published.clone(),
+            settings.name.clone(),
+        ),
+        steps: engine::Steps::new(Server::new(settings.server.address)),
+        published: published.clone(),
+        name: settings.name.clone(),
+    };
     let sync = sync::Service {
         published,
         gate: gate.clone(),
@@ -94,6 +108,7 @@
     let agent = AgentServer::new(service).max_decoding_message_size(MAX_REQUEST);
     let served = transport::Server::builder()
         .add_service(agent)
+        .add_service(EngineServer::new(engine).max_decoding_message_size(MAX_REQUEST))
         .add_service(SyncServer::new(sync))
         .serve_with_incoming_shutdown(TcpListenerStream::new(listener), until(stopped));
     let leave = async {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -35,6 +35,9 @@
     /// Poison requests.
     #[serde(default)]
     pub quarantine: Quarantine,
+    /// Orders to the engine.
+    #[serde(default)]
+    pub orders: Orders,
 }
 
 /// Listener addresses.
@@ -141,6 +144,29 @@
     }
 }
 
+/// Orders to the engine.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Orders {
+    /// Longest time from sending an order to its end at the engine. Agents of
+    /// one backend server need the same value.
+    pub longest_ms: u64,
+    /// Time between two reads of a running order.
+    pub poll_ms: u64,
+    /// Orders that can wait.
+    pub capacity: usize,
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Orders {
+            longest_ms: 30_000,
+            poll_ms: 50,
+            capacity: 16,
+        }
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
@@ -168,6 +194,9 @@
         ("claims.capacity", settings.claims.capacity),
         ("tickets.capacity", settings.tickets.capacity),
         ("quarantine.capacity", settings.quarantine.capacity),
+        ("orders.longest_ms", settings.orders.longest_ms as usize),
+        ("orders.poll_ms", settings.orders.poll_ms as usize),
+        ("orders.capacity", settings.orders.capacity),
     ] {
         if value == 0 {
             findings.push(Finding::new(field, "must be at least 1"));
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -277,6 +277,7 @@
         claims: settings::Claims::default(),
         tickets: settings::Tickets::default(),
         quarantine: settings::Quarantine::default(),
+        orders: settings::Orders::default(),
     }
 }
 
--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -20,6 +20,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::expert;
 use crate::step::Number;
 
 pub use line::{Event, Line, Outcome, Post, Settings, Task};
@@ -29,9 +30,9 @@
 /// ```
 /// use berylgw_core::order::Action;
 ///
-/// let action = Action::LoadMap { map: 7.into() };
+/// let action = Action::UnloadMap { map: 7.into() };
 /// let json = serde_json::to_string(&action).unwrap();
-/// assert_eq!(json, r#"{"action":"load_map","map":7}"#);
+/// assert_eq!(json, r#"{"action":"unload_map","map":7}"#);
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "action", rename_all = "snake_case")]
@@ -60,6 +61,8 @@
     LoadMap {
         /// Number of the map.
         map: Number,
+        /// Which rank holds which experts.
+        placement: Arc<expert::Map>,
     },
     /// Stamp steps with an expert map.
     StampMap {
--- a/crates/core/src/order/line.rs
+++ b/crates/core/src/order/line.rs
@@ -107,7 +107,7 @@
 /// let order = Order {
 ///     id: Id { token: 1, sequence: 1 },
 ///     version: 40,
-///     action: Action::LoadMap { map: 7.into() },
+///     action: Action::UnloadMap { map: 7.into() },
 /// };
 /// assert!(line.step(Event::Submit(order.clone()), start).is_empty());
 /// let later = start + Duration::from_secs(1);
--- a/crates/testkit/src/bin/fake-engine.rs
+++ b/crates/testkit/src/bin/fake-engine.rs
@@ -52,6 +52,9 @@
     let prefill_steps = count("--prefill-steps", default.prefill_steps)?;
     let cache_blocks = count("--cache-blocks", default.cache_blocks)?;
     let warm_after = count("--warm-after", default.warm_after as usize)? as u64;
+    let experts = count("--experts", default.experts.into())? as u16;
+    let expert_slots = count("--expert-slots", default.expert_slots.into())? as u16;
+    let drift = args.opt_value_from_str("--drift")?;
     let event_gaps = args.opt_value_from_str("--event-gaps")?;
     let cold_factor = args.opt_value_from_str("--cold-factor")?;
     let crash_marker = args.opt_value_from_str("--crash-marker")?;
@@ -72,6 +75,10 @@
         fencing: !args.contains("--ignore-fencing"),
         order,
         map_load,
+        experts,
+        expert_slots,
+        expert_share: default.expert_share,
+        drift: drift.unwrap_or(default.drift),
         unchecked_maps: args.contains("--unchecked-maps"),
         crash_marker: crash_marker.unwrap_or(default.crash_marker),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(default.seed),
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 mod cache;
 mod chat;
+mod demand;
 mod group;
 mod http;
 mod job;
@@ -54,6 +55,14 @@
     pub order: Duration,
     /// Time to load an expert map.
     pub map_load: Duration,
+    /// Experts of the layer that decides the step time; 0 for a fixed step time.
+    pub experts: u16,
+    /// Expert slots of each rank.
+    pub expert_slots: u16,
+    /// Share of a step that scales with the load of the slowest rank.
+    pub expert_share: f64,
+    /// Standard deviation of the logarithm of an expert's demand, per step.
+    pub drift: f64,
     /// Ranks without the stamped map use another one instead of waiting.
     pub unchecked_maps: bool,
     /// Text in a prompt that makes the rank fall over.
@@ -81,6 +90,10 @@
             fencing: true,
             order: Duration::from_millis(100),
             map_load: Duration::from_millis(100),
+            experts: 0,
+            expert_slots: 0,
+            expert_share: 0.4,
+            drift: 0.01,
             unchecked_maps: false,
             crash_marker: "#crash#".to_owned(),
             seed: 1,
@@ -128,8 +141,20 @@
     pub mixed: u64,
     /// Times a step waited for a rank that was down, stalled or without the map.
     pub waits: u64,
+    /// Times a step was given up because a rank did not load its map.
+    pub given_up: u64,
+    /// Switches from one map to another.
+    pub switches: u64,
     /// Time of the last step of each rank in microseconds.
     pub rank_us: Vec<u64>,
+    /// Time of all steps in microseconds.
+    pub time_us: u64,
+    /// Sum over all steps of the most loaded rank over the mean, in thousandths.
+    pub skew_milli: u64,
+    /// Expert slots loaded for maps after the first.
+    pub transfers: u64,
+    /// Tokens that each expert received.
+    pub expert_tokens: Vec<u64>,
 }
 
 /// Counters of a rank as `GET /stats` reports them.
--- a/crates/testkit/src/engine/rank.rs
+++ b/crates/testkit/src/engine/rank.rs
@@ -19,6 +19,8 @@
     pub cold: bool,
     /// Requests completed since the rank turned cold.
     warmed: u64,
+    /// Differs after each start.
+    pub incarnation: u64,
     /// Loaded expert maps with the time at which they are ready.
     pub maps: BTreeMap<u64, Instant>,
     pub step_time: Duration,
@@ -38,6 +40,7 @@
             slow_factor: 1.0,
             cold: settings.cold,
             warmed: 0,
+            incarnation: 1,
             maps: BTreeMap::from([(0, now)]),
             step_time: settings.step,
             loads: VecDeque::new(),
@@ -74,6 +77,9 @@
     /// Drops all work, as a crash does.
     pub fn fall_over(&mut self, settings: &Settings) {
         self.jobs.clear();
+        self.orders = Orders::default();
+        self.incarnation += 1;
+        self.maps = BTreeMap::from([(0, Instant::now())]);
         self.cache.clear(settings);
         self.turn(true);
         self.down = true;
