--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use tonic::transport;
 use wire::agent_server::AgentServer;
+use wire::engine_server::EngineServer;
 use wire::sync_server::SyncServer;
 
 use crate::control::{self, Published};
@@ -18,7 +19,7 @@
 use crate::gate::Gate;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::{dispatch, sync};
+use crate::{dispatch, engine, orders, sync};
 
 /// Versions that wait for the control thread.
 const HINTS_BUFFERED: usize = 16;
@@ -97,6 +98,19 @@
         published: published.clone(),
         hints,
     };
+    let engine = engine::Service {
+        gate: gate.clone(),
+        orders: orders::spawn(
+            Server::new(settings.server.address),
+            gate.clock(),
+            settings.orders.clone(),
+            published.clone(),
+            settings.name.clone(),
+        ),
+        steps: engine::Steps::new(Server::new(settings.server.address)),
+        published: published.clone(),
+        name: settings.name.clone(),
+    };
     let sync = sync::Service {
         published,
         gate: gate.clone(),
@@ -118,6 +132,7 @@
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_INTERVAL))
         .add_service(agent)
+        .add_service(EngineServer::new(engine).max_decoding_message_size(MAX_REQUEST))
         .add_service(SyncServer::new(sync))
         .serve_with_incoming_shutdown(incoming, until(stopped));
     let leave = async {
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -75,6 +75,7 @@
     pub settings: PathBuf,
     /// The process.
     pub process: Process,
+    binary: &'static str,
 }
 
 /// Fault proxies of one entry.
@@ -108,6 +109,29 @@
         }
     }
 
+    /// Kills the process and starts another one on the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the new process does not start.
+    pub async fn restart(&mut self) -> Result<(), Error> {
+        let mut text = std::fs::read_to_string(&self.settings)?;
+        for interface in ["callers", "peers", "agent"] {
+            let any = format!("{interface}: '127.0.0.1:0'");
+            if !text.contains(&any) {
+                continue;
+            }
+            let address = self.process.address(interface).await?;
+            text = text.replace(&any, &format!("{interface}: '{address}'"));
+        }
+        std::fs::write(&self.settings, text)?;
+        self.process.signal(nix::sys::signal::Signal::SIGKILL)?;
+        self.process.wait().await?;
+        self.process = launch::start(self.binary, [Path::new("--settings"), &self.settings])?;
+        let interfaces = self.process.address("metrics").await;
+        interfaces.map(drop).map_err(Error::from)
+    }
+
     async fn behind_proxy(mut self) -> Result<Member, Error> {
         let proxy = start_proxy(&self.name, self.address).await?;
         self.address = proxy.process.address("proxy").await?;
@@ -369,7 +393,7 @@
 }
 
 async fn start_member(
-    binary: &str,
+    binary: &'static str,
     interface: &str,
     host: &plan::Host,
     scratch: &Scratch,
@@ -385,6 +409,7 @@
         links: None,
         settings: file,
         process,
+        binary,
     })
 }
 
