--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -12,6 +12,7 @@
 
 use crate::control;
 use crate::launch::{self, Process};
+use crate::proxy::Proxy;
 use plan::Plan;
 use scratch::Scratch;
 
@@ -43,6 +44,22 @@
     pub service: Vec<String>,
     /// Whether a fault proxy stands in front of each agent.
     pub proxied: bool,
+    /// Further lines of each entry's settings file.
+    pub entry_settings: String,
+    /// Further lines of each agent's settings file.
+    pub agent_settings: String,
+    /// Whether the bytes between entries and the platform, and to the peer
+    /// interfaces of entries, are counted.
+    pub counted: bool,
+}
+
+/// Relays that count the control traffic of one entry.
+#[derive(Clone, Debug)]
+pub struct Counted {
+    /// In front of the platform.
+    pub platform: Proxy,
+    /// In front of the entry's peer interface.
+    pub peers: Proxy,
 }
 
 /// A process of the product.
@@ -56,6 +73,10 @@
     pub address: SocketAddr,
     /// Fault proxy that listens on the address, if there is one.
     pub proxy: Option<Fake>,
+    /// Address of the peer interface as others use it, of an entry.
+    pub peers: Option<SocketAddr>,
+    /// Relays that count its control traffic, of an entry.
+    pub counted: Option<Counted>,
     /// The process.
     pub process: Process,
 }
@@ -113,9 +134,9 @@
         let platform_fake = start_fake("platform", "fake-platform", &extra.platform).await?;
         let platform = platform_fake.process.address("platform").await?;
         let fakes = start_fakes(&plan, extra).await?;
-        let entries = start_entries(&plan, &scratch, platform).await?;
+        let entries = start_entries(&plan, &scratch, platform, extra).await?;
         let mut agents = Vec::new();
-        for agent in start_agents(&plan, &scratch, &entries, &fakes).await? {
+        for agent in start_agents(&plan, &scratch, &entries, &fakes, extra).await? {
             agents.push(if extra.proxied {
                 agent.behind_proxy().await?
             } else {
@@ -124,8 +145,7 @@
         }
         let mut addresses = Vec::new();
         for member in &entries {
-            let peer = member.process.address("peers").await?;
-            addresses.push((member.name.clone(), member.address, Some(peer)));
+            addresses.push((member.name.clone(), member.address, member.peers));
         }
         for member in &agents {
             addresses.push((member.name.clone(), member.address, None));
@@ -246,23 +266,43 @@
     plan: &Plan,
     scratch: &Scratch,
     platform: SocketAddr,
+    extra: &Extra,
 ) -> Result<Vec<Member>, Error> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut entries: Vec<Member> = Vec::new();
     let mut seeds: Vec<SocketAddr> = Vec::new();
     for entry in &plan.entries {
+        let counter = Proxy::new(platform);
+        let platform = if extra.counted {
+            counter.listen(any).await?
+        } else {
+            platform
+        };
         let settings = format!(
             "name: {}\ndomain: {}\n\
              listen: {{callers: '127.0.0.1:0', peers: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
              platform: {{address: '{platform}', timeout_ms: 1000}}\n\
-             seeds: {}\n",
+             seeds: {}\n{}",
             entry.name,
             entry.domain,
             quoted(&seeds),
+            extra.entry_settings,
         );
-        let member = start_member("berylgw-entry", "callers", entry, scratch, &settings).await?;
+        let mut member =
+            start_member("berylgw-entry", "callers", entry, scratch, &settings).await?;
+        let mut peers = member.process.address("peers").await?;
+        if extra.counted {
+            let proxy = Proxy::new(peers);
+            peers = proxy.listen(any).await?;
+            member.counted = Some(Counted {
+                platform: counter,
+                peers: proxy,
+            });
+        }
+        member.peers = Some(peers);
         // Two seeds are enough: the sheet names all other entries.
         if seeds.len() < 2 {
-            seeds.push(member.process.address("peers").await?);
+            seeds.push(peers);
         }
         entries.push(member);
     }
@@ -274,13 +314,14 @@
     scratch: &Scratch,
     entries: &[Member],
     fakes: &[Fake],
+    extra: &Extra,
 ) -> Result<Vec<Member>, Error> {
     let mut agents = Vec::new();
     for server in &plan.servers {
         let mut homes = Vec::new();
         for entry in entries {
             if plan.region(&entry.domain) == plan.region(&server.domain) {
-                homes.push(entry.process.address("peers").await?);
+                homes.extend(entry.peers);
             }
         }
         let mut served = fakes.iter().flat_map(|fake| &fake.servers);
@@ -290,10 +331,11 @@
             "name: {}\ndomain: {}\n\
              listen: {{agent: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
              entries: {}\n\
-             server: {{address: '{local}'}}\n",
+             server: {{address: '{local}'}}\n{}",
             server.name,
             server.domain,
             quoted(&homes),
+            extra.agent_settings,
         );
         agents.push(start_member("berylgw-agent", "agent", server, scratch, &settings).await?);
     }
@@ -314,6 +356,8 @@
         domain: host.domain.clone(),
         address: process.address(interface).await?,
         proxy: None,
+        peers: None,
+        counted: None,
         process,
     })
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //!   connections.
 //! - [`launch`] starts processes, [`cluster`] a whole system of them; [`control`]
 //!   drives the control listeners and [`client`] makes calls as a caller would.
+//! - [`load`] measures a cluster under load.
 //! - [`serve`] and [`bucket`] are shared by the fakes.
 
 pub mod bucket;
@@ -15,6 +16,7 @@
 pub mod control;
 pub mod engine;
 pub mod launch;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod serve;
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -54,6 +54,7 @@
     upstream: SocketAddr,
     switch: Arc<watch::Sender<Switch>>,
     accepted: Arc<AtomicU64>,
+    relayed: Arc<AtomicU64>,
 }
 
 impl Proxy {
@@ -63,9 +64,15 @@
             upstream,
             switch: Arc::new(watch::Sender::new(Switch::default())),
             accepted: Arc::default(),
+            relayed: Arc::default(),
         }
     }
 
+    /// Bytes relayed so far, in both directions.
+    pub fn relayed(&self) -> u64 {
+        self.relayed.load(Ordering::Relaxed)
+    }
+
     /// Binds an address and relays its connections until the process ends.
     ///
     /// # Errors
@@ -154,7 +161,12 @@
             return std::future::pending().await;
         }
         let upstream = TcpStream::connect(proxy.upstream).await?;
-        relay::run(caller, upstream, proxy.switch.subscribe(), start.freezes).await
+        let relay = relay::Relay {
+            switch: proxy.switch.subscribe(),
+            freezes: start.freezes,
+            relayed: proxy.relayed.clone(),
+        };
+        relay::run(caller, upstream, relay).await
     };
     tokio::select! {
         biased;
--- a/crates/testkit/src/proxy/relay.rs
+++ b/crates/testkit/src/proxy/relay.rs
@@ -1,6 +1,8 @@
 //! The two directions of one proxied connection.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,32 +21,35 @@
 
 type Chunk = (Instant, Bytes);
 
+/// What the directions of a connection share.
+#[derive(Clone, Debug)]
+pub(super) struct Relay {
+    pub switch: watch::Receiver<Switch>,
+    /// Freezes before the connection was made.
+    pub freezes: u64,
+    pub relayed: Arc<AtomicU64>,
+}
+
 /// Relays bytes until both directions have ended.
-pub(super) async fn run(
-    caller: TcpStream,
-    upstream: TcpStream,
-    switch: watch::Receiver<Switch>,
-    freezes: u64,
-) -> io::Result<()> {
+pub(super) async fn run(caller: TcpStream, upstream: TcpStream, relay: Relay) -> io::Result<()> {
     caller.set_nodelay(true)?;
     upstream.set_nodelay(true)?;
     let (from_caller, to_caller) = caller.into_split();
     let (from_upstream, to_upstream) = upstream.into_split();
-    let forth = direction(from_caller, to_upstream, switch.clone(), freezes, false);
-    let back = direction(from_upstream, to_caller, switch, freezes, true);
+    let forth = direction(from_caller, to_upstream, relay.clone(), false);
+    let back = direction(from_upstream, to_caller, relay, true);
     tokio::try_join!(forth, back).map(drop)
 }
 
 async fn direction(
     from: OwnedReadHalf,
     to: OwnedWriteHalf,
-    switch: watch::Receiver<Switch>,
-    freezes: u64,
+    relay: Relay,
     back: bool,
 ) -> io::Result<()> {
     let (sender, receiver) = mpsc::channel(QUEUED_CHUNKS);
-    let reading = read(from, sender, switch.clone());
-    let writing = write(to, receiver, switch, freezes, back);
+    let reading = read(from, sender, relay.switch.clone());
+    let writing = write(to, receiver, relay, back);
     tokio::try_join!(reading, writing).map(drop)
 }
 
@@ -69,15 +74,14 @@
 async fn write(
     mut to: OwnedWriteHalf,
     mut receiver: mpsc::Receiver<Chunk>,
-    switch: watch::Receiver<Switch>,
-    freezes: u64,
+    relay: Relay,
     back: bool,
 ) -> io::Result<()> {
     while let Some((due, bytes)) = receiver.recv().await {
         tokio::time::sleep_until(due).await;
         let drop_answer = {
-            let switch = switch.borrow();
-            let frozen = switch.freezes != freezes;
+            let switch = relay.switch.borrow();
+            let frozen = switch.freezes != relay.freezes;
             if frozen {
                 None
             } else {
@@ -94,6 +98,9 @@
             return to.shutdown().await;
         }
         to.write_all(&bytes).await?;
+        relay
+            .relayed
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
     }
     Ok(())
 }
