--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -12,6 +12,7 @@
 
 use crate::control;
 use crate::launch::{self, Process};
+use crate::proxy::Proxy;
 use plan::Plan;
 use scratch::Scratch;
 
@@ -56,6 +57,20 @@
     pub entry: String,
     /// Further lines of the settings of each agent.
     pub agent: String,
+    /// Whether the bytes between entries and the platform, and to the peer
+    /// interfaces of entries, are counted.
+    pub counted: bool,
+}
+
+/// Relays that count the control traffic of one entry.
+#[derive(Clone, Debug)]
+pub struct Counted {
+    /// In front of the platform.
+    pub platform: Proxy,
+    /// In front of the entry's peer interface.
+    pub peers: Proxy,
+    /// Address of the relay in front of the peer interface.
+    pub address: SocketAddr,
 }
 
 /// A process of the product.
@@ -73,6 +88,8 @@
     pub links: Option<Links>,
     /// Settings file.
     pub settings: PathBuf,
+    /// Relays that count its control traffic, of an entry.
+    pub counted: Option<Counted>,
     /// The process.
     pub process: Process,
     binary: &'static str,
@@ -103,6 +120,9 @@
     }
 
     async fn peer_address(&self) -> Result<SocketAddr, Error> {
+        if let Some(counted) = &self.counted {
+            return Ok(counted.address);
+        }
         match &self.links {
             Some(links) => Ok(links.peers.process.address("proxy").await?),
             None => Ok(self.process.address("peers").await?),
@@ -323,6 +343,7 @@
     platform: SocketAddr,
     extra: &Extra,
 ) -> Result<Vec<Member>, Error> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut entries: Vec<Member> = Vec::new();
     let mut seeds: Vec<SocketAddr> = Vec::new();
     for entry in &plan.entries {
@@ -333,6 +354,10 @@
             reached = proxy.process.address("proxy").await?;
             link = Some(proxy);
         }
+        let counter = Proxy::new(reached);
+        if extra.counted {
+            reached = counter.listen(any).await?;
+        }
         let settings = format!(
             "name: {}\ndomain: {}\n\
              listen: {{callers: '127.0.0.1:0', peers: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
@@ -349,6 +374,15 @@
             let peers = start_proxy(&entry.name, member.direct().await?).await?;
             member.links = Some(Links { platform, peers });
         }
+        if extra.counted {
+            let peers = Proxy::new(member.peer_address().await?);
+            let address = peers.listen(any).await?;
+            member.counted = Some(Counted {
+                platform: counter,
+                peers,
+                address,
+            });
+        }
         // Two seeds are enough: the sheet names all other entries.
         if seeds.len() < 2 {
             seeds.push(member.peer_address().await?);
@@ -371,7 +405,10 @@
         for entry in entries {
             if plan.region(&entry.domain) == plan.region(&server.domain) {
                 // A fault between entries leaves agents this way.
-                homes.push(entry.direct().await?);
+                homes.push(match &entry.counted {
+                    Some(counted) => counted.address,
+                    None => entry.direct().await?,
+                });
             }
         }
         let mut served = fakes.iter().flat_map(|fake| &fake.servers);
@@ -408,6 +445,7 @@
         proxy: None,
         links: None,
         settings: file,
+        counted: None,
         process,
         binary,
     })
--- a/crates/testkit/tests/orders.rs
+++ b/crates/testkit/tests/orders.rs
@@ -55,7 +55,7 @@
         let args = fixed.iter().chain(engine);
         let extra = Extra {
             engine: args.map(|arg| (*arg).to_owned()).collect(),
-            agent_settings: "orders: {longest_ms: 300, poll_ms: 5}\n".to_owned(),
+            agent: "orders: {longest_ms: 300, poll_ms: 5}\n".to_owned(),
             ..Extra::default()
         };
         let cluster = Cluster::start(&sheet(fencing), &extra).await.unwrap();
