--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use berylgw_core::config::{Object, Version};
+use berylgw_runtime::tls;
 use berylgw_wire as wire;
 use futures_util::{Stream, stream};
 use tonic::{Request, Response, Status};
 
+use crate::secure;
 use crate::shared::{Current, Shared};
 
 /// Longest pause between replies of a follow stream.
@@ -23,6 +25,16 @@
 pub struct Service(pub Arc<Shared>);
 
 impl Service {
+    /// Refuses a process that is not the one it claims to be.
+    fn check(&self, request: &Request<wire::PullRequest>) -> Result<(), Status> {
+        let snapshot = self.0.current().snapshot;
+        let sender = request.get_ref().sender.as_ref();
+        let name = sender.map(|sender| &*sender.name);
+        tls::check(request.extensions(), name, |name| {
+            secure::is_known(&snapshot, name)
+        })
+    }
+
     /// Notes the version of the asking process, to pull from it if it is newer.
     fn note(&self, sender: Option<&wire::Sender>) {
         let Some(sender) = sender else { return };
@@ -90,6 +102,7 @@
         &self,
         request: Request<wire::PullRequest>,
     ) -> Result<Response<wire::PullReply>, Status> {
+        self.check(&request)?;
         let request = request.into_inner();
         self.note(request.sender.as_ref());
         let current = self.0.current();
@@ -100,12 +113,14 @@
         &self,
         request: Request<wire::PullRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
+        self.check(&request)?;
         let request = request.into_inner();
         self.note(request.sender.as_ref());
         let mut changes = self.0.current.clone();
         changes.mark_changed();
+        let versions_only = request.versions_only;
         let start = (self.0.clone(), changes, request.since);
-        let replies = stream::unfold(start, |(shared, mut changes, since)| async move {
+        let replies = stream::unfold(start, move |(shared, mut changes, since)| async move {
             let mut stopping = shared.stopping.clone();
             let stopped = async move {
                 let _ = stopping.wait_for(|stopping| *stopping).await;
@@ -115,7 +130,8 @@
                 () = stopped => return None,
             }
             let current = changes.borrow_and_update().clone();
-            let reply = reply(&shared, &current, since);
+            let from = if versions_only { u64::MAX } else { since };
+            let reply = reply(&shared, &current, from);
             let since = since.max(reply.version);
             Some((Ok(reply), (shared, changes, since)))
         });
@@ -131,8 +147,12 @@
         let channel = shared.pool.get(peer).await.map_err(unreachable)?;
         let mut client =
             wire::sync_client::SyncClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
-        let sender = Some(shared.sender());
-        let reply = client.pull(wire::PullRequest { sender, since }).await?;
+        let request = wire::PullRequest {
+            sender: Some(shared.sender()),
+            since,
+            versions_only: false,
+        };
+        let reply = client.pull(request).await?;
         Ok::<_, Status>(reply.into_inner())
     };
     let timed_out = |_| Status::deadline_exceeded("no answer from peer");
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -362,6 +362,7 @@
         seeds: Vec::new(),
         limits,
         ledger: Ledger::default(),
+        tls: berylgw_entry::Tls::default(),
     }
 }
 
