--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,8 +10,10 @@
 mod callers;
 mod control;
 mod dispatch;
+mod ledger;
 mod limits;
 mod metrics;
+mod once;
 mod pool;
 mod probe;
 mod register;
@@ -24,4 +26,4 @@
 mod sync;
 
 pub use server::Entry;
-pub use settings::{Limits, Listen, Platform, Settings, Tls};
+pub use settings::{Ledger, Limits, Listen, Platform, Settings, Tls};
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use berylgw_runtime::{log, metrics as endpoint, tls};
+use berylgw_wire::ledger_server::LedgerServer;
 use berylgw_wire::sync_server::SyncServer;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
@@ -16,7 +17,7 @@
 use crate::secure::Credentials;
 use crate::settings::Settings;
 use crate::shared::{Current, Newer, Shared};
-use crate::{accept, control, probe, register, sync};
+use crate::{accept, control, ledger, probe, register, sync};
 
 /// Interval of HTTP/2 pings on connections of other processes.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
@@ -37,6 +38,7 @@
     peers: std::net::TcpListener,
     publish: watch::Sender<Current>,
     newer: mpsc::Receiver<Newer>,
+    inbox: ledger::Inbox,
     stopping: watch::Sender<bool>,
 }
 
@@ -55,13 +57,15 @@
         let (stopping, stopped) = watch::channel(false);
         let metrics = Metrics::new().map_err(io::Error::other)?;
         let tls = Credentials::load(&settings.tls).map_err(io::Error::other)?;
-        let shared = Shared::new(settings, tls, current, sender, stopped, metrics);
+        let (ledger, inbox) = ledger::channel(settings.ledger.partitions);
+        let shared = Shared::new(settings, tls, current, sender, stopped, metrics, ledger);
         Ok(Entry {
             shared: Arc::new(shared),
             callers,
             peers,
             publish,
             newer,
+            inbox,
             stopping,
         })
     }
@@ -105,6 +109,7 @@
             shared: shared.clone(),
             publish: self.publish,
             newer: self.newer,
+            inbox: self.inbox,
             peers: self.peers,
             ended: ended.clone(),
         };
@@ -181,6 +186,7 @@
     shared: Arc<Shared>,
     publish: watch::Sender<Current>,
     newer: mpsc::Receiver<Newer>,
+    inbox: ledger::Inbox,
     peers: std::net::TcpListener,
     ended: watch::Receiver<bool>,
 }
@@ -208,17 +214,24 @@
             }
         };
         let service = SyncServer::new(sync::Service(self.shared.clone()));
+        let claims = LedgerServer::new(ledger::Service(self.shared.clone()));
         let server = tonic::transport::Server::builder()
             .max_concurrent_streams(PEER_STREAMS)
             .http2_keepalive_interval(Some(PING_INTERVAL))
             .http2_keepalive_timeout(Some(PING_INTERVAL))
             .add_service(service.max_decoding_message_size(PEER_REQUEST))
+            .add_service(claims.max_decoding_message_size(PEER_REQUEST))
             .serve_with_incoming_shutdown(peers, until(self.ended.clone()));
         let served = tokio::spawn(server);
+        let owners = ledger::run(self.shared.clone(), self.inbox, self.ended.clone());
+        let owners = tokio::spawn(owners);
         tokio::select! {
             () = control::run(self.shared, self.publish, self.newer) => {}
             () = until(self.ended) => {}
         }
+        if let Err(error) = owners.await {
+            tracing::error!(%error, "ledger loops ended");
+        }
         if let Ok(Err(error)) = served.await {
             tracing::warn!(%error, "peer server ended");
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -28,11 +28,34 @@
     /// Limits and timeouts.
     #[serde(default)]
     pub limits: Limits,
+    /// Claims of idempotency keys.
+    #[serde(default)]
+    pub ledger: Ledger,
     /// Certificate and key files; connections are plain without them.
     #[serde(default)]
     pub tls: Tls,
 }
 
+/// Claims of idempotency keys.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Ledger {
+    /// Number of partitions. It has to be the same at all entries: with
+    /// another number a key has another owner, and a resend could run again.
+    pub partitions: u32,
+    /// Term of a partition's lease.
+    pub term_ms: u64,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Ledger {
+            partitions: 16,
+            term_ms: 6_000,
+        }
+    }
+}
+
 /// Certificate and key files.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -174,6 +197,8 @@
             ("limits.progress_ms", self.limits.progress_ms),
             ("limits.connect_ms", self.limits.connect_ms),
             ("limits.request_ms", self.limits.request_ms),
+            ("ledger.partitions", self.ledger.partitions.into()),
+            ("ledger.term_ms", self.ledger.term_ms),
             ("limits.connections", self.limits.connections as u64),
             (
                 "limits.peer_connections",
--- a/crates/testkit/src/load/drive.rs
+++ b/crates/testkit/src/load/drive.rs
@@ -183,6 +183,7 @@
         method: Method::GET,
         path: "stock/crate",
         key: None,
+        sending: None,
         ticket: None,
         body: Value::Null,
     };
--- a/crates/testkit/tests/support/mod.rs
+++ b/crates/testkit/tests/support/mod.rs
@@ -130,6 +130,7 @@
         method: Method::POST,
         path: "bookings",
         key: None,
+        sending: None,
         ticket: None,
         body: json!({ "booking": id }),
     }
