Return a failure domain through the cold-start ramp

Cause: an agent whose failure domain came back kept the limit it had before, although its server had no work meanwhile and its caches may be cold.

Change: the agent falls back to the cold limit when its server opens again, and when the move object of its failure domain is newer, because both moves may arrive at once.

Goodput and latency during a move are not measured yet.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -6,7 +6,7 @@
 
 use berylgw_core::admission::{self, Action, Decision, Limits, Report};
 use berylgw_core::clock::Instant;
-use berylgw_core::config::Version;
+use berylgw_core::config::{DOMAIN_PREFIX, Version};
 use berylgw_core::drain;
 use berylgw_core::fair::Queue;
 use berylgw_core::outcome::{Reason, Refusal};
@@ -145,7 +145,15 @@
     /// Puts a configuration in force.
     pub fn configure(&self, published: Arc<Published>) {
         let mut state = self.lock();
+        let was_open = self.drain_state(&state) == drain::State::Open;
+        let moved = self.moves(&state.published) != self.moves(&published);
         state.published = published;
+        let is_open = self.drain_state(&state) == drain::State::Open;
+        // The caches of a server that got no work are cold. Both moves of a
+        // failure domain may arrive at once.
+        if is_open && (moved || !was_open) {
+            state.admission.fall_back();
+        }
         if let Some(server) = state.published.snapshot.server(&self.name) {
             let limits = Limits {
                 warm: server.limit,
@@ -367,6 +375,16 @@
         }
     }
 
+    /// Versions of the last moves of this server's failure domains.
+    fn moves(&self, published: &Published) -> [Option<Version>; 2] {
+        let server = published.snapshot.server(&self.name);
+        let listed = server.map(|server| &server.domain);
+        [Some(&self.domain), listed].map(|domain| {
+            let object = format!("{DOMAIN_PREFIX}{}", domain?);
+            published.view.get(&object).map(|object| object.version)
+        })
+    }
+
     fn drain_state(&self, state: &State) -> drain::State {
         let snapshot = &state.published.snapshot;
         drain::state(snapshot, &self.name, &self.domain, state.leaving)
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -304,7 +304,7 @@
             .await;
     }
 
-    pub async fn probe_until(&self, accept: impl Fn(&wire::ProbeReply) -> bool) {
+    pub async fn probe_until(&self, mut accept: impl FnMut(&wire::ProbeReply) -> bool) {
         loop {
             let request = wire::ProbeRequest::default();
             let reply = self.client.clone().probe(request).await.unwrap();
