Send no work to backend servers that the host list calls leaving

Cause: entries used the host list for addresses of callers only.

Change: the control thread leaves these servers out of the routing table when the host list or the configuration changes.

Tests: testkit/tests/leave.rs with real processes: a leaving server, an agent and an entry stopped by SIGTERM while they hold work. The two SIGTERM tests were not run against a seeded mistake.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::backend::Server;
 use berylgw_core::clock::Instant;
-use berylgw_core::config::{Object, Version, View};
+use berylgw_core::config::{Object, Snapshot, Version, View};
 use berylgw_platform::{Client, Event, Host, Kind, List};
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
@@ -49,7 +50,7 @@
             }
         };
         if let Some(snapshot) = &snapshot {
-            self.shared.table().update(snapshot);
+            self.route(snapshot);
         }
         tracing::info!(version = u64::from(version), "configuration changed");
         let view = Arc::new(self.view.clone());
@@ -61,6 +62,19 @@
         });
     }
 
+    /// Gives the routing table the backend servers that do not leave.
+    fn route(&self, snapshot: &Snapshot) {
+        let leaving = self.publish.borrow().leaving.clone();
+        let stays = |server: &Server| leaving.binary_search(&server.name).is_err();
+        if snapshot.sheet.servers.iter().all(stays) {
+            self.shared.table().update(snapshot);
+            return;
+        }
+        let mut staying = snapshot.clone();
+        staying.sheet.servers.retain(stays);
+        self.shared.table().update(&staying);
+    }
+
     fn list(&mut self, list: &List) {
         let objects: Vec<Object> = list.items.iter().map(object).collect();
         // The version counts config writes only. Revisions of other kinds would
@@ -195,12 +209,17 @@
         };
         let leaving = names(&hosts, "leaving");
         let live = names(&hosts, "live");
-        owner.borrow().publish.send_if_modified(|current| {
+        let owner = owner.borrow();
+        let changed = owner.publish.send_if_modified(|current| {
             let changed = *current.leaving != *leaving || *current.live != *live;
             current.leaving = leaving.into();
             current.live = live.into();
             changed
         });
+        if changed {
+            let snapshot = owner.publish.borrow().snapshot.clone();
+            owner.route(&snapshot);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/testkit/tests/leave.rs
@@ -0,0 +1,134 @@
+//! Graceful shutdown of entries and agents that hold work.
+
+mod support;
+
+use berylgw_testkit::cluster::Cluster;
+use berylgw_testkit::control;
+use berylgw_testkit::service::Stats;
+use futures_util::future::join_all;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use support::{INTERVAL, booking, caller, start};
+
+/// Batches of calls after which the host list has to have an effect.
+const BATCHES: u32 = 100;
+
+async fn servers(cluster: &Cluster) -> Vec<Stats> {
+    let service = cluster.fake("app").unwrap();
+    service.control.get("/servers").await.unwrap()
+}
+
+async fn slow(cluster: &Cluster, slow_ms: u64) {
+    let service = cluster.fake("app").unwrap();
+    let fault = json!({"slow_ms": slow_ms});
+    service.control.fault(fault).await.unwrap();
+}
+
+/// Guards against a stopping agent that cuts the work it holds, does not end
+/// or makes callers see its stop.
+#[tokio::test]
+async fn agent_stopped_with_work() {
+    let mut cluster = start(false).await;
+    slow(&cluster, 2_000).await;
+    let client = caller(&cluster.entries[0]);
+    let running = (0..8).map(|_| client.call::<Value>(booking("running")));
+    let leave = async {
+        while servers(&cluster).await[0].in_flight == 0 {
+            tokio::time::sleep(INTERVAL).await;
+        }
+        let agent = &cluster.agents[0].process;
+        agent.signal(Signal::SIGTERM).unwrap();
+        agent
+            .line(|line| line["message"] == "leaving")
+            .await
+            .unwrap();
+    };
+    let (running, ()) = tokio::join!(join_all(running), leave);
+    for answer in running {
+        // A request that was still queued may be refused, but is never cut.
+        if let Err(error) = answer {
+            assert!(error.refusal().is_some(), "{error}");
+        }
+    }
+    assert!(cluster.agents[0].process.wait().await.unwrap().success());
+    slow(&cluster, 0).await;
+    let before = servers(&cluster).await[0].highest_in_flight;
+    for _ in 0..16 {
+        client.call::<Value>(booking("new")).await.unwrap();
+    }
+    let after = &servers(&cluster).await[0];
+    assert_eq!((after.in_flight, after.highest_in_flight), (0, before));
+}
+
+/// Guards against a stopping entry that cuts a request, and against a directory
+/// that goes on to name it.
+#[tokio::test]
+async fn entry_stopped_with_work() {
+    let mut cluster = start(false).await;
+    slow(&cluster, 2_000).await;
+    let leaving = cluster.entries[0].address;
+    let client = caller(&cluster.entries[0]);
+    let stop = async {
+        while servers(&cluster)
+            .await
+            .iter()
+            .all(|stats| stats.in_flight == 0)
+        {
+            tokio::time::sleep(INTERVAL).await;
+        }
+        cluster.entries[0].process.signal(Signal::SIGTERM).unwrap();
+    };
+    let (answer, ()) = tokio::join!(client.call::<Value>(booking("running")), stop);
+    answer.unwrap();
+    assert!(cluster.entries[0].process.wait().await.unwrap().success());
+    let other = caller(&cluster.entries[1]);
+    loop {
+        let directory = other.directory("a").await.unwrap();
+        let mut addresses = directory.addresses.iter();
+        if addresses.all(|address| address.address != leaving) {
+            assert_eq!(directory.addresses.len(), 2);
+            break;
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Guards against new work for a backend server whose host leaves according to
+/// the host list, while its agent does not know.
+#[tokio::test]
+async fn server_leaving_in_host_list() {
+    let cluster = start(false).await;
+    let platform = control::Client::new(cluster.platform);
+    let agent = &cluster.agents[0];
+    let host = json!({"address": agent.address, "domain": "a", "state": "leaving"});
+    platform.put::<Value>("/v1/hosts/s1", &host).await.unwrap();
+    slow(&cluster, 200).await;
+    let client = caller(&cluster.entries[0]);
+    let mut avoided = 0;
+    let mut batches = 0;
+    // Without the host list, the server of the entry's own failure domain gets
+    // a share of every batch.
+    while avoided < 10 {
+        assert!(batches < BATCHES, "the host list has no effect");
+        batches += 1;
+        let calls = (0..4).map(|_| client.call::<Value>(booking("new")));
+        let look = async {
+            loop {
+                let servers = servers(&cluster).await;
+                if servers[0].in_flight > 0 {
+                    return false;
+                }
+                if servers[1].in_flight == 4 {
+                    return true;
+                }
+                tokio::time::sleep(INTERVAL).await;
+            }
+        };
+        let (answers, is_avoided) = tokio::join!(join_all(calls), look);
+        for answer in answers {
+            answer.unwrap();
+        }
+        assert!(is_avoided || avoided == 0, "the server got new work again");
+        avoided += u32::from(is_avoided);
+    }
+}
