--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -8,6 +8,7 @@
 
 use berylgw_core::config::{Snapshot, Version, View};
 use berylgw_core::home;
+use berylgw_runtime::tls::{Connector, Peers};
 use berylgw_wire as wire;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -84,6 +85,8 @@
     pub published: watch::Sender<Arc<Published>>,
     /// Versions seen in requests.
     pub hints: mpsc::Receiver<Hint>,
+    /// Credentials of connections with entries.
+    pub peers: Option<Arc<Peers>>,
     /// Ends the thread when set.
     pub stop: watch::Receiver<bool>,
 }
@@ -100,6 +103,7 @@
     view: View,
     gate: Arc<Gate>,
     published: watch::Sender<Arc<Published>>,
+    peers: Option<Arc<Peers>>,
 }
 
 /// Starts the control thread.
@@ -137,6 +141,7 @@
         view: View::new(),
         gate: inputs.gate.clone(),
         published: inputs.published,
+        peers: inputs.peers,
     }));
     for home in 0..HOMES {
         tokio::task::spawn_local(follow(control.clone(), home));
@@ -177,7 +182,8 @@
     home: usize,
     address: SocketAddr,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let mut client = connect(address).await?;
+    let connector = control.borrow().connector(address);
+    let mut client = connect(address, connector).await?;
     let started = Instant::now();
     let mut since = control.borrow().view.version();
     let request = wire::PullRequest {
@@ -222,7 +228,8 @@
         return true;
     }
     let call = async {
-        let mut client = connect(address).await.ok()?;
+        let connector = control.borrow().connector(address);
+        let mut client = connect(address, connector).await.ok()?;
         let request = control.borrow().request(since);
         Some(client.pull(request).await.ok()?.into_inner())
     };
@@ -242,14 +249,24 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SyncClient<Channel>, tonic::transport::Error> {
+async fn connect(
+    address: SocketAddr,
+    connector: Connector,
+) -> Result<SyncClient<Channel>, tonic::transport::Error> {
     let channel = Endpoint::from_shared(format!("http://{address}"))?
         .connect_timeout(CALL_TIMEOUT)
-        .connect()
+        .connect_with_connector(connector)
         .await?;
     Ok(SyncClient::new(channel).max_decoding_message_size(MAX_MESSAGE))
 }
 
+/// Name of the entry that the sheet has at `address`.
+fn entry_at(snapshot: &Snapshot, address: SocketAddr) -> Option<Arc<str>> {
+    let entries = &snapshot.sheet.entries;
+    let entry = entries.iter().find(|entry| entry.peer_address == address);
+    entry.map(|entry| entry.name.clone())
+}
+
 async fn watch_load(gate: Arc<Gate>, server: Server, metrics: Arc<Metrics>) {
     loop {
         match timeout(CALL_TIMEOUT, server.load()).await {
@@ -264,6 +281,12 @@
 }
 
 impl Control {
+    fn connector(&self, address: SocketAddr) -> Connector {
+        let published = self.published.subscribe();
+        let expected = move |address| entry_at(&published.borrow().snapshot, address);
+        Connector::new(address, self.peers.clone(), Arc::new(expected))
+    }
+
     /// The next candidate that no other home follows.
     fn choose(&mut self, home: usize) -> Option<SocketAddr> {
         let candidates = self.candidates();
