Control expert maps of rank groups from the entries

Cause: nothing made or switched expert maps in the running system. Change: an entry with a 'groups' section competes for the lease of each rank group of its region (three candidates by rendezvous hashing). The holder polls the ranks through their agents, writes map/<group> by conditional update when incremental rebalancing is worth its cost and the group has settled on the last map, and sends the orders of step::Group, loads paced by expert::pace. Result: expert_maps runs three entries, four agents and a rank group that ignores tokens through a stalled rank, restarts of a rank and of the first rank, a killed and a paused controller, a killed agent and a platform outage. Conclusion: in the outage the role stops with its lease and steps go on.

--- /dev/null
+++ b/crates/entry/src/group.rs
@@ -0,0 +1,125 @@
+//! Control of the rank groups: roles, expert maps and orders.
+//!
+//! Each group has a lease. Its holder writes the expert map of the group and
+//! brings the ranks to it through their agents. In a platform outage leases
+//! expire, so no orders are sent and steps go on with the map they have.
+
+mod controller;
+mod map;
+mod role;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::backend::Server;
+use berylgw_core::config::Snapshot;
+use berylgw_core::ledger;
+use berylgw_platform::Client;
+use tokio::task::JoinSet;
+
+use crate::shared::{Current, Shared};
+use role::Role;
+
+/// Time between two looks at the configuration.
+const SCAN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Entries that want the role of a group.
+///
+/// The host list lags, so the entry that hashing prefers may be gone; with all
+/// entries as candidates, reads of the lease would grow with the fleet.
+const CANDIDATES: usize = 3;
+
+/// Controls the groups of the sheet until the process stops.
+pub async fn run(shared: Arc<Shared>) {
+    let Some(settings) = shared.settings.groups.clone() else {
+        return std::future::pending().await;
+    };
+    let settings = Arc::new(settings);
+    let platform = &shared.settings.platform;
+    let client = Client::new(platform.address, Duration::from_millis(platform.timeout_ms));
+    let mut running: Vec<Arc<str>> = Vec::new();
+    let mut tasks = JoinSet::new();
+    let mut ticks = tokio::time::interval(SCAN_INTERVAL);
+    loop {
+        ticks.tick().await;
+        for group in groups(&shared.current().snapshot) {
+            let Err(index) = running.binary_search(&group) else {
+                continue;
+            };
+            running.insert(index, group.clone());
+            let role = Role::new(&shared, &settings, group.clone());
+            let controller = controller::Controller::new(
+                shared.clone(),
+                settings.clone(),
+                client.clone(),
+                group,
+            );
+            let client = client.clone();
+            tasks.spawn(async move {
+                tokio::join!(role.hold(&client), controller.run(&role));
+            });
+        }
+    }
+}
+
+/// Names of all rank groups, sorted.
+fn groups(snapshot: &Snapshot) -> Vec<Arc<str>> {
+    let ranks = snapshot.sheet.servers.iter();
+    let mut groups: Vec<Arc<str>> = ranks
+        .filter_map(|server| Some(server.rank.as_ref()?.group.clone()))
+        .collect();
+    groups.sort_unstable();
+    groups.dedup();
+    groups
+}
+
+/// Servers of a group in the order of their ranks; empty if one is missing.
+fn servers(snapshot: &Snapshot, group: &str) -> Vec<Server> {
+    let mut ranked = Vec::new();
+    for server in &snapshot.sheet.servers {
+        let Some(rank) = &server.rank else {
+            continue;
+        };
+        if *rank.group == *group {
+            ranked.push((rank.index, server.clone()));
+        }
+    }
+    ranked.sort_by_key(|(index, _)| *index);
+    let complete = { ranked.iter().zip(0..) }.all(|((index, _), expected)| *index == expected);
+    if !complete {
+        return Vec::new();
+    }
+    ranked.into_iter().map(|(_, server)| server).collect()
+}
+
+/// Whether an entry is among those that want the role of a group.
+fn is_candidate(current: &Current, entry: &str, group: &str) -> bool {
+    let snapshot = &current.snapshot;
+    let region = |domain: &str| {
+        let mut domains = snapshot.sheet.domains.iter();
+        let found = domains.find(|known| *known.name == *domain);
+        found.map(|domain| domain.region.clone())
+    };
+    let Some(first) = servers(snapshot, group).into_iter().next() else {
+        return false;
+    };
+    let own_region = region(&first.domain);
+    let mut entries: Vec<Arc<str>> = snapshot
+        .sheet
+        .entries
+        .iter()
+        .filter(|entry| region(&entry.domain) == own_region)
+        .filter(|entry| current.leaving.binary_search(&entry.name).is_err())
+        .map(|entry| entry.name.clone())
+        .collect();
+    for _ in 0..CANDIDATES {
+        let Some(preferred) = ledger::preferred(group, &entries).cloned() else {
+            return false;
+        };
+        if *preferred == *entry {
+            return true;
+        }
+        entries.retain(|name| *name != preferred);
+    }
+    false
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod control;
 mod dispatch;
+mod group;
 mod limits;
 mod metrics;
 mod pool;
@@ -21,4 +22,4 @@
 mod sync;
 
 pub use server::Entry;
-pub use settings::{Limits, Listen, Platform, Settings};
+pub use settings::{Groups, Limits, Listen, Platform, Settings};
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,7 +19,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::shared::{Current, Newer, Shared};
-use crate::{callers, control, probe, register, sync};
+use crate::{callers, control, group, probe, register, sync};
 
 /// Longest time a caller may take to send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -244,7 +244,8 @@
             .serve_with_incoming_shutdown(peers, until(self.ended.clone()));
         let served = tokio::spawn(server);
         tokio::select! {
-            () = control::run(self.shared, self.publish, self.newer) => {}
+            () = control::run(self.shared.clone(), self.publish, self.newer) => {}
+            () = group::run(self.shared) => {}
             () = until(self.ended) => {}
         }
         if let Ok(Err(error)) = served.await {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::expert::incremental;
 use berylgw_runtime::settings::Finding;
 use serde::Deserialize;
 
@@ -25,6 +26,9 @@
     /// Limits and timeouts.
     #[serde(default)]
     pub limits: Limits,
+    /// Control of rank groups; without it this entry holds no group role.
+    #[serde(default)]
+    pub groups: Option<Groups>,
 }
 
 /// Addresses to bind; port 0 lets the system choose.
@@ -103,6 +107,104 @@
     }
 }
 
+/// Control of rank groups.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Groups {
+    /// Experts of the layer that maps are made for.
+    pub experts: u16,
+    /// Expert slots of each rank.
+    pub slots: u16,
+    /// Weights of one expert, in bytes.
+    pub expert_bytes: u64,
+    /// Rate at which a group may fetch weights, in bytes per second.
+    pub fetch_rate: u64,
+    /// Term of the lease of a group.
+    #[serde(default = "group_term_ms")]
+    pub term_ms: u64,
+    /// Time between two looks at the ranks.
+    #[serde(default = "group_poll_ms")]
+    pub poll_ms: u64,
+    /// Time between two reads of the map object.
+    #[serde(default = "group_read_ms")]
+    pub read_ms: u64,
+    /// Time between two decisions about a new map.
+    #[serde(default = "group_decide_ms")]
+    pub decide_ms: u64,
+    /// Longest wait for the end of an order.
+    #[serde(default = "group_order_ms")]
+    pub order_ms: u64,
+    /// Time for which the present load is expected to last.
+    #[serde(default = "group_horizon_ms")]
+    pub horizon_ms: u64,
+    /// Share of a load report that enters the smoothed load.
+    #[serde(default = "group_smoothing")]
+    pub smoothing: f64,
+    /// Share of a step that scales with the load of the slowest rank.
+    #[serde(default = "group_expert_share")]
+    pub expert_share: f64,
+    /// Share by which steps are slower while a slot is being fetched.
+    #[serde(default = "group_fetch_slowdown")]
+    pub fetch_slowdown: f64,
+    /// Largest number of slots that one change may load.
+    #[serde(default = "group_max_transfers")]
+    pub max_transfers: usize,
+}
+
+fn group_term_ms() -> u64 {
+    6_000
+}
+
+fn group_poll_ms() -> u64 {
+    1_000
+}
+
+fn group_read_ms() -> u64 {
+    10_000
+}
+
+fn group_decide_ms() -> u64 {
+    60_000
+}
+
+fn group_order_ms() -> u64 {
+    120_000
+}
+
+fn group_horizon_ms() -> u64 {
+    600_000
+}
+
+fn group_smoothing() -> f64 {
+    0.3
+}
+
+fn group_expert_share() -> f64 {
+    0.4
+}
+
+fn group_fetch_slowdown() -> f64 {
+    0.1
+}
+
+fn group_max_transfers() -> usize {
+    64
+}
+
+impl Groups {
+    /// When a change of a map is worth its cost.
+    pub fn rule(&self) -> incremental::Rule {
+        incremental::Rule {
+            horizon: Duration::from_millis(self.horizon_ms),
+            expert_share: self.expert_share,
+            expert_bytes: self.expert_bytes,
+            fetch_rate: self.fetch_rate,
+            fetch_slowdown: self.fetch_slowdown,
+            max_transfers: self.max_transfers,
+        }
+    }
+}
+
 impl Limits {
     /// Longest silence of an agent that runs a request.
     pub fn progress(&self) -> Duration {
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -314,6 +314,7 @@
         },
         seeds: Vec::new(),
         limits,
+        groups: None,
     }
 }
 
