--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -278,6 +278,7 @@
         tickets: settings::Tickets::default(),
         quarantine: settings::Quarantine::default(),
         orders: settings::Orders::default(),
+        tls: settings::Tls::default(),
     }
 }
 
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -315,6 +315,7 @@
         seeds: Vec::new(),
         limits,
         groups: None,
+        tls: berylgw_entry::Tls::default(),
     }
 }
 
--- a/crates/testkit/tests/expert_maps.rs
+++ b/crates/testkit/tests/expert_maps.rs
@@ -50,8 +50,8 @@
         let args = fixed.split_whitespace().chain(engine.iter().copied());
         let extra = Extra {
             engine: args.map(str::to_owned).collect(),
-            agent_settings: "orders: {longest_ms: 100, poll_ms: 5}\n".to_owned(),
-            entry_settings: "groups: {experts: 16, slots: 6, expert_bytes: 1000, \
+            agent: "orders: {longest_ms: 100, poll_ms: 5}\n".to_owned(),
+            entry: "groups: {experts: 16, slots: 6, expert_bytes: 1000, \
                              fetch_rate: 1000000000, term_ms: 1200, poll_ms: 20, read_ms: 500, \
                              decide_ms: 200, order_ms: 2000, smoothing: 0.5}\n"
                 .to_owned(),
