Remove placement by a balanced block design

Cause: the design looked at no load and had to prove its worth against the greedy placement. Change: expert::design, its test and its rows in the rebalance example are gone.

--- a/crates/core/examples/rebalance.rs
+++ b/crates/core/examples/rebalance.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use berylgw_core::expert::{Expert, Layout, Load, Map, design, greedy, incremental, skew};
+use berylgw_core::expert::{Expert, Layout, Load, Map, greedy, incremental, skew};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -70,19 +70,6 @@
         greedy::place,
         |map, load| incremental::improve(map, load, &rule).map(|change| change.map),
     );
-    let designed = |layout: Layout, load: &Load| {
-        let replicas = (layout.ranks() * layout.slots()) / layout.experts();
-        let mut map = design::place(layout, replicas).expect("slots suffice");
-        design::fill(&mut map, load);
-        map
-    };
-    run("block design, never moved", layout, designed, |_, _| None);
-    run(
-        "block design, then incremental",
-        layout,
-        designed,
-        |map, load| incremental::improve(map, load, &rule).map(|change| change.map),
-    );
 }
 
 fn rule() -> incremental::Rule {
--- a/crates/core/src/expert.rs
+++ b/crates/core/src/expert.rs
@@ -5,11 +5,9 @@
 //! [`Load`] is the work that each expert receives; [`skew`] compares the most
 //! loaded rank with the mean.
 //!
-//! Three ways of placing replicas are here: [`greedy`] computes a map from
-//! nothing, [`incremental`] changes a map by single slots where the predicted
-//! gain exceeds the cost of the bytes moved, and [`design`] spreads replicas by
-//! a balanced block design without looking at the load. [`pace`] keeps transfers
-//! within the rate of the weight store.
+//! [`greedy`] computes a map from nothing, and [`incremental`] changes a map by
+//! single slots where the predicted gain exceeds the cost of the bytes moved.
+//! [`pace`] keeps transfers within the rate of the weight store.
 //!
 //! ```
 //! use berylgw_core::expert::{Layout, Load, greedy, skew};
@@ -20,7 +18,6 @@
 //! assert!(skew(&map, &load) < 1.2);
 //! ```
 
-pub mod design;
 pub mod greedy;
 pub mod incremental;
 mod layout;
--- a/crates/core/tests/expert.rs
+++ b/crates/core/tests/expert.rs
@@ -4,7 +4,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::expert::{
-    Expert, Layout, Load, Map, Rank, design, greedy, incremental, pace, rank_loads, skew,
+    Expert, Layout, Load, Map, Rank, greedy, incremental, pace, rank_loads, skew,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -127,27 +127,6 @@
     assert!(incremental::improve(&map, &load, &rule()).is_none());
 }
 
-#[test]
-fn design_place_shares_experts_evenly() {
-    // With 7 ranks and 21 experts in pairs, every two ranks share one expert.
-    let layout = Layout::new(7, 21, 6).unwrap();
-    let map = design::place(layout, 2).unwrap();
-    assert_valid(&map);
-    for a in Rank::all(layout) {
-        for b in Rank::all(layout) {
-            if a >= b {
-                continue;
-            }
-            let shared = map
-                .experts(a)
-                .iter()
-                .filter(|&&expert| map.holds(b, expert))
-                .count();
-            assert_eq!(shared, 1, "ranks {a} and {b}");
-        }
-    }
-}
-
 #[test]
 fn pacer_store_shared_by_groups() {
     // Four groups share a store of 1,000 bytes a second, which refuses a
