--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::config::Version;
 use berylgw_core::order::{Action, Id, Order, Outcome};
 use berylgw_core::outcome::{Reason, Refusal};
 use berylgw_core::service::Kind;
+use berylgw_runtime::tls;
 use berylgw_wire as wire;
 use serde::Deserialize;
 use tokio::sync::watch;
@@ -45,6 +47,19 @@
 }
 
 impl Service {
+    /// Refuses a process that is not an entry or not the one it claims to be.
+    /// The sheet counts only if the agent has the sender's configuration.
+    fn check<T>(&self, request: &Request<T>, sender: Option<&wire::Sender>) -> Result<(), Status> {
+        let name = sender.map(|sender| &*sender.name);
+        let version = sender.map_or(0, |sender| sender.config_version);
+        let published = self.published.borrow().clone();
+        let newer = Version::from(version) > published.snapshot.version;
+        tls::check(request.extensions(), name, |name| {
+            let mut entries = published.snapshot.sheet.entries.iter();
+            newer || entries.any(|entry| *entry.name == *name)
+        })
+    }
+
     fn parse(&self, request: &wire::OrderRequest) -> Result<Order, Refusal> {
         let invalid =
             |message: String| Refusal::not_run(Reason::InvalidRequest, RETRY).with_message(message);
@@ -116,6 +131,7 @@
         &self,
         request: Request<wire::OrderRequest>,
     ) -> Result<Response<wire::OrderReply>, Status> {
+        self.check(&request, request.get_ref().sender.as_ref())?;
         let refusal = match self.parse(request.get_ref()) {
             Err(refusal) => Some(refusal),
             Ok(order) => match self.orders.submit(order).await {
@@ -132,8 +148,9 @@
 
     async fn rank(
         &self,
-        _request: Request<wire::RankRequest>,
+        request: Request<wire::RankRequest>,
     ) -> Result<Response<wire::RankReply>, Status> {
+        self.check(&request, request.get_ref().sender.as_ref())?;
         let mut reply = wire::RankReply {
             sender: Some(self.gate.current_sender()),
             ..Default::default()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod control;
 mod dispatch;
+mod group;
 mod ledger;
 mod limits;
 mod metrics;
@@ -26,4 +27,4 @@
 mod sync;
 
 pub use server::Entry;
-pub use settings::{Ledger, Limits, Listen, Platform, Settings, Tls};
+pub use settings::{Groups, Ledger, Limits, Listen, Platform, Settings, Tls};
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -17,7 +17,7 @@
 use crate::secure::Credentials;
 use crate::settings::Settings;
 use crate::shared::{Current, Newer, Shared};
-use crate::{accept, control, ledger, probe, register, sync};
+use crate::{accept, control, group, ledger, probe, register, sync};
 
 /// Interval of HTTP/2 pings on connections of other processes.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
@@ -226,7 +226,8 @@
         let owners = ledger::run(self.shared.clone(), self.inbox, self.ended.clone());
         let owners = tokio::spawn(owners);
         tokio::select! {
-            () = control::run(self.shared, self.publish, self.newer) => {}
+            () = control::run(self.shared.clone(), self.publish, self.newer) => {}
+            () = group::run(self.shared) => {}
             () = until(self.ended) => {}
         }
         if let Err(error) = owners.await {
