--- a/crates/entry/tests/tls.rs
+++ b/crates/entry/tests/tls.rs
@@ -55,6 +55,7 @@
     let request = wire::PullRequest {
         sender: Some(sender),
         since: 0,
+        ..Default::default()
     };
     let reply = SyncClient::new(channel).pull(request).await;
     reply
