--- a/crates/testkit/src/bin/berylgw-domain.rs
+++ b/crates/testkit/src/bin/berylgw-domain.rs
@@ -188,6 +188,7 @@
             method: Method::POST,
             path: "bookings",
             key: None,
+            sending: None,
             ticket: None,
             body: json!({"booking": "load"}),
         };
