Find accounts by token digest, split the routing module

Change: client::Tokens is a sorted index, searched by digest and then compared in constant time; route has the modules slot, choice and affinity. Result: tests of berylgw-core pass; no change of routing decisions.

--- a/crates/core/src/client.rs
+++ b/crates/core/src/client.rs
@@ -39,6 +39,52 @@
     }
 }
 
+/// Positions of client accounts, sorted by token digest.
+///
+/// ```
+/// use berylgw_core::client::{Account, Tokens, token_digest};
+///
+/// let account = Account {
+///     name: "a".into(),
+///     weight: 1,
+///     rate: 1,
+///     concurrency: 1,
+///     token_sha256: token_digest("secret"),
+/// };
+/// let accounts = [account];
+/// let tokens = Tokens::new(&accounts);
+/// assert!(tokens.find(&accounts, &token_digest("secret")).is_some());
+/// assert!(tokens.find(&accounts, &token_digest("guess")).is_none());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tokens(Vec<u32>);
+
+impl Tokens {
+    /// Sorts the positions of these accounts.
+    pub fn new(accounts: &[Account]) -> Self {
+        let mut order: Vec<u32> = (0..accounts.len() as u32).collect();
+        order.sort_by(|a, b| {
+            let digest = |index: u32| &accounts[index as usize].token_sha256;
+            digest(*a).cmp(digest(*b))
+        });
+        Tokens(order)
+    }
+
+    /// The account whose token has this digest.
+    ///
+    /// The time of the search depends on the digests only, and a caller cannot
+    /// choose a token by a prefix of its digest; the one account found is
+    /// compared in constant time.
+    pub fn find<'a>(&self, accounts: &'a [Account], digest: &str) -> Option<&'a Account> {
+        let place = self.0.partition_point(|index| {
+            let account = accounts.get(*index as usize);
+            account.is_some_and(|account| *account.token_sha256 < *digest)
+        });
+        let account = accounts.get(*self.0.get(place)? as usize)?;
+        account.accepts(digest).then_some(account)
+    }
+}
+
 /// Permission of a client account to use a service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -185,6 +185,7 @@
         }
         Ok(Snapshot {
             version: self.version,
+            tokens: client::Tokens::new(&sheet.accounts),
             sheet,
             domains_out,
         })
@@ -212,6 +213,8 @@
     pub version: Version,
     /// The accepted sheet.
     pub sheet: Sheet,
+    /// Order of the sheet's accounts by token digest.
+    pub tokens: client::Tokens,
     /// Names of failure domains out of service, sorted.
     pub domains_out: Vec<Arc<str>>,
 }
@@ -241,10 +244,7 @@
 
     /// The client account whose token has this digest.
     pub fn authenticate(&self, digest: &str) -> Option<&client::Account> {
-        self.sheet
-            .accounts
-            .iter()
-            .find(|account| account.accepts(digest))
+        self.tokens.find(&self.sheet.accounts, digest)
     }
 
     /// Whether the client account may use the service.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,5 +1,9 @@
 //! Selection of a backend server for a request.
 
+mod affinity;
+mod choice;
+mod slot;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,14 +15,10 @@
 use crate::config::Snapshot;
 use crate::directory::region_of;
 
-/// Servers sampled from each near set.
-const SAMPLES: usize = 2;
-
-/// Draws per wanted sample; draws that hit an unusable server are repeated.
-const DRAWS_PER_SAMPLE: usize = 4;
+pub use affinity::affinity;
 
-/// Age after which a reported load is no longer believed.
-const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+use affinity::first_word;
+use slot::{Group, Slot};
 
 /// Time for which a draining server is passed over after it said so.
 const DRAIN_LIFETIME: Duration = Duration::from_secs(2);
@@ -27,16 +27,6 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(200);
 const BACKOFF_MAX: Duration = Duration::from_secs(10);
 
-/// Load above the mean at which affinity moves on to the next server.
-const AFFINITY_SLACK: f64 = 1.25;
-
-/// Share of a server's limit that affinity may use whatever the mean is. With
-/// few requests in flight the mean is below one and would scatter prefixes.
-const AFFINITY_SHARE: f64 = 0.25;
-
-/// Extra cost of a server in another failure domain.
-const REMOTE_DOMAIN_COST: f64 = 0.125;
-
 /// Identifies a backend server in a [`Table`]; stays valid across updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
@@ -57,36 +47,6 @@
     pub draining: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Slot {
-    generation: u32,
-    present: bool,
-    name: Arc<str>,
-    address: SocketAddr,
-    group: usize,
-    local: bool,
-    near: bool,
-    limit: u32,
-    outstanding: u32,
-    reported: Option<(Instant, Load)>,
-    counted: u32,
-    draining_until: Instant,
-    backoff_until: Instant,
-    failures: u32,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Group {
-    service: Arc<str>,
-    /// Near servers with the hash of their name.
-    region: Vec<(u64, Key)>,
-    local: Vec<Key>,
-    remote: Vec<Key>,
-    load: u64,
-    service_time: f64,
-    used: bool,
-}
-
 /// A request to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -107,30 +67,6 @@
     groups: Vec<Group>,
 }
 
-/// Hash of a prompt prefix, salted by client account: accounts that send the
-/// same prefix do not learn from the service time that the other did.
-pub fn affinity(account: &str, prefix: &[u8]) -> u64 {
-    let mut hash = Sha256::new();
-    hash.update((account.len() as u64).to_be_bytes());
-    hash.update(account.as_bytes());
-    hash.update(prefix);
-    first_word(&hash.finalize())
-}
-
-fn first_word(digest: &[u8]) -> u64 {
-    digest
-        .iter()
-        .take(8)
-        .fold(0, |word, byte| (word << 8) | u64::from(*byte))
-}
-
-/// Mixes a word by one folded multiplication. The inputs are parts of SHA-256
-/// digests; a longer mix made a decision among 2,600 servers miss its 5 µs.
-fn mix(word: u64) -> u64 {
-    let product = u128::from(word) * 0x9e37_79b9_7f4a_7c15;
-    (product as u64) ^ ((product >> 64) as u64)
-}
-
 impl Table {
     /// Makes an empty table for an entry in `domain`.
     pub fn new(domain: &str) -> Self {
@@ -202,30 +138,6 @@
         self.release_absent();
     }
 
-    /// Chooses a backend server, `None` if none is usable.
-    pub fn pick(&self, request: Request<'_>, now: Instant, rng: &mut impl Rng) -> Option<Key> {
-        let group = self.group(request.service)?;
-        if let Some(hash) = request.affinity
-            && let Some(key) = self.preferred(group, hash, request.tried, now)
-        {
-            return Some(key);
-        }
-        let near = |index: usize| group.region[index].1;
-        let local = self.sample(group.local.len(), |i| group.local[i], request, now, rng);
-        let region = self.sample(group.region.len(), near, request, now, rng);
-        let best = [local, region]
-            .into_iter()
-            .flatten()
-            .min_by(|a, b| self.cost(*a, now).total_cmp(&self.cost(*b, now)));
-        let best = best.or_else(|| {
-            let usable = |key: &Key| self.usable(*key, request.tried, now);
-            group.region.iter().map(|(_, key)| *key).find(usable)
-        });
-        // Another region is the last resort: its delay is far above that of a queue.
-        let remote = || self.sample(group.remote.len(), |i| group.remote[i], request, now, rng);
-        best.or_else(remote)
-    }
-
     /// Counts a dispatch to the server.
     pub fn dispatched(&mut self, key: Key) {
         self.change(key, |slot| slot.outstanding += 1);
@@ -324,87 +236,6 @@
         keys
     }
 
-    fn preferred(&self, group: &Group, hash: u64, tried: &[Key], now: Instant) -> Option<Key> {
-        let mean = (group.load + 1) as f64 / group.region.len().max(1) as f64;
-        let mut best = None;
-        for &(server, key) in &group.region {
-            let weight = mix(server ^ hash);
-            if best.is_some_and(|(top, _)| weight <= top) || !self.usable(key, tried, now) {
-                continue;
-            }
-            let Some(slot) = self.slot(key) else { continue };
-            let held = slot.held(now);
-            let share = f64::from(slot.bound(now)) * AFFINITY_SHARE;
-            let bound = (mean * AFFINITY_SLACK).max(share).max(1.0);
-            if f64::from(held) < bound && held < slot.bound(now) {
-                best = Some((weight, key));
-            }
-        }
-        best.map(|(_, key)| key)
-    }
-
-    fn sample(
-        &self,
-        count: usize,
-        at: impl Fn(usize) -> Key,
-        request: Request<'_>,
-        now: Instant,
-        rng: &mut impl Rng,
-    ) -> Option<Key> {
-        if count == 0 {
-            return None;
-        }
-        let mut best: Option<(f64, Key)> = None;
-        let mut found = 0;
-        for _ in 0..SAMPLES * DRAWS_PER_SAMPLE {
-            let key = at(rng.random_range(0..count));
-            if !self.usable(key, request.tried, now) {
-                continue;
-            }
-            let cost = self.cost(key, now);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
-            }
-            found += 1;
-            if found == SAMPLES {
-                break;
-            }
-        }
-        best.map(|(_, key)| key)
-    }
-
-    fn usable(&self, key: Key, tried: &[Key], now: Instant) -> bool {
-        let Some(slot) = self.slot(key) else {
-            return false;
-        };
-        slot.present
-            && slot.draining_until <= now
-            && slot.backoff_until <= now
-            && !tried.contains(&key)
-    }
-
-    fn cost(&self, key: Key, now: Instant) -> f64 {
-        let Some(slot) = self.slot(key) else {
-            return f64::INFINITY;
-        };
-        let load = f64::from(slot.held(now) + 1) / f64::from(slot.bound(now));
-        let usual = self
-            .groups
-            .get(slot.group)
-            .map_or(0.0, |group| group.service_time);
-        let own = slot
-            .reported
-            .map_or(0.0, |(_, load)| load.service_time.as_secs_f64());
-        let known = usual > 0.0 && own > 0.0;
-        let slowness = if known {
-            (own / usual).clamp(0.5, 2.0)
-        } else {
-            1.0
-        };
-        let distance = if slot.local { 0.0 } else { REMOTE_DOMAIN_COST };
-        load * slowness + distance
-    }
-
     fn change(&mut self, key: Key, act: impl FnOnce(&mut Slot)) {
         let Some(slot) = self.slots.get_mut(key.index as usize) else {
             return;
@@ -480,20 +311,3 @@
         }
     }
 }
-
-impl Slot {
-    fn report(&self, now: Instant) -> Option<Load> {
-        let (at, load) = self.reported?;
-        (now.since(at) <= REPORT_LIFETIME).then_some(load)
-    }
-
-    fn held(&self, now: Instant) -> u32 {
-        let reported = self.report(now).map_or(0, |load| load.in_flight);
-        reported.max(self.outstanding)
-    }
-
-    fn bound(&self, now: Instant) -> u32 {
-        let reported = self.report(now).map_or(self.limit, |load| load.limit);
-        reported.clamp(1, self.limit)
-    }
-}
--- /dev/null
+++ b/crates/core/src/route/choice.rs
@@ -0,0 +1,131 @@
+//! The choice of a server for a request.
+
+use rand::Rng;
+
+use super::affinity::mix;
+use super::slot::Group;
+use super::{Key, Request, Table};
+use crate::clock::Instant;
+
+/// Servers sampled from each near set.
+const SAMPLES: usize = 2;
+
+/// Draws per wanted sample; draws that hit an unusable server are repeated.
+const DRAWS_PER_SAMPLE: usize = 4;
+
+/// Load above the mean at which affinity moves on to the next server.
+const AFFINITY_SLACK: f64 = 1.25;
+
+/// Share of a server's limit that affinity may use whatever the mean is. With
+/// few requests in flight the mean is below one and would scatter prefixes.
+const AFFINITY_SHARE: f64 = 0.25;
+
+/// Extra cost of a server in another failure domain.
+const REMOTE_DOMAIN_COST: f64 = 0.125;
+
+impl Table {
+    /// Chooses a backend server, `None` if none is usable.
+    pub fn pick(&self, request: Request<'_>, now: Instant, rng: &mut impl Rng) -> Option<Key> {
+        let group = self.group(request.service)?;
+        if let Some(hash) = request.affinity
+            && let Some(key) = self.preferred(group, hash, request.tried, now)
+        {
+            return Some(key);
+        }
+        let near = |index: usize| group.region[index].1;
+        let local = self.sample(group.local.len(), |i| group.local[i], request, now, rng);
+        let region = self.sample(group.region.len(), near, request, now, rng);
+        let best = [local, region]
+            .into_iter()
+            .flatten()
+            .min_by(|a, b| self.cost(*a, now).total_cmp(&self.cost(*b, now)));
+        let best = best.or_else(|| {
+            let usable = |key: &Key| self.usable(*key, request.tried, now);
+            group.region.iter().map(|(_, key)| *key).find(usable)
+        });
+        // Another region is the last resort: its delay is far above that of a queue.
+        let remote = || self.sample(group.remote.len(), |i| group.remote[i], request, now, rng);
+        best.or_else(remote)
+    }
+
+    fn preferred(&self, group: &Group, hash: u64, tried: &[Key], now: Instant) -> Option<Key> {
+        let mean = (group.load + 1) as f64 / group.region.len().max(1) as f64;
+        let mut best = None;
+        for &(server, key) in &group.region {
+            let weight = mix(server ^ hash);
+            if best.is_some_and(|(top, _)| weight <= top) || !self.usable(key, tried, now) {
+                continue;
+            }
+            let Some(slot) = self.slot(key) else { continue };
+            let held = slot.held(now);
+            let share = f64::from(slot.bound(now)) * AFFINITY_SHARE;
+            let bound = (mean * AFFINITY_SLACK).max(share).max(1.0);
+            if f64::from(held) < bound && held < slot.bound(now) {
+                best = Some((weight, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn sample(
+        &self,
+        count: usize,
+        at: impl Fn(usize) -> Key,
+        request: Request<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Key> {
+        if count == 0 {
+            return None;
+        }
+        let mut best: Option<(f64, Key)> = None;
+        let mut found = 0;
+        for _ in 0..SAMPLES * DRAWS_PER_SAMPLE {
+            let key = at(rng.random_range(0..count));
+            if !self.usable(key, request.tried, now) {
+                continue;
+            }
+            let cost = self.cost(key, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+            found += 1;
+            if found == SAMPLES {
+                break;
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn usable(&self, key: Key, tried: &[Key], now: Instant) -> bool {
+        let Some(slot) = self.slot(key) else {
+            return false;
+        };
+        slot.present
+            && slot.draining_until <= now
+            && slot.backoff_until <= now
+            && !tried.contains(&key)
+    }
+
+    fn cost(&self, key: Key, now: Instant) -> f64 {
+        let Some(slot) = self.slot(key) else {
+            return f64::INFINITY;
+        };
+        let load = f64::from(slot.held(now) + 1) / f64::from(slot.bound(now));
+        let usual = self
+            .groups
+            .get(slot.group)
+            .map_or(0.0, |group| group.service_time);
+        let own = slot
+            .reported
+            .map_or(0.0, |(_, load)| load.service_time.as_secs_f64());
+        let known = usual > 0.0 && own > 0.0;
+        let slowness = if known {
+            (own / usual).clamp(0.5, 2.0)
+        } else {
+            1.0
+        };
+        let distance = if slot.local { 0.0 } else { REMOTE_DOMAIN_COST };
+        load * slowness + distance
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/slot.rs
@@ -0,0 +1,58 @@
+//! What an entry knows of one backend server and of one service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Key, Load};
+use crate::clock::Instant;
+
+/// Age after which a reported load is no longer believed.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Debug)]
+pub(super) struct Slot {
+    pub generation: u32,
+    pub present: bool,
+    pub name: Arc<str>,
+    pub address: SocketAddr,
+    pub group: usize,
+    pub local: bool,
+    pub near: bool,
+    pub limit: u32,
+    pub outstanding: u32,
+    pub reported: Option<(Instant, Load)>,
+    pub counted: u32,
+    pub draining_until: Instant,
+    pub backoff_until: Instant,
+    pub failures: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Group {
+    pub service: Arc<str>,
+    /// Near servers with the hash of their name.
+    pub region: Vec<(u64, Key)>,
+    pub local: Vec<Key>,
+    pub remote: Vec<Key>,
+    pub load: u64,
+    pub service_time: f64,
+    pub used: bool,
+}
+
+impl Slot {
+    fn report(&self, now: Instant) -> Option<Load> {
+        let (at, load) = self.reported?;
+        (now.since(at) <= REPORT_LIFETIME).then_some(load)
+    }
+
+    pub fn held(&self, now: Instant) -> u32 {
+        let reported = self.report(now).map_or(0, |load| load.in_flight);
+        reported.max(self.outstanding)
+    }
+
+    pub fn bound(&self, now: Instant) -> u32 {
+        let reported = self.report(now).map_or(self.limit, |load| load.limit);
+        reported.clamp(1, self.limit)
+    }
+}
