Send frames of streams at once

Cause: the agent's listener did not set TCP_NODELAY. Frames waited up to 40 ms for acknowledgements and tokens came in bunches. Change: TCP_NODELAY for accepted connections.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -7,8 +7,8 @@
 use berylgw_wire as wire;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport;
+use tonic::transport::server::TcpIncoming;
 use wire::agent_server::AgentServer;
 use wire::sync_server::SyncServer;
 
@@ -92,10 +92,13 @@
     let scraped = tokio::spawn(scraped);
     berylgw_runtime::log::listening("agent", listener.local_addr()?);
     let agent = AgentServer::new(service).max_decoding_message_size(MAX_REQUEST);
+    // With Nagle's algorithm, frames of a stream waited up to 40 ms for the
+    // entry's acknowledgement.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let served = transport::Server::builder()
         .add_service(agent)
         .add_service(SyncServer::new(sync))
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), until(stopped));
+        .serve_with_incoming_shutdown(incoming, until(stopped));
     let leave = async {
         stop.await;
         tracing::info!("leaving");
