Free the buffers of callers that stop reading

Cause: a blocked body is not polled, so the buffer of a given-up plain answer stayed counted until its caller read or left, and a complete answer was held for a caller that never reads. The deadline was not checked while a plain answer waited for its reader. Change: both ends share the queue and a driver that gives up on a slow reader empties it; the wait ends at the deadline; a connection whose writes make no progress for request_ms is closed. The gauge of buffered bytes is exact. Conclusion: memory for stalled callers ends with the request.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,7 +1,7 @@
 //! The bounded queue between an agent's answer and its caller.
 
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -27,6 +27,9 @@
 struct Room {
     shared: Arc<Shared>,
     stream: Mutex<buffer::Stream>,
+    /// Shared, so that a driver that gives up can empty it: the body of a
+    /// caller that does not read is not polled.
+    items: Mutex<mpsc::UnboundedReceiver<Item>>,
     freed: Notify,
 }
 
@@ -34,7 +37,21 @@
     fn with<T>(&self, act: impl FnOnce(&mut buffer::Budget, &mut buffer::Stream) -> T) -> T {
         let mut budget = self.shared.buffers();
         let mut stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
-        act(&mut budget, &mut stream)
+        let result = act(&mut budget, &mut stream);
+        let used = i64::try_from(budget.used()).unwrap_or(i64::MAX);
+        self.shared.metrics.buffered_bytes.set(used);
+        result
+    }
+
+    fn items(&self) -> MutexGuard<'_, mpsc::UnboundedReceiver<Item>> {
+        self.items.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Drops payload that the caller has not taken.
+    fn empty(&self) {
+        let mut items = self.items();
+        while items.try_recv().is_ok() {}
+        self.with(|budget, stream| budget.close(stream));
     }
 }
 
@@ -46,7 +63,6 @@
 
 /// The caller's end of the queue.
 pub struct Source {
-    items: mpsc::UnboundedReceiver<Item>,
     room: Arc<Room>,
 }
 
@@ -67,17 +83,14 @@
     let room = Arc::new(Room {
         shared: shared.clone(),
         stream: Mutex::default(),
+        items: Mutex::new(receiver),
         freed: Notify::new(),
     });
     let sink = Sink {
         items: sender,
         room: room.clone(),
     };
-    let source = Source {
-        items: receiver,
-        room,
-    };
-    (sink, source)
+    (sink, Source { room })
 }
 
 impl Sink {
@@ -138,6 +151,12 @@
         let _ = self.items.send(item);
     }
 
+    /// Ends the answer of a caller that does not read and frees its buffer.
+    pub fn abandon(&self, refusal: Refusal) {
+        self.room.empty();
+        self.end(Item::Failed(refusal));
+    }
+
     fn offer(&self, data: &Bytes, resumable: bool) -> Pushed {
         let bytes = data.len();
         let verdict = self
@@ -161,8 +180,8 @@
 impl Stream for Source {
     type Item = Item;
 
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Item>> {
-        let item = ready!(self.items.poll_recv(cx));
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Item>> {
+        let item = ready!(self.room.items().poll_recv(cx));
         if let Some(Item::Data(data)) = &item {
             self.room
                 .with(|budget, stream| budget.release(stream, data.len()));
@@ -174,7 +193,7 @@
 
 impl Drop for Source {
     fn drop(&mut self) {
-        self.items.close();
-        self.room.with(|budget, stream| budget.close(stream));
+        self.room.items().close();
+        self.room.empty();
     }
 }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -232,7 +232,8 @@
             None
         }
         Mode::Pass => {
-            let patience = Duration::from_millis(limits.slow_reader_ms);
+            let left = driver.shared.clock.until(driver.call.deadline);
+            let patience = Duration::from_millis(limits.slow_reader_ms).min(left);
             match driver.sink.push_patiently(data, patience).await {
                 Pushed::Kept => None,
                 Pushed::Closed => Some(End::CallerGone),
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -311,6 +311,9 @@
             None => {
                 // Counted here: a caller that stopped reading never gets it.
                 render::count(&self.shared, &refusal);
+                if refusal.reason == Reason::SlowReader {
+                    return self.sink.abandon(refusal);
+                }
                 self.sink.end(Item::Failed(refusal));
             }
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod server;
 mod settings;
 mod shared;
+mod stalled;
 mod sync;
 
 pub use server::Entry;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::shared::{Current, Newer, Shared};
+use crate::stalled::Stalled;
 use crate::{callers, control, probe, register, sync};
 
 /// Longest time a caller may take to send a request head.
@@ -203,6 +204,8 @@
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(head).unwrap_or(u32::MAX));
     let service = TowerToHyperService::new(router.clone());
+    let limit = Duration::from_millis(shared.settings.limits.request_ms);
+    let stream = Stalled::new(stream, limit);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let connection = connections.watch(connection.into_owned());
     tokio::spawn(async move {
--- /dev/null
+++ b/crates/entry/src/stalled.rs
@@ -0,0 +1,86 @@
+//! Connections whose caller does not read at all.
+
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Sleep, sleep};
+
+/// A connection that breaks when a write makes no progress for `limit`.
+///
+/// A blocked answer is not polled, so nothing else ends the connection of a
+/// caller that neither reads nor closes.
+#[derive(Debug)]
+pub struct Stalled<T> {
+    inner: T,
+    limit: Duration,
+    blocked: Option<Pin<Box<Sleep>>>,
+}
+
+impl<T: AsyncWrite + Unpin> Stalled<T> {
+    pub fn new(inner: T, limit: Duration) -> Self {
+        Stalled {
+            inner,
+            limit,
+            blocked: None,
+        }
+    }
+
+    fn watch<R>(
+        &mut self,
+        cx: &mut Context<'_>,
+        act: impl FnOnce(Pin<&mut T>, &mut Context<'_>) -> Poll<io::Result<R>>,
+    ) -> Poll<io::Result<R>> {
+        if let Poll::Ready(result) = act(Pin::new(&mut self.inner), cx) {
+            self.blocked = None;
+            return Poll::Ready(result);
+        }
+        let limit = self.limit;
+        let blocked = self.blocked.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(blocked.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for Stalled<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buffer)
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for Stalled<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.watch(cx, |inner, cx| inner.poll_write(cx, bytes))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.watch(cx, |inner, cx| inner.poll_write_vectored(cx, bytes))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -406,6 +406,14 @@
         self.sum("berylgw_refusals_total", |value| value == reason)
     }
 
+    /// Value of a gauge.
+    pub fn gauge(&self, name: &str) -> f64 {
+        let families = self.registry.gather();
+        let family = families.iter().find(|family| family.name() == name);
+        let metric = family.and_then(|family| family.get_metric().first().cloned());
+        metric.map_or(0.0, |metric| metric.get_gauge().get_value())
+    }
+
     fn sum(&self, name: &str, wanted: impl Fn(&str) -> bool) -> f64 {
         let families = self.registry.gather();
         let family = families.iter().find(|family| family.name() == name);
