--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -18,6 +18,7 @@
 
 use crate::callers;
 use crate::shared::Shared;
+use crate::stalled::Stalled;
 
 /// Serves callers until it is dropped.
 pub async fn run(listener: &TcpListener, shared: &Arc<Shared>, open: &GracefulShutdown) {
@@ -67,8 +68,9 @@
         let _ = stream.set_nodelay(true);
         let callers = self.shared.tls.callers.as_deref();
         let stream = timeout(HANDSHAKE_TIMEOUT, shake(stream, callers)).await??;
-        let stream = stream.holding(permit);
         let limits = &self.shared.settings.limits;
+        let patience = Duration::from_millis(limits.request_ms);
+        let stream = Stalled::new(stream.holding(permit), patience);
         let first = Duration::from_millis(limits.head_ms);
         let builder = builder(limits.header_bytes, limits.streams, first);
         let asked = Arc::new(AtomicBool::new(false));
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -389,6 +389,9 @@
                 // Counted here: a caller that stopped reading never gets it.
                 render::count(&self.shared, &refusal);
                 self.scope.refused(&refusal, &self.call.id);
+                if refusal.reason == Reason::SlowReader {
+                    return self.sink.abandon(refusal);
+                }
                 self.sink.end(Item::Failed(refusal));
             }
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod server;
 mod settings;
 mod shared;
+mod stalled;
 mod sync;
 
 pub use server::Entry;
--- a/crates/runtime/src/tls/incoming.rs
+++ b/crates/runtime/src/tls/incoming.rs
@@ -72,6 +72,8 @@
 }
 
 async fn shake(stream: TcpStream, peers: Option<Arc<Peers>>) -> io::Result<Stream> {
+    // With Nagle's algorithm, frames of a stream waited up to 40 ms for the
+    // receiver's acknowledgement.
     stream.set_nodelay(true)?;
     let Some(peers) = peers else {
         return Ok(Stream::plain(stream));
