--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -5,6 +5,7 @@
 
 mod plan;
 mod scratch;
+pub mod sheet;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
