--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -21,6 +21,12 @@
 #[error("{0}")]
 pub struct Error(String);
 
+impl Error {
+    pub(crate) fn new(message: impl Into<String>) -> Self {
+        Error(message.into())
+    }
+}
+
 impl From<launch::Error> for Error {
     fn from(error: launch::Error) -> Self {
         Error(error.to_string())
@@ -44,10 +50,13 @@
     pub service: Vec<String>,
     /// Whether a fault proxy stands in front of each agent.
     pub proxied: bool,
-    /// Further lines of each entry's settings file.
-    pub entry_settings: String,
-    /// Further lines of each agent's settings file.
-    pub agent_settings: String,
+    /// Whether a fault proxy stands between each entry and the platform, and
+    /// one in front of its peer address.
+    pub proxied_entries: bool,
+    /// Further lines of the settings of each entry.
+    pub entry: String,
+    /// Further lines of the settings of each agent.
+    pub agent: String,
     /// Whether the bytes between entries and the platform, and to the peer
     /// interfaces of entries, are counted.
     pub counted: bool,
@@ -60,6 +69,8 @@
     pub platform: Proxy,
     /// In front of the entry's peer interface.
     pub peers: Proxy,
+    /// Address of the relay in front of the peer interface.
+    pub address: SocketAddr,
 }
 
 /// A process of the product.
@@ -73,18 +84,76 @@
     pub address: SocketAddr,
     /// Fault proxy that listens on the address, if there is one.
     pub proxy: Option<Fake>,
-    /// Address of the peer interface as others use it, of an entry.
-    pub peers: Option<SocketAddr>,
+    /// Fault proxies of an entry, if it has them.
+    pub links: Option<Links>,
+    /// Settings file.
+    pub settings: PathBuf,
     /// Relays that count its control traffic, of an entry.
     pub counted: Option<Counted>,
     /// The process.
     pub process: Process,
+    binary: &'static str,
+}
+
+/// Fault proxies of one entry.
+#[derive(Debug)]
+pub struct Links {
+    /// Between the entry and the platform.
+    pub platform: Fake,
+    /// In front of the peer address, where other entries and agents come in.
+    pub peers: Fake,
 }
 
 impl Member {
+    /// Address for other berylgw processes that no fault affects.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not listen.
+    pub async fn direct(&self) -> Result<SocketAddr, Error> {
+        let interface = if self.process.name() == "berylgw-entry" {
+            "peers"
+        } else {
+            "agent"
+        };
+        Ok(self.process.address(interface).await?)
+    }
+
+    async fn peer_address(&self) -> Result<SocketAddr, Error> {
+        if let Some(counted) = &self.counted {
+            return Ok(counted.address);
+        }
+        match &self.links {
+            Some(links) => Ok(links.peers.process.address("proxy").await?),
+            None => Ok(self.process.address("peers").await?),
+        }
+    }
+
+    /// Kills the process and starts another one on the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the new process does not start.
+    pub async fn restart(&mut self) -> Result<(), Error> {
+        let mut text = std::fs::read_to_string(&self.settings)?;
+        for interface in ["callers", "peers", "agent"] {
+            let any = format!("{interface}: '127.0.0.1:0'");
+            if !text.contains(&any) {
+                continue;
+            }
+            let address = self.process.address(interface).await?;
+            text = text.replace(&any, &format!("{interface}: '{address}'"));
+        }
+        std::fs::write(&self.settings, text)?;
+        self.process.signal(nix::sys::signal::Signal::SIGKILL)?;
+        self.process.wait().await?;
+        self.process = launch::start(self.binary, [Path::new("--settings"), &self.settings])?;
+        let interfaces = self.process.address("metrics").await;
+        interfaces.map(drop).map_err(Error::from)
+    }
+
     async fn behind_proxy(mut self) -> Result<Member, Error> {
-        let args = ["--upstream".to_owned(), self.address.to_string()];
-        let proxy = start_fake(&self.name, "fault-proxy", &args).await?;
+        let proxy = start_proxy(&self.name, self.address).await?;
         self.address = proxy.process.address("proxy").await?;
         self.proxy = Some(proxy);
         Ok(self)
@@ -145,7 +214,8 @@
         }
         let mut addresses = Vec::new();
         for member in &entries {
-            addresses.push((member.name.clone(), member.address, member.peers));
+            let peer = member.peer_address().await?;
+            addresses.push((member.name.clone(), member.address, Some(peer)));
         }
         for member in &agents {
             addresses.push((member.name.clone(), member.address, None));
@@ -243,6 +313,11 @@
     })
 }
 
+async fn start_proxy(name: &str, upstream: SocketAddr) -> Result<Fake, Error> {
+    let args = ["--upstream".to_owned(), upstream.to_string()];
+    start_fake(name, "fault-proxy", &args).await
+}
+
 async fn start_fakes(plan: &Plan, extra: &Extra) -> Result<Vec<Fake>, Error> {
     let mut fakes = Vec::new();
     for fake in &plan.fakes {
@@ -272,37 +347,45 @@
     let mut entries: Vec<Member> = Vec::new();
     let mut seeds: Vec<SocketAddr> = Vec::new();
     for entry in &plan.entries {
-        let counter = Proxy::new(platform);
-        let platform = if extra.counted {
-            counter.listen(any).await?
-        } else {
-            platform
-        };
+        let mut link = None;
+        let mut reached = platform;
+        if extra.proxied_entries {
+            let proxy = start_proxy(&entry.name, platform).await?;
+            reached = proxy.process.address("proxy").await?;
+            link = Some(proxy);
+        }
+        let counter = Proxy::new(reached);
+        if extra.counted {
+            reached = counter.listen(any).await?;
+        }
         let settings = format!(
             "name: {}\ndomain: {}\n\
              listen: {{callers: '127.0.0.1:0', peers: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
-             platform: {{address: '{platform}', timeout_ms: 1000}}\n\
+             platform: {{address: '{reached}', timeout_ms: 1000}}\n\
              seeds: {}\n{}",
             entry.name,
             entry.domain,
             quoted(&seeds),
-            extra.entry_settings,
+            extra.entry,
         );
         let mut member =
             start_member("berylgw-entry", "callers", entry, scratch, &settings).await?;
-        let mut peers = member.process.address("peers").await?;
+        if let Some(platform) = link {
+            let peers = start_proxy(&entry.name, member.direct().await?).await?;
+            member.links = Some(Links { platform, peers });
+        }
         if extra.counted {
-            let proxy = Proxy::new(peers);
-            peers = proxy.listen(any).await?;
+            let peers = Proxy::new(member.peer_address().await?);
+            let address = peers.listen(any).await?;
             member.counted = Some(Counted {
                 platform: counter,
-                peers: proxy,
+                peers,
+                address,
             });
         }
-        member.peers = Some(peers);
         // Two seeds are enough: the sheet names all other entries.
         if seeds.len() < 2 {
-            seeds.push(peers);
+            seeds.push(member.peer_address().await?);
         }
         entries.push(member);
     }
@@ -321,7 +404,11 @@
         let mut homes = Vec::new();
         for entry in entries {
             if plan.region(&entry.domain) == plan.region(&server.domain) {
-                homes.extend(entry.peers);
+                // A fault between entries leaves agents this way.
+                homes.push(match &entry.counted {
+                    Some(counted) => counted.address,
+                    None => entry.direct().await?,
+                });
             }
         }
         let mut served = fakes.iter().flat_map(|fake| &fake.servers);
@@ -335,7 +422,7 @@
             server.name,
             server.domain,
             quoted(&homes),
-            extra.agent_settings,
+            extra.agent,
         );
         agents.push(start_member("berylgw-agent", "agent", server, scratch, &settings).await?);
     }
@@ -343,7 +430,7 @@
 }
 
 async fn start_member(
-    binary: &str,
+    binary: &'static str,
     interface: &str,
     host: &plan::Host,
     scratch: &Scratch,
@@ -356,9 +443,11 @@
         domain: host.domain.clone(),
         address: process.address(interface).await?,
         proxy: None,
-        peers: None,
+        links: None,
+        settings: file,
         counted: None,
         process,
+        binary,
     })
 }
 
--- a/crates/testkit/src/load/scenario/fair.rs
+++ b/crates/testkit/src/load/scenario/fair.rs
@@ -30,7 +30,7 @@
     for order in ["fair", "arrival"] {
         let extra = Extra {
             engine: words("--step-ms 5 --prefill-steps 4 --capacity 16"),
-            agent_settings: format!("queue: {{total: 256, per_account: 64, order: {order}}}\n"),
+            agent: format!("queue: {{total: 256, per_account: 64, order: {order}}}\n"),
             ..Extra::default()
         };
         let plan = Plan {
--- a/crates/testkit/src/load/scenario/idle.rs
+++ b/crates/testkit/src/load/scenario/idle.rs
@@ -22,7 +22,7 @@
     let extra = Extra {
         engine: words("--step-ms 1000 --prefill-steps 1 --capacity 100000"),
         counted: true,
-        agent_settings: "queue: {total: 100000, per_account: 100000}\n".to_owned(),
+        agent: "queue: {total: 100000, per_account: 100000}\n".to_owned(),
         ..Extra::default()
     };
     let plan = Plan {
--- a/crates/testkit/src/load/scenario/retry.rs
+++ b/crates/testkit/src/load/scenario/retry.rs
@@ -22,7 +22,7 @@
 pub async fn retry(options: &Options) -> Result<()> {
     let extra = Extra {
         engine: words("--step-ms 5 --prefill-steps 4 --capacity 16"),
-        agent_settings: "queue: {total: 32, per_account: 32}\n".to_owned(),
+        agent: "queue: {total: 32, per_account: 32}\n".to_owned(),
         ..Extra::default()
     };
     let plan = Plan {
--- a/crates/testkit/src/load/scenario/slow.rs
+++ b/crates/testkit/src/load/scenario/slow.rs
@@ -26,8 +26,8 @@
 pub async fn slow(options: &Options, readers: usize, buffer_bytes: usize) -> Result<()> {
     let extra = Extra {
         engine: words("--step-ms 50 --prefill-steps 1 --capacity 100000"),
-        agent_settings: "queue: {total: 100000, per_account: 100000}\n".to_owned(),
-        entry_settings: format!("limits: {{buffer_bytes: {buffer_bytes}}}\n"),
+        agent: "queue: {total: 100000, per_account: 100000}\n".to_owned(),
+        entry: format!("limits: {{buffer_bytes: {buffer_bytes}}}\n"),
         ..Extra::default()
     };
     let plan = Plan {
