--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -80,6 +80,7 @@
             let answer = router.clone().call(request);
             async move { Ok::<_, Infallible>(answer.await.unwrap_or_else(|never| match never {})) }
         });
+        let stream = Stalled::new(stream, Duration::from_millis(limits.request_ms));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let connection = self.watcher.watch(connection.into_owned());
         let mut connection = std::pin::pin!(connection);
