Check senders of engine orders and point usage errors at the command

Change: Engine.Order and Engine.Rank refuse a process that is not the entry it claims to be. The expected texts of the command line test change with the messages.

--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -35,6 +35,26 @@
     entries.is_empty() || entries.iter().any(|entry| *entry.name == *name)
 }
 
+/// Refuses a process that is not the entry it claims to be. The sheet counts
+/// only if the agent has the sender's configuration.
+///
+/// # Errors
+///
+/// Fails with `PERMISSION_DENIED`.
+pub fn check<T>(
+    published: &watch::Receiver<Arc<Published>>,
+    request: &Request<T>,
+    sender: Option<&wire::Sender>,
+) -> Result<(), Status> {
+    let name = sender.map(|sender| &*sender.name);
+    let version = sender.map_or(0, |sender| sender.config_version);
+    let published = published.borrow().clone();
+    let newer = Version::from(version) > published.snapshot.version;
+    tls::check(request.extensions(), name, |name| {
+        newer || is_known(&published.snapshot, name)
+    })
+}
+
 /// What log lines say about an attempt.
 struct About {
     request_id: String,
@@ -68,16 +88,8 @@
 }
 
 impl Service {
-    /// Refuses a process that is not the one it claims to be. The sheet counts
-    /// only if the agent has the sender's configuration.
     fn check<T>(&self, request: &Request<T>, sender: Option<&wire::Sender>) -> Result<(), Status> {
-        let name = sender.map(|sender| &*sender.name);
-        let version = sender.map_or(0, |sender| sender.config_version);
-        let published = self.published.borrow().clone();
-        let newer = Version::from(version) > published.snapshot.version;
-        tls::check(request.extensions(), name, |name| {
-            newer || is_known(&published.snapshot, name)
-        })
+        check(&self.published, request, sender)
     }
 
     /// Counts and logs a refused attempt.
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -12,10 +12,10 @@
 use tonic::{Request, Response, Status};
 
 use crate::control::Published;
-use crate::convert;
 use crate::gate::Gate;
 use crate::orders::Orders;
 pub use crate::report::Steps;
+use crate::{convert, dispatch};
 
 /// Retry time after a refusal.
 const RETRY: Duration = Duration::from_millis(250);
@@ -116,6 +116,8 @@
         &self,
         request: Request<wire::OrderRequest>,
     ) -> Result<Response<wire::OrderReply>, Status> {
+        let sender = request.get_ref().sender.as_ref();
+        dispatch::check(&self.published, &request, sender)?;
         let refusal = match self.parse(request.get_ref()) {
             Err(refusal) => Some(refusal),
             Ok(order) => match self.orders.submit(order).await {
@@ -132,8 +134,10 @@
 
     async fn rank(
         &self,
-        _request: Request<wire::RankRequest>,
+        request: Request<wire::RankRequest>,
     ) -> Result<Response<wire::RankReply>, Status> {
+        let sender = request.get_ref().sender.as_ref();
+        dispatch::check(&self.published, &request, sender)?;
         let mut reply = wire::RankReply {
             sender: Some(self.gate.current_sender()),
             ..Default::default()
--- a/crates/agent/tests/tls.rs
+++ b/crates/agent/tests/tls.rs
@@ -40,9 +40,13 @@
 }
 
 async fn client(address: SocketAddr, files: &Files) -> AgentClient<Channel> {
+    AgentClient::new(channel(address, files).await)
+}
+
+async fn channel(address: SocketAddr, files: &Files) -> Channel {
     let connector = Connector::new(address, Some(load(files)), Arc::new(|_| Some("s".into())));
     let endpoint = Endpoint::from_shared(format!("http://{address}")).unwrap();
-    AgentClient::new(endpoint.connect_with_connector(connector).await.unwrap())
+    endpoint.connect_with_connector(connector).await.unwrap()
 }
 
 fn sender(name: &str, config_version: u64) -> Option<wire::Sender> {
@@ -102,6 +106,17 @@
     let error = strange.probe(probe).await.unwrap_err();
     assert_eq!(error.code(), Code::PermissionDenied, "no sender");
 
+    let order = wire::OrderRequest {
+        sender: sender("e7", 1),
+        ..Default::default()
+    };
+    let channel = channel(address, &stranger).await;
+    let error = wire::engine_client::EngineClient::new(channel)
+        .order(order)
+        .await
+        .unwrap_err();
+    assert_eq!(error.code(), Code::PermissionDenied, "order of a stranger");
+
     // A sender with a newer configuration is judged by that configuration.
     // Whether it has arrived when the message comes does not matter.
     entry.publish_sheet(2, &sheet);
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -27,6 +27,7 @@
   --json              Print one JSON object
   --platform IP:PORT  Address of the platform; otherwise BERYLGW_PLATFORM
   -h, --help          Print the help of the command
+  -V, --version       Print the version
 
 Exit codes:
   0  done
@@ -74,11 +75,12 @@
 pub async fn run(args: Vec<OsString>, platform: Option<String>) -> Output {
     let mut args = Arguments::from_vec(args);
     let as_json = args.contains("--json");
+    let named = args.clone().subcommand().ok().flatten();
     let report = match parse(&mut args, platform) {
         Ok(Parsed::Help(text)) => Report::message(Code::Done, text),
         Ok(Parsed::Run(command, common)) => carry_out(command, common).await,
         Err(error) => {
-            let message = format!("error: {error}; see berylgw --help");
+            let message = format!("error: {error}; see {}", help_of(named.as_deref()));
             Report::message(Code::Usage, message)
         }
     };
@@ -94,6 +96,9 @@
     let help = args.contains(["-h", "--help"]);
     let platform = args.opt_value_from_str("--platform")?;
     let platform = platform.or(environment);
+    if args.contains(["-V", "--version"]) {
+        return Ok(Parsed::Run(Command::Version, Common { platform }));
+    }
     let name = args.subcommand()?.unwrap_or_default();
     if help {
         return help_text(&name).map(Parsed::Help);
@@ -110,14 +115,26 @@
     };
     let rest = std::mem::replace(args, Arguments::from_vec(Vec::new())).finish();
     match rest.first() {
-        Some(argument) => Err(Usage::new(format!(
-            "unexpected argument {}",
-            argument.to_string_lossy()
-        ))),
+        Some(argument) => {
+            let argument = argument.to_string_lossy();
+            let what = match argument.starts_with('-') {
+                true => "unknown option",
+                false => "unexpected argument",
+            };
+            Err(Usage::new(format!("{what} {argument}")))
+        }
         None => Ok(Parsed::Run(command, Common { platform })),
     }
 }
 
+/// The command line that prints the help for a command, if it is known.
+fn help_of(name: Option<&str>) -> String {
+    match name.filter(|name| help_text(name).is_ok()) {
+        Some(name) if !name.is_empty() => format!("berylgw {name} --help"),
+        _ => "berylgw --help".to_owned(),
+    }
+}
+
 fn help_text(name: &str) -> Result<&'static str, Usage> {
     match name {
         "" => Ok(HELP),
--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -55,14 +55,17 @@
 
 /// Makes a client from the options.
 pub(crate) fn client(common: &Common) -> Result<Client, Report> {
-    let Some(address) = &common.platform else {
+    let given = common.platform.as_ref();
+    let Some(address) = given.filter(|address| !address.is_empty()) else {
         let message = format!(
             "error: no platform address; give --platform IP:PORT or set {PLATFORM_VARIABLE}"
         );
         return Err(Report::message(Code::Usage, message));
     };
     let address: SocketAddr = address.parse().map_err(|_| {
-        let message = format!("error: platform address {address:?} is not IP:PORT");
+        let message = format!(
+            "error: platform address {address:?} is not IP:PORT, for example 10.0.0.5:7000"
+        );
         Report::message(Code::Usage, message)
     })?;
     Ok(Client::new(address, TIMEOUT))
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -406,13 +406,13 @@
     expect![[r#"
         error: no command given; see berylgw --help
         error: unknown command "frob"; see berylgw --help
-        error: FILE is missing; see berylgw --help
-        error: unknown option --frob; see berylgw --help
-        error: unexpected argument b; see berylgw --help
-        error: expected out or back instead of "up"; see berylgw --help
-        error: NAME is missing; see berylgw --help
-        error: failed to parse 'x': invalid digit found in string; see berylgw --help
-        error: the '--service' option must be set; see berylgw --help
+        error: FILE is missing; see berylgw check --help
+        error: unknown option --frob; see berylgw check --help
+        error: unexpected argument b; see berylgw check --help
+        error: expected out or back instead of "up"; see berylgw domain --help
+        error: NAME is missing; see berylgw domain --help
+        error: failed to parse 'x': invalid digit found in string; see berylgw apply --help
+        error: the '--service' option must be set; see berylgw explain --help
     "#]]
     .assert_eq(&text);
     let output = berylgw::run(vec!["status".into()], None).await;
