--- a/crates/testkit/tests/whole_path.rs
+++ b/crates/testkit/tests/whole_path.rs
@@ -92,27 +92,34 @@
     )
 }
 
-/// Repeats a call while it is refused, as its refusal asks.
-///
-/// Every refusal has to be typed; only those in `repeated` may occur.
-async fn resent<T>(repeated: &[Outcome], call: impl AsyncFn() -> Result<T, Error>) -> T {
+/// Waits as a refusal asks; any other error, or an outcome that is not in
+/// `allowed`, fails the test.
+async fn wait_for_retry(error: Error, allowed: &[Outcome]) {
+    let Error::Refused(refusal) = error else {
+        panic!("{error}");
+    };
+    assert!(allowed.contains(&refusal.outcome), "{refusal}");
+    assert!(!refusal.retry_after.is_zero(), "{refusal}");
+    tokio::time::sleep(refusal.retry_after).await;
+}
+
+async fn open(client: &Client, model: &str, prompt: &str, tokens: u32) -> Stream {
     loop {
-        match call().await {
-            Ok(answer) => return answer,
-            Err(Error::Refused(refusal)) if repeated.contains(&refusal.outcome) => {
-                assert!(!refusal.retry_after.is_zero(), "{refusal}");
-                tokio::time::sleep(refusal.retry_after).await;
-            }
-            Err(error) => panic!("{error}"),
+        match client.stream(model, prompt, tokens).await {
+            Ok(stream) => return stream,
+            Err(error) => wait_for_retry(error, &[Outcome::NotRun]).await,
         }
     }
 }
 
-async fn open(client: &Client, model: &str, prompt: &str, tokens: u32) -> Stream {
-    resent(&[Outcome::NotRun], async || {
-        client.stream(model, prompt, tokens).await
-    })
-    .await
+/// Books until it is done; the key makes it safe to send again.
+async fn book_until_done(client: &Client, service: &str, booking: &str) -> Value {
+    loop {
+        match book(client, service, booking).await {
+            Ok(answer) => return answer,
+            Err(error) => wait_for_retry(error, &[Outcome::NotRun, Outcome::Unknown]).await,
+        }
+    }
 }
 
 async fn book(client: &Client, service: &str, booking: &str) -> Result<Value, Error> {
@@ -156,8 +163,7 @@
         let client = client(&cluster, index);
         running.spawn(async move {
             let booking = format!("pickup-{index}");
-            let any = [Outcome::NotRun, Outcome::Unknown];
-            let answer = resent(&any, async || book(&client, "yard-app", &booking).await).await;
+            let answer = book_until_done(&client, "yard-app", &booking).await;
             assert_eq!(answer["booking"], *booking);
             assert_eq!(answer["confirmed"], true);
         });
@@ -178,10 +184,7 @@
 async fn call_without_grant() {
     let mut cluster = start().await;
     let granted = client(&cluster, 2);
-    resent(&[Outcome::NotRun, Outcome::Unknown], async || {
-        book(&granted, "permit-app", "fee-1").await
-    })
-    .await;
+    book_until_done(&granted, "permit-app", "fee-1").await;
     let other = client(&cluster, 0);
     let mut refusals = Vec::new();
     for service in ["permit-app", "no-such-app"] {
