Issue and use tickets at the entries

Cause: agents issued tickets, and entries refused the header Berylgw-Ticket, so no call could run at most once during an outage of the platform. Change: POST /v1/tickets asks the agent of one backend server; the ticket names the server, and a request with it is dispatched there only. A refusal before the agent has checked the ticket is 'unknown' unless the caller says that it is the first sending.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -207,6 +207,18 @@
         });
     }
 
+    /// The backend server with this name, whether or not it takes work.
+    pub fn find(&self, name: &str) -> Option<Key> {
+        let index = self
+            .slots
+            .iter()
+            .position(|slot| slot.present && *slot.name == *name)?;
+        Some(Key {
+            index: index as u32,
+            generation: self.slots[index].generation,
+        })
+    }
+
     /// Name and agent address of a server.
     pub fn server(&self, key: Key) -> Option<(&Arc<str>, SocketAddr)> {
         self.slot(key).map(|slot| (&slot.name, slot.address))
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -24,6 +24,7 @@
 use crate::render;
 use crate::scope;
 use crate::shared::{Current, Shared};
+use crate::ticket::{self, Ticket};
 
 /// Bytes of the messages that decide on prefix affinity.
 const PREFIX_BYTES: usize = 1_024;
@@ -41,6 +42,7 @@
     Router::new()
         .route("/v1/directory", get(serve_directory))
         .route("/v1/chat/completions", post(serve_chat))
+        .route("/v1/tickets", post(serve_ticket))
         .fallback(serve_plain)
         .layer(middleware::from_fn_with_state(
             shared.clone(),
@@ -201,6 +203,7 @@
         headers: forwarded(&head.headers),
         idempotent: true,
         once: None,
+        ticket: None,
         mode: if chat.stream {
             Mode::Events
         } else {
@@ -217,9 +220,10 @@
 async fn serve_plain(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
     let id = new_id(&shared);
     let headers = request.headers();
-    let open = headers.contains_key(KEY) && !is_first(headers);
+    let repeatable = headers.contains_key(KEY) || headers.contains_key(TICKET);
+    let open = repeatable && !is_first(headers);
     let admitted = plain(&shared, request, &id).await.map_err(|mut refusal| {
-        // The ledger was not asked about earlier sendings of the key.
+        // Nobody was asked about earlier sendings of the key or ticket.
         if open {
             refusal.outcome = Outcome::Unknown;
         }
@@ -235,6 +239,52 @@
     }
 }
 
+/// The ticket that a request came with.
+fn ticket_of(headers: &HeaderMap) -> Result<Option<Ticket>> {
+    let Some(value) = headers.get(TICKET) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let ticket = Ticket::parse(text, is_first(headers));
+    let malformed = || {
+        Refusal::unknown(Reason::TicketInvalid, Duration::ZERO)
+            .with_message("the ticket is malformed")
+    };
+    ticket.map(Some).ok_or_else(malformed)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TicketBody {
+    service: String,
+    key: String,
+}
+
+async fn serve_ticket(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
+    let id = new_id(&shared);
+    match issue(&shared, request).await {
+        Ok(issued) => {
+            let Ok(response) = render::json(&issued);
+            response
+        }
+        Err(refusal) => render::refusal(&shared, &refusal, &id),
+    }
+}
+
+async fn issue(shared: &Arc<Shared>, request: Request) -> Result<ticket::Issued> {
+    let (head, body) = request.into_parts();
+    let current = shared.current();
+    let account = authenticate(&current, &head.headers)?;
+    let body = read_body(shared, body).await?;
+    let body: TicketBody = serde_json::from_slice(&body).map_err(|error| {
+        let message = format!("not a ticket request: {error}");
+        refuse(Reason::InvalidRequest, &message)
+    })?;
+    let service = authorize(&current, account, &body.service, service::Kind::Plain)?;
+    let _admitted = admit(shared, &current, account)?;
+    ticket::issue(shared, &account.name, &service, &body.key).await
+}
+
 /// Whether the caller says that this is the first sending of its key.
 fn is_first(headers: &HeaderMap) -> bool {
     headers.get(SENDING).is_some_and(|value| value == "1")
@@ -248,16 +298,12 @@
         return Err(refuse(Reason::InvalidRequest, "no such interface"));
     };
     let service = authorize(&current, account, name, service::Kind::Plain)?;
-    if head.headers.contains_key(TICKET) {
-        return Err(refuse(
-            Reason::TicketInvalid,
-            "this entry issues no tickets",
-        ));
-    }
+    let ticket = ticket_of(&head.headers)?;
     let admitted = admit(shared, &current, account)?;
     let body = read_body(shared, body).await?;
     let method = head.method.as_str();
-    let once = head.headers.get(KEY).map(|key| {
+    let unclaimed = ticket.is_some();
+    let once = head.headers.get(KEY).filter(|_| !unclaimed).map(|key| {
         let key = Digest::of_key(&account.name, &service, key.as_bytes());
         let content = Digest::of_parts(&[method.as_bytes(), path.as_bytes(), &body]);
         Keyed::new(key, content, is_first(&head.headers))
@@ -270,7 +316,10 @@
         path,
         headers: forwarded(&head.headers),
         // A keyed request is dispatched again only with a new claim.
-        idempotent: once.is_none() && matches!(head.method, Method::GET | Method::HEAD),
+        idempotent: once.is_none()
+            && !unclaimed
+            && matches!(head.method, Method::GET | Method::HEAD),
+        ticket,
         mode: if once.is_some() {
             Mode::Collect
         } else {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::render;
 use crate::scope::{self, Scope};
 use crate::shared::Shared;
+use crate::ticket::Ticket;
 
 /// Failed attempts after which a request is given up on.
 const ATTEMPTS: u32 = 4;
@@ -29,7 +30,8 @@
 /// Longest wait for the configuration that a `stale_config` refusal names.
 const STALE_WAIT: Duration = Duration::from_millis(500);
 
-const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
+/// Retry time when no backend server can take a request.
+pub const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
 
 /// How the payload of an answer is handed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +55,8 @@
     pub body: Bytes,
     pub idempotent: bool,
     pub once: Option<Keyed>,
+    /// Ticket that binds the request to one backend server.
+    pub ticket: Option<Ticket>,
     pub mode: Mode,
     pub affinity: Option<u64>,
     pub fingerprint: u64,
@@ -169,7 +173,10 @@
             idempotent: call.idempotent,
             resume_from: self.resume.tokens(),
             claim: call.once.as_ref().and_then(Keyed::grant),
-            ticket: String::new(),
+            ticket: call
+                .ticket
+                .as_ref()
+                .map_or_else(String::new, |ticket| ticket.token.clone()),
             fingerprint: call.fingerprint,
             stream: call.mode == Mode::Events,
             isolate: false,
@@ -318,7 +325,10 @@
             tried: &self.tried,
         };
         let table = self.shared.table();
-        let key = table.pick(request, now, &mut *self.shared.rng());
+        let key = match &self.call.ticket {
+            Some(ticket) => table.find(&ticket.server),
+            None => table.pick(request, now, &mut *self.shared.rng()),
+        };
         let found = key.and_then(|key| {
             let (name, address) = table.server(key)?;
             self.scope.server(name);
@@ -356,7 +366,9 @@
         let crashed = fault.refusal.reason == Reason::ServerFailed;
         self.crashes += u32::from(crashed);
         let exhausted = self.failures >= ATTEMPTS || self.crashes >= CRASHES;
-        if !fault.retry || !repeatable || exhausted {
+        // A ticket is good for one server only.
+        let bound = self.call.ticket.is_some() && fault.stale.is_none();
+        if !fault.retry || !repeatable || exhausted || bound {
             return Err(fault.refusal.clone());
         }
         let lost = fault.refusal.reason == Reason::ConnectionLost;
@@ -411,6 +423,9 @@
         if let Some(once) = &self.call.once {
             once.judge(&mut refusal);
         }
+        if let Some(ticket) = &self.call.ticket {
+            ticket.judge(&mut refusal);
+        }
         match self.start.take() {
             Some(start) => {
                 let _ = start.send(Err(refusal));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod shared;
 mod stalled;
 mod sync;
+mod ticket;
 
 pub use server::Entry;
 pub use settings::{Groups, Ledger, Limits, Listen, Platform, Settings, Tls};
--- /dev/null
+++ b/crates/entry/src/ticket.rs
@@ -0,0 +1,118 @@
+//! Tickets for requests that run at most once without the ledger.
+
+use std::sync::Arc;
+
+use berylgw_core::outcome::{Outcome, Reason, Refusal};
+use berylgw_core::route::Request;
+use berylgw_wire as wire;
+use berylgw_wire::agent_client::AgentClient;
+use serde::Serialize;
+
+use crate::dispatch::NO_SERVER_RETRY;
+use crate::shared::Shared;
+
+/// Separates the backend server from the agent's token; names do not contain it.
+const SEPARATOR: char = ':';
+
+/// A ticket that came with a request.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// Backend server whose agent issued it.
+    pub server: Arc<str>,
+    /// Token of the agent.
+    pub token: String,
+    /// The caller says that this is the first sending of the ticket.
+    first: bool,
+}
+
+impl Ticket {
+    /// Parses the text that [`issue`] made.
+    pub fn parse(text: &str, first: bool) -> Option<Self> {
+        let (server, token) = text.split_once(SEPARATOR)?;
+        Some(Ticket {
+            server: server.into(),
+            token: token.to_owned(),
+            first,
+        })
+    }
+
+    /// Corrects the outcome of a refusal, which is about the ticket.
+    ///
+    /// The agent refuses some requests before it looks at the ticket, and does
+    /// not know then whether an earlier sending ran.
+    pub fn judge(&self, refusal: &mut Refusal) {
+        let checked = refusal.reason == Reason::TicketInvalid;
+        if !checked && !self.first {
+            refusal.outcome = Outcome::Unknown;
+        }
+    }
+}
+
+/// A ticket as a caller gets it.
+#[derive(Debug, Serialize)]
+pub struct Issued {
+    ticket: String,
+    expires_ms: u64,
+}
+
+/// Asks the agent of a backend server of the service for a ticket.
+///
+/// # Errors
+///
+/// Fails if no agent issues one; nothing was run.
+pub async fn issue(
+    shared: &Arc<Shared>,
+    account: &str,
+    service: &str,
+    key: &str,
+) -> Result<Issued, Refusal> {
+    let request = Request {
+        service,
+        affinity: None,
+        tried: &[],
+    };
+    let now = shared.now();
+    let found = {
+        let table = shared.table();
+        let picked = table.pick(request, now, &mut *shared.rng());
+        picked.and_then(|key| {
+            let (name, address) = table.server(key)?;
+            Some((key, name.clone(), address))
+        })
+    };
+    let unreachable = |message: String| {
+        Refusal::not_run(Reason::AgentUnreachable, NO_SERVER_RETRY).with_message(message)
+    };
+    let (slot, server, address) =
+        found.ok_or_else(|| Refusal::not_run(Reason::NoServer, NO_SERVER_RETRY))?;
+    let call = async {
+        let channel = shared.pool.get(address).await;
+        let channel = channel.map_err(|error| unreachable(error.to_string()))?;
+        let request = wire::TicketRequest {
+            sender: Some(shared.sender()),
+            account: account.to_owned(),
+            service: service.to_owned(),
+            key: key.to_owned().into(),
+        };
+        let reply = AgentClient::new(channel).issue_ticket(request).await;
+        let reply = reply.map_err(|status| unreachable(status.message().to_owned()))?;
+        Ok(reply.into_inner())
+    };
+    let silence = shared.settings.limits.progress();
+    let silent = |_| unreachable("no ticket within the progress timeout".to_owned());
+    let reply = tokio::time::timeout(silence, call).await;
+    let reply = reply.map_err(silent).and_then(|reply| reply);
+    let reply = reply.inspect_err(|_| {
+        shared.pool.evict(address);
+        let now = shared.now();
+        shared.table().failed(slot, now);
+    })?;
+    shared.saw(address, reply.sender.as_ref());
+    if let Some(refusal) = &reply.refusal {
+        return Err(Refusal::from(refusal));
+    }
+    Ok(Issued {
+        ticket: format!("{server}{SEPARATOR}{}", reply.ticket),
+        expires_ms: reply.expires_ms,
+    })
+}
