Tell all entries of a poison request before it is answered

Cause: entries neither kept nor passed on suspects, so each entry let a request that crashes its server cost two servers more. Change: an entry keeps suspects from probes, pulls and followers' replies, refuses quarantined requests, runs suspects alone, and after a failed server asks its agent and tells all other entries before it tries again or answers. Not covered: the same request sent to several entries at the same moment.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -342,6 +342,7 @@
             sender: Some(self.gate.sender(self.view.version())),
             since: since.into(),
             versions_only: false,
+            suspects: Vec::new(),
         }
     }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -274,5 +274,8 @@
         metrics.config_age_ms.set(age.as_millis() as i64);
         let buffered = owner.shared.buffers().used();
         metrics.buffered_bytes.set(buffered as i64);
+        let now = owner.shared.now();
+        let suspects = owner.shared.quarantine().suspects(now).len();
+        metrics.suspects.set(suspects as i64);
     }
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::render;
 use crate::scope::{self, Scope};
 use crate::shared::Shared;
+use crate::suspects;
 use crate::ticket::Ticket;
 
 /// Failed attempts after which a request is given up on.
@@ -108,6 +109,7 @@
         ran: false,
         crashes: 0,
         free_resend: true,
+        isolate: false,
         last: None,
         head: None,
         collected: Vec::new(),
@@ -150,6 +152,8 @@
     /// request has one such retry, and heartbeats keep the connection to a slow
     /// server from counting as lost.
     free_resend: bool,
+    /// Whether the request may have crashed a server and has to run alone.
+    isolate: bool,
     /// Why the last attempt failed.
     last: Option<Refusal>,
     scope: Scope,
@@ -179,7 +183,7 @@
                 .map_or_else(String::new, |ticket| ticket.token.clone()),
             fingerprint: call.fingerprint,
             stream: call.mode == Mode::Events,
-            isolate: false,
+            isolate: self.isolate,
         }
     }
 
@@ -239,6 +243,10 @@
                     self.tried.clear();
                 }
                 End::Failed(fault) => {
+                    if fault.refusal.reason == Reason::ServerFailed {
+                        let fingerprint = self.call.fingerprint;
+                        suspects::server_failed(&self.shared, address, fingerprint).await;
+                    }
                     if let Err(refusal) = self.may_retry(&fault) {
                         return self.fail(refusal);
                     }
@@ -319,6 +327,7 @@
         if now >= self.call.deadline {
             return Err(Refusal::not_run(Reason::Deadline, NO_SERVER_RETRY));
         }
+        self.isolate = suspects::check(&self.shared, self.call.fingerprint)?;
         let request = Request {
             service: &self.call.service,
             affinity: self.call.affinity.filter(|_| self.tried.is_empty()),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod shared;
 mod stalled;
+mod suspects;
 mod sync;
 mod ticket;
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -16,6 +16,7 @@
     pub config_age_ms: IntGauge,
     pub config_errors: IntCounter,
     pub buffered_bytes: IntGauge,
+    pub suspects: IntGauge,
     pub probes: IntCounter,
     pub probe_failures: IntCounter,
     pub connections_refused: IntCounter,
@@ -37,6 +38,7 @@
             )?,
             config_errors: IntCounter::new("berylgw_config_errors_total", "Unreadable objects")?,
             buffered_bytes: IntGauge::new("berylgw_buffered_bytes", "Held for slow readers")?,
+            suspects: IntGauge::new("berylgw_suspects", "Suspected or convicted requests")?,
             probes: IntCounter::new("berylgw_probes_total", "Probes sent")?,
             probe_failures: IntCounter::new("berylgw_probe_failures_total", "Probes failed")?,
             connections_refused: IntCounter::new(
@@ -55,6 +57,7 @@
         registry.register(Box::new(metrics.config_age_ms.clone()))?;
         registry.register(Box::new(metrics.config_errors.clone()))?;
         registry.register(Box::new(metrics.buffered_bytes.clone()))?;
+        registry.register(Box::new(metrics.suspects.clone()))?;
         registry.register(Box::new(metrics.probes.clone()))?;
         registry.register(Box::new(metrics.probe_failures.clone()))?;
         registry.register(Box::new(metrics.connections_refused.clone()))?;
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt;
 use crate::shared::Shared;
+use crate::suspects;
 
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -49,6 +50,7 @@
         shared.table().failed(key, now);
         return;
     };
+    suspects::merge(&shared, &reply.suspects);
     shared.saw(address, reply.sender.as_ref());
     if let Some(load) = &reply.load {
         shared.table().reported(key, attempt::load(load), now);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,7 +5,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::config::{Snapshot, View};
-use berylgw_core::{buffer, retry, route};
+use berylgw_core::{buffer, quarantine, retry, route};
 use berylgw_runtime::clock::Clock;
 use berylgw_wire as wire;
 use rand::{Rng, SeedableRng};
@@ -18,6 +18,7 @@
 use crate::pool::Pool;
 use crate::secure::{self, Credentials};
 use crate::settings::Settings;
+use crate::suspects;
 
 /// What the control thread publishes.
 #[derive(Clone, Debug, Default)]
@@ -74,6 +75,7 @@
     retries: Mutex<retry::Budget>,
     buffers: Mutex<buffer::Budget>,
     limits: Mutex<Limits>,
+    quarantine: Mutex<quarantine::Table>,
 }
 
 impl Shared {
@@ -109,6 +111,7 @@
             retries: Mutex::new(retry::Budget::new(clock.now())),
             buffers: Mutex::new(buffers),
             limits: Mutex::new(Limits::default()),
+            quarantine: Mutex::new(suspects::table()),
             settings,
         }
     }
@@ -137,6 +140,10 @@
         lock(&self.buffers)
     }
 
+    pub fn quarantine(&self) -> MutexGuard<'_, quarantine::Table> {
+        lock(&self.quarantine)
+    }
+
     pub fn limits(&self) -> MutexGuard<'_, Limits> {
         lock(&self.limits)
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -13,6 +13,7 @@
 
 use crate::secure;
 use crate::shared::{Current, Shared};
+use crate::suspects;
 
 /// Longest pause between replies of a follow stream.
 const FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
@@ -58,7 +59,7 @@
         version: current.view.version().into(),
         objects: objects.iter().map(encode).collect(),
         entries: homes(current, &shared.settings.name),
-        suspects: Vec::new(),
+        suspects: suspects::known(shared),
     }
 }
 
@@ -105,6 +106,7 @@
         self.check(&request)?;
         let request = request.into_inner();
         self.note(request.sender.as_ref());
+        suspects::merge(&self.0, &request.suspects);
         let current = self.0.current();
         Ok(Response::new(reply(&self.0, &current, request.since)))
     }
@@ -151,6 +153,7 @@
             sender: Some(shared.sender()),
             since,
             versions_only: false,
+            suspects: suspects::known(shared),
         };
         let reply = client.pull(request).await?;
         Ok::<_, Status>(reply.into_inner())
@@ -160,6 +163,7 @@
     let reply = reply.map_err(timed_out).flatten().inspect_err(|_| {
         shared.pool.evict(peer);
     })?;
+    suspects::merge(shared, &reply.suspects);
     let objects: Option<Vec<_>> = reply.objects.into_iter().map(decode).collect();
     let objects = objects.ok_or_else(|| Status::data_loss("object value is not UTF-8"))?;
     Ok(Delta {
--- a/crates/testkit/src/version.rs
+++ b/crates/testkit/src/version.rs
@@ -60,6 +60,7 @@
             sender: None,
             since: u64::MAX,
             versions_only: true,
+            suspects: Vec::new(),
         };
         let Ok(Ok(reply)) = timeout(CALL_LIMIT, self.client.pull(request)).await else {
             return Ok(None);
