--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -111,7 +111,7 @@
 
 fn admit(shared: &Arc<Shared>, current: &Current, account: &Account) -> Result<Admitted> {
     let now = shared.now();
-    let entries = current.live_entries();
+    let entries = current.live_entries(&shared.settings.domain);
     shared.limits().enter(account, entries, now)?;
     shared.metrics.requests.inc();
     shared.metrics.in_flight.inc();
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -28,7 +28,9 @@
     pub fn enter(&mut self, account: &Account, entries: u32, now: Instant) -> Result<(), Refusal> {
         let entries = entries.max(1);
         let rate = f64::from(account.rate) / f64::from(entries);
-        let burst = rate.max(1.0);
+        // A caller uses one entry at a time, so its first second of requests has
+        // to fit into one entry's burst.
+        let burst = f64::from(account.rate).max(1.0);
         let usage = self.usage(account, burst, now);
         let gained = now.since(usage.refilled).as_secs_f64() * rate;
         usage.tokens = (usage.tokens + gained).min(burst);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -32,9 +32,17 @@
 }
 
 impl Current {
-    /// Entries that share the limits of the client accounts.
-    pub fn live_entries(&self) -> u32 {
-        let entries = &self.snapshot.sheet.entries;
+    /// Entries that share the limits of the client accounts: those in the region
+    /// of `domain`, which the directory lists first.
+    pub fn live_entries(&self, domain: &str) -> u32 {
+        let region = self.region(domain);
+        let entries: Vec<_> = self
+            .snapshot
+            .sheet
+            .entries
+            .iter()
+            .filter(|entry| region.is_none() || self.region(&entry.domain) == region)
+            .collect();
         let live = entries
             .iter()
             .filter(|entry| self.live.binary_search(&entry.name).is_ok())
@@ -47,6 +55,12 @@
         let count = if live > 0 { live } else { staying };
         count.max(1) as u32
     }
+
+    fn region(&self, domain: &str) -> Option<&str> {
+        let domains = &self.snapshot.sheet.domains;
+        let index = domains.binary_search_by(|known| (*known.name).cmp(domain));
+        Some(&*domains[index.ok()?].region)
+    }
 }
 
 /// A process that showed a newer configuration.
--- a/crates/testkit/tests/whole_path.rs
+++ b/crates/testkit/tests/whole_path.rs
@@ -19,6 +19,9 @@
 const STOPPED_STREAMS: usize = 20;
 const LONG_TOKENS: u32 = 300;
 
+/// Requests per second of the small account.
+const SMALL_RATE: u32 = 3;
+
 const ACCOUNTS: [&str; 4] = [
     "grower-redhill",
     "packhouse-north",
@@ -67,6 +70,11 @@
             rows.push(format!("grant,{account},,,{service},,,,,,,,,,,,"));
         }
     }
+    let digest = token_digest("driver-route-9-token");
+    rows.push(format!(
+        "account,driver-route-9,,,,,,,,,,,,1,{SMALL_RATE},8,{digest}"
+    ));
+    rows.push("grant,driver-route-9,,,yard-app,,,,,,,,,,,,".to_owned());
     rows.push("grant,packhouse-north,,,permit-app,,,,,,,,,,,,".to_owned());
     rows.push(String::new());
     rows.join("\n")
@@ -198,6 +206,21 @@
     cluster.stop().await.unwrap();
 }
 
+/// Guards against a rate that is divided by the number of entries for a caller
+/// that uses one of them, which refused the first requests of small accounts.
+#[tokio::test]
+async fn burst_of_small_account() {
+    let mut cluster = start().await;
+    book_until_done(&client(&cluster, 0), "yard-app", "ready").await;
+    let small = Client::new(cluster.entries[0].address, "driver-route-9-token");
+    for index in 0..SMALL_RATE {
+        book(&small, "yard-app", &format!("small-{index}"))
+            .await
+            .unwrap();
+    }
+    cluster.stop().await.unwrap();
+}
+
 /// Guards against a stop of an entry that cuts off running streams.
 #[tokio::test]
 async fn stop_entry_in_stream() {
