Let an idle entry without platform and peers learn from agents

Cause: an entry learns a newer version from the agents it probes, but probes go only to services used since the last interval. An idle entry that is cut off from the platform and all peers asked nobody, and learned the change only when an agent happened to try its home entry again after 10 s.

Ruled out: a lost pull request (none was queued) and the fault proxy (the platform and peer links were cut as ordered).

Change: if the drawn peer does not answer, or there is none, the entry pulls from a random agent of the sheet in the same 500 ms interval.

The cost is one pull per 500 ms while peers are away.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -101,6 +101,17 @@
         }
         peers
     }
+
+    fn agents(&self) -> Vec<SocketAddr> {
+        let current = self.publish.borrow();
+        let servers = current.snapshot.sheet.servers.iter();
+        servers.map(|server| server.address).collect()
+    }
+
+    fn draw(&self, addresses: &[SocketAddr]) -> Option<SocketAddr> {
+        let chosen = self.shared.rng().random_range(0..addresses.len().max(1));
+        addresses.get(chosen).copied()
+    }
 }
 
 fn object(written: &berylgw_platform::Object) -> Object {
@@ -235,12 +246,18 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let peers = owner.borrow().peers();
-        if peers.is_empty() {
+        let peer = owner.borrow().draw(&owner.borrow().peers());
+        if let Some(peer) = peer
+            && pull(owner, peer).await
+        {
             continue;
         }
-        let chosen = owner.borrow().shared.rng().random_range(0..peers.len());
-        pull(owner, peers[chosen]).await;
+        // Probes reach only servers of services in use, so that an entry
+        // without work and without peers would not learn from the agents.
+        let agent = owner.borrow().draw(&owner.borrow().agents());
+        if let Some(agent) = agent {
+            pull(owner, agent).await;
+        }
     }
 }
 
@@ -252,15 +269,20 @@
     }
 }
 
-async fn pull(owner: &Handle, peer: SocketAddr) {
+/// Pulls the configuration; returns whether the process answered.
+async fn pull(owner: &Handle, peer: SocketAddr) -> bool {
     let shared = owner.borrow().shared.clone();
     let since = owner.borrow().view.version();
     match sync::pull(&shared, peer, since.into()).await {
         Ok(delta) => {
             let version = Version::from(delta.version);
             owner.borrow_mut().merge(since, version, &delta.objects);
+            true
+        }
+        Err(error) => {
+            tracing::debug!(%peer, %error, "configuration not pulled");
+            false
         }
-        Err(error) => tracing::debug!(%peer, %error, "configuration not pulled"),
     }
 }
 
