Keep the connection to a process that refused a pull

Cause: since idle entries pull from agents, a pull that an agent answers with an error status dropped the shared connection to it. The next request could then be sent on a new connection that the stopping agent never accepted, and was refused with 'unknown' where the old connection had already been seen closed.

Change: a pull drops the connection only if it timed out or the transport failed.

--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -1,5 +1,6 @@
 //! Exchange of the configuration with peers and agents.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 use berylgw_runtime::tls;
 use berylgw_wire as wire;
 use futures_util::{Stream, stream};
-use tonic::{Request, Response, Status};
+use tonic::{Code, Request, Response, Status};
 
 use crate::secure;
 use crate::shared::{Current, Shared};
@@ -160,8 +161,10 @@
     };
     let timed_out = |_| Status::deadline_exceeded("no answer from peer");
     let reply = tokio::time::timeout(limit, call).await;
-    let reply = reply.map_err(timed_out).flatten().inspect_err(|_| {
-        shared.pool.evict(peer);
+    let reply = reply.map_err(timed_out).flatten().inspect_err(|status| {
+        if !is_refusal(status) {
+            shared.pool.evict(peer);
+        }
     })?;
     suspects::merge(shared, &reply.suspects);
     let objects: Option<Vec<_>> = reply.objects.into_iter().map(decode).collect();
@@ -172,6 +175,12 @@
     })
 }
 
+/// Whether the process answered, so that its connection works.
+fn is_refusal(status: &Status) -> bool {
+    let failed = matches!(status.code(), Code::DeadlineExceeded | Code::Unavailable);
+    !failed && status.source().is_none()
+}
+
 /// Largest configuration accepted from a peer; platform values reach 1 MiB each.
 const MESSAGE_LIMIT: usize = 16 << 20;
 
