Do not skip a server because of a report newer than the decision

Cause: a load report set the end of a server's backoff and drain to its own time. A request takes its time before it waits for the lock of the routing table; if a report came in between, the request found the server unusable for some microseconds. With one server, it was refused with 'no_server'.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -170,11 +170,13 @@
         }
         self.change(key, |slot| {
             slot.failures = 0;
-            slot.backoff_until = now;
+            // Not `now`: a decision made by another thread may carry a time
+            // slightly before it, and would then find the server unusable.
+            slot.backoff_until = Instant::ORIGIN;
             slot.draining_until = if load.draining {
                 now + DRAIN_LIFETIME
             } else {
-                now
+                Instant::ORIGIN
             };
             slot.reported = Some((now, load));
         });
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -201,3 +201,17 @@
     table.update(&snapshot(3, &["a"]));
     assert!(table.server(key).is_none());
 }
+
+/// Guards against a refusal without cause when a request's time was taken just
+/// before another thread took in a load report.
+#[test]
+fn pick_before_time_of_report() {
+    let snapshot = snapshot(1, &["a"]);
+    let mut table = table(&snapshot);
+    let key = table.pick(request(None, &[]), NOW, &mut rng()).unwrap();
+    let later = NOW + Duration::from_micros(1);
+    table.failed(key, Instant::ORIGIN);
+    table.reported(key, Load::default(), later);
+    let chosen = table.pick(request(None, &[]), NOW, &mut rng());
+    assert_eq!(chosen, Some(key));
+}
