Fail an engine's answer that names another request

Cause: the agent passed on whatever the engine wrote as the answer to the request at hand. An engine that mixes up two streams, or answers late on a connection that is in use again, would show one client account the answer of another.

Ways weighed: a connection for each request (costs a handshake on each call and does not help against a mixed-up engine); comparing the id that engines return with the one they were given (chosen, costs one JSON parse of the id per event).

Change: each event, and each whole answer up to 16 KiB, that carries an id has to end with the request's id or that of the attempt. Otherwise the request ends with 'server_failed', 'unknown', and the engine is asked to cancel it.

Answers of plain services carry no id to compare.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::forward::{Error, Server, head_of};
+use crate::identity;
 use crate::place::Place;
 use crate::run::{Answer, Dropped};
 use crate::sse;
@@ -31,6 +32,9 @@
 /// Largest result kept for `Seal`, in bytes.
 pub const MAX_RESULT: usize = 16 << 10;
 
+/// Message for an answer that names another request.
+const OTHER_REQUEST: &str = "the server's answer belongs to another request";
+
 /// A request that has been passed on to the server.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -38,6 +42,7 @@
     pub place: Place,
     pub kind: Kind,
     pub engine_id: String,
+    pub request_id: String,
     pub deadline: Instant,
     pub started: Instant,
 }
@@ -105,7 +110,7 @@
         let events = self.kind == Kind::Model && is_event_stream(&response);
         let mut body = response.into_body();
         let end = match answer.head(kept.head.clone()).await {
-            Ok(()) => copy(&mut body, &mut kept, events, self.deadline, answer).await,
+            Ok(()) => self.copy(&mut body, &mut kept, events, answer).await,
             Err(Dropped) => Err(End::Dropped),
         };
         let Err(end) = end else {
@@ -134,6 +139,55 @@
         }
     }
 
+    /// Copies the body into data frames.
+    async fn copy(
+        &self,
+        body: &mut Incoming,
+        kept: &mut Kept,
+        events: bool,
+        answer: &mut Answer,
+    ) -> Result<(), End> {
+        let mut splitter = sse::Splitter::default();
+        let mut done = false;
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                Dropped = answer.beat() => return Err(End::Dropped),
+                () = sleep_until(self.deadline) => return Err(End::Late),
+            };
+            let Some(frame) = frame else { break };
+            let Ok(data) = frame.map_err(|_| End::Broken)?.into_data() else {
+                continue;
+            };
+            kept.push(&data);
+            if !events {
+                pass(answer, data, self.deadline).await?;
+                continue;
+            }
+            splitter.push(&data);
+            while let Some(event) = splitter.next() {
+                if !identity::is_event_of(&event, &self.request_id) {
+                    return Err(End::Corrupt(OTHER_REQUEST));
+                }
+                done |= sse::is_done(&event);
+                pass(answer, event, self.deadline).await?;
+            }
+            if splitter.pending() > sse::MAX_EVENT {
+                return Err(End::Corrupt("an event of the server's answer is too long"));
+            }
+        }
+        // A body without length ends where its connection ends, even in mid-answer.
+        if events && (!done || splitter.pending() > 0) {
+            return Err(End::Broken);
+        }
+        // A larger answer than is kept is not checked.
+        let whole = self.kind == Kind::Model && !events && kept.fits;
+        if whole && !identity::is_answer_of(&kept.body, &self.request_id) {
+            return Err(End::Corrupt(OTHER_REQUEST));
+        }
+        Ok(())
+    }
+
     /// Accounts for a request that got no head.
     fn failed(mut self, error: &Error) -> Refusal {
         if matches!(error, Error::Connect(_)) {
@@ -202,47 +256,6 @@
     }
 }
 
-/// Copies the body into data frames.
-async fn copy(
-    body: &mut Incoming,
-    kept: &mut Kept,
-    events: bool,
-    deadline: Instant,
-    answer: &mut Answer,
-) -> Result<(), End> {
-    let mut splitter = sse::Splitter::default();
-    let mut done = false;
-    loop {
-        let frame = tokio::select! {
-            frame = body.frame() => frame,
-            Dropped = answer.beat() => return Err(End::Dropped),
-            () = sleep_until(deadline) => return Err(End::Late),
-        };
-        let Some(frame) = frame else { break };
-        let Ok(data) = frame.map_err(|_| End::Broken)?.into_data() else {
-            continue;
-        };
-        kept.push(&data);
-        if !events {
-            pass(answer, data, deadline).await?;
-            continue;
-        }
-        splitter.push(&data);
-        while let Some(event) = splitter.next() {
-            done |= sse::is_done(&event);
-            pass(answer, event, deadline).await?;
-        }
-        if splitter.pending() > sse::MAX_EVENT {
-            return Err(End::Corrupt("an event of the server's answer is too long"));
-        }
-    }
-    // A body without length ends where its connection ends, even in mid-answer.
-    if events && (!done || splitter.pending() > 0) {
-        return Err(End::Broken);
-    }
-    Ok(())
-}
-
 async fn pass(answer: &mut Answer, data: Bytes, deadline: Instant) -> Result<(), End> {
     if data.is_empty() {
         return Ok(());
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`once`] keeps claims ([`claim`]) and tickets, so that they run at most once.
 //! - [`dispatch`] serves the `Agent` interface, [`sync`] the `Sync` interface.
 //! - [`run`] takes a request from the queue to its last frame, [`call`] holds it
-//!   while it is at the server, [`forward`] speaks HTTP with the server.
+//!   while it is at the server, [`forward`] speaks HTTP with the server, and
+//!   [`identity`] tells answers of other requests apart.
 //! - [`engine`] serves the `Engine` interface: [`orders`] passes orders to the
 //!   engine one at a time, [`report`] reads its state.
 //! - [`process`] runs everything until a graceful shutdown has finished.
@@ -23,6 +24,7 @@
 pub mod engine;
 pub mod forward;
 pub mod gate;
+pub mod identity;
 pub mod metrics;
 pub mod once;
 pub mod orders;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -169,6 +169,7 @@
         place,
         kind,
         engine_id,
+        request_id: request.request_id,
         deadline,
         started: Instant::now(),
     };
