Replace watches in turns, so that a mass silence is noticed early

Cause: a connection can go silent while new ones work. If that happens to the watches of all entries at once, every entry noticed it only after 3 s without heartbeat, and a change took as long, against a target of 2 s.

Ways weighed: a shorter silence limit (a slow platform would break all watches), a read of the objects by every entry (calls grow with the fleet).

Change: an entry opens its watch anew after 0.25 s times the number of entries, at least 1 s, with jitter.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -9,7 +9,7 @@
 use berylgw_core::backend::Server;
 use berylgw_core::clock::Instant;
 use berylgw_core::config::{Object, Snapshot, Version, View};
-use berylgw_platform::{Client, Event, Host, Kind, List};
+use berylgw_platform::{Client, Event, Host, Kind, List, Watch};
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
 
@@ -18,6 +18,14 @@
 
 const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
 const PEER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two watches of all entries together that are opened anew. The
+/// platform calls for it do not grow with the number of entries.
+const ROTATION: Duration = Duration::from_millis(250);
+
+/// Shortest time for which an entry keeps a watch.
+const ROTATION_MIN: Duration = Duration::from_secs(1);
+
 const AGE_INTERVAL: Duration = Duration::from_millis(250);
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
@@ -108,6 +116,16 @@
         servers.map(|server| server.address).collect()
     }
 
+    /// Time after which to open the watch anew.
+    ///
+    /// All watches can go silent at the same moment. Entries that replace theirs
+    /// at different times notice a change sooner than by the missing heartbeats.
+    fn watch_lifetime(&self) -> Duration {
+        let entries = self.publish.borrow().snapshot.sheet.entries.len();
+        let mean = ROTATION_MIN.max(ROTATION * entries as u32);
+        mean.mul_f64(self.shared.rng().random_range(0.5..1.5))
+    }
+
     fn draw(&self, addresses: &[SocketAddr]) -> Option<SocketAddr> {
         let chosen = self.shared.rng().random_range(0..addresses.len().max(1));
         addresses.get(chosen).copied()
@@ -151,7 +169,9 @@
     let mut seen = None;
     loop {
         let started = seen;
-        let error = follow_config(owner, client, &mut seen).await;
+        let Err(error) = follow_config(owner, client, &mut seen).await else {
+            continue;
+        };
         if error.kind() == Kind::Compacted {
             seen = None;
         }
@@ -165,27 +185,40 @@
     }
 }
 
-/// Lists if no revision was seen, then watches until the watch fails.
+/// Lists if no revision was seen, then watches until it is time for a new watch.
+///
+/// # Errors
+///
+/// Fails if the platform does not answer or the watch breaks.
 async fn follow_config(
     owner: &Handle,
     client: &Client,
     seen: &mut Option<u64>,
-) -> berylgw_platform::Error {
+) -> Result<(), berylgw_platform::Error> {
     let from = match *seen {
         Some(revision) => revision,
-        None => match client.list("config").await {
-            Ok(list) => {
-                owner.borrow_mut().list(&list);
-                *seen = Some(list.revision);
-                list.revision
-            }
-            Err(error) => return error,
-        },
-    };
-    let mut watch = match client.watch("config", from).await {
-        Ok(watch) => watch,
-        Err(error) => return error,
+        None => {
+            let list = client.list("config").await?;
+            owner.borrow_mut().list(&list);
+            *seen = Some(list.revision);
+            list.revision
+        }
     };
+    let watch = client.watch("config", from).await?;
+    let lifetime = owner.borrow().watch_lifetime();
+    let followed = follow_watch(owner, watch, seen);
+    match tokio::time::timeout(lifetime, followed).await {
+        Ok(error) => Err(error),
+        Err(_) => Ok(()),
+    }
+}
+
+/// Takes in the events of a watch until it fails.
+async fn follow_watch(
+    owner: &Handle,
+    mut watch: Watch,
+    seen: &mut Option<u64>,
+) -> berylgw_platform::Error {
     loop {
         match watch.next().await {
             Ok(Event::Put(written)) => {
--- a/crates/testkit/src/bin/berylgw-spread.rs
+++ b/crates/testkit/src/bin/berylgw-spread.rs
@@ -1,6 +1,7 @@
 //! Measures how long configuration changes take to reach all processes.
 //!
-//! Usage: `berylgw-spread [--changes N]`. Every process is asked for its version
+//! Usage: `berylgw-spread [--changes N] [--silent]`. With `--silent`, all open
+//! watches go silent before each change while new ones work. Every process is asked for its version
 //! at a fixed interval, so a time is up to one interval too long. The clock of a
 //! change starts before its update is sent to the platform.
 
@@ -39,6 +40,7 @@
 #[tokio::main]
 async fn main() -> Result<()> {
     let mut args = pico_args::Arguments::from_env();
+    let silent = args.contains("--silent");
     let changes = args.opt_value_from_str("--changes")?.unwrap_or(CHANGES);
     if let Some(argument) = args.finish().first() {
         return Err(format!("unexpected argument {argument:?}").into());
@@ -58,6 +60,9 @@
     let mut all = Histogram::<u64>::new(3)?;
     let mut entries = Histogram::<u64>::new(3)?;
     for change in 0..changes {
+        if silent {
+            silence_watches(&cluster).await?;
+        }
         let begun = Instant::now();
         let version = make(&platform, change).await?;
         let times = spread(&mut probes, version).await?;
@@ -146,6 +151,16 @@
     Ok(times)
 }
 
+/// Silences the watches that are open now.
+async fn silence_watches(cluster: &Cluster) -> Result<()> {
+    let control = &cluster.platform_fake.control;
+    for silent in [true, false] {
+        let fault = serde_json::json!({ "silent_watches": silent });
+        control.fault(fault).await?;
+    }
+    Ok(())
+}
+
 async fn calls(cluster: &Cluster) -> Result<Vec<Calls>> {
     Ok(cluster.platform_fake.control.get("/calls").await?)
 }
