Share the main function of entry and agent

Cause: both binaries parsed the command line, loaded settings, built the runtime and printed failures in code of their own that did the same.

Change: berylgw_runtime::program has it once; the binaries give their name, usage text, loader and server.

The tests of the command lines, settings and stops pass unchanged.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,10 +1,10 @@
-//! The berylgw entry process.
+//! The `berylgw-entry` binary.
 
 use std::process::ExitCode;
 
 use berylgw_entry::{Entry, Settings};
-use berylgw_runtime::args::{self, Command, FAILED_CODE, USAGE_CODE};
-use berylgw_runtime::{log, settings, signal};
+use berylgw_runtime::program::Program;
+use berylgw_runtime::settings;
 
 const USAGE: &str = "\
 Entry process of berylgw.
@@ -23,54 +23,14 @@
   2  wrong command line or settings";
 
 fn main() -> ExitCode {
-    let command = match args::parse(pico_args::Arguments::from_env()) {
-        Ok(command) => command,
-        Err(error) => {
-            return fail(
-                USAGE_CODE,
-                &format!("error: {error}; see berylgw-entry --help"),
-            );
-        }
+    let program = Program {
+        name: "berylgw-entry",
+        version: env!("CARGO_PKG_VERSION"),
+        usage: USAGE,
     };
-    let (path, check) = match command {
-        Command::Help => {
-            println!("{USAGE}");
-            return ExitCode::SUCCESS;
-        }
-        Command::Version => {
-            println!("berylgw-entry {}", env!("CARGO_PKG_VERSION"));
-            return ExitCode::SUCCESS;
-        }
-        Command::Check(path) => (path, true),
-        Command::Run(path) => (path, false),
-    };
-    let settings = match settings::load(&path, Settings::check) {
-        Ok(settings) => settings,
-        Err(error) => return fail(USAGE_CODE, &error.to_string()),
-    };
-    if check {
-        println!("{}: settings are valid", path.display());
-        return ExitCode::SUCCESS;
-    }
-    log::install();
-    match serve(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(FAILED_CODE, &error.to_string()),
-    }
-}
-
-fn serve(settings: Settings) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(async {
-        let mut stop = signal::Stop::install()?;
+    let load = |path: &_| settings::load(path, Settings::check);
+    program.main(load, async |settings, mut stop| {
         let entry = Entry::bind(settings).await?;
         entry.run(async move { stop.requested().await }).await
     })
 }
-
-fn fail(code: u8, message: &str) -> ExitCode {
-    eprintln!("{message}");
-    ExitCode::from(code)
-}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`signal`] waits for the request to stop.
 //! - [`clock`] turns the process clock into [`berylgw_core::clock::Instant`].
 //! - [`tls`] encrypts connections of callers and between processes.
-//! - [`args`] parses the command line that all servers share.
+//! - [`program`] is the main function that all servers share, [`args`] parses
+//!   their command line.
 
 pub mod args;
 pub mod clock;
 pub mod log;
 pub mod metrics;
+pub mod program;
 pub mod settings;
 pub mod signal;
 pub mod tls;
--- /dev/null
+++ b/crates/runtime/src/program.rs
@@ -0,0 +1,81 @@
+//! The main function that all servers share.
+
+use std::fmt::Display;
+use std::path::Path;
+use std::process::ExitCode;
+
+use crate::args::{self, Command, FAILED_CODE, USAGE_CODE};
+use crate::log;
+use crate::settings::Error;
+use crate::signal::Stop;
+
+/// Name and texts of a server binary.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// Name of the binary.
+    pub name: &'static str,
+    /// Version that `--version` prints.
+    pub version: &'static str,
+    /// Text that `--help` prints.
+    pub usage: &'static str,
+}
+
+impl Program {
+    /// Does what the command line asks for and returns the exit code.
+    ///
+    /// `load` reads and checks a settings file. `serve` runs the server in a
+    /// tokio runtime; the handlers of stop signals are installed before.
+    pub fn main<S, E: Display>(
+        &self,
+        load: impl Fn(&Path) -> Result<S, Error>,
+        serve: impl AsyncFnOnce(S, Stop) -> Result<(), E>,
+    ) -> ExitCode {
+        let command = match args::parse(pico_args::Arguments::from_env()) {
+            Ok(command) => command,
+            Err(error) => {
+                let message = format!("error: {error}; see {} --help", self.name);
+                return fail(USAGE_CODE, &message);
+            }
+        };
+        let (path, check) = match command {
+            Command::Help => return print(self.usage),
+            Command::Version => return print(&format!("{} {}", self.name, self.version)),
+            Command::Check(path) => (path, true),
+            Command::Run(path) => (path, false),
+        };
+        let settings = match load(&path) {
+            Ok(settings) => settings,
+            Err(error) => return fail(USAGE_CODE, &error.to_string()),
+        };
+        if check {
+            return print(&format!("{}: settings are valid", path.display()));
+        }
+        log::install();
+        match run(settings, serve) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(message) => fail(FAILED_CODE, &message),
+        }
+    }
+}
+
+fn run<S, E: Display>(
+    settings: S,
+    serve: impl AsyncFnOnce(S, Stop) -> Result<(), E>,
+) -> Result<(), String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    runtime.block_on(async {
+        let stop = Stop::install().map_err(|error| error.to_string())?;
+        let served = serve(settings, stop).await;
+        served.map_err(|error| error.to_string())
+    })
+}
+
+fn print(text: &str) -> ExitCode {
+    println!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn fail(code: u8, message: &str) -> ExitCode {
+    eprintln!("{message}");
+    ExitCode::from(code)
+}
