Record the sendings that the fake service runs

Cause: a test that resends a key can only tell how often the booking ran, not which of its sendings did, so a `not run` for one sending cannot be compared with a later run of that very sending.

Change: `GET /executions` of the fake service also lists the value of the `Berylgw-Sending` header of each run; the count stays.

Conclusion: used by the tests of the ledger under faults.

--- a/crates/testkit/src/service.rs
+++ b/crates/testkit/src/service.rs
@@ -58,6 +58,9 @@
     pub booking: String,
     /// Runs.
     pub count: u64,
+    /// The `Berylgw-Sending` header of each run, 0 for a run without one.
+    #[serde(default)]
+    pub sendings: Vec<u32>,
 }
 
 /// State of one server as `GET /servers` of the control listener reports it.
--- a/crates/testkit/src/service/http.rs
+++ b/crates/testkit/src/service/http.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use axum::extract::{Path, State};
-use axum::http::StatusCode;
+use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Extension, Json, Router};
@@ -16,6 +16,8 @@
 use crate::engine::answer;
 use crate::serve::Hangup;
 
+const SENDING: &str = "berylgw-sending";
+
 /// One server of a service.
 #[derive(Clone, Debug)]
 struct Target {
@@ -51,12 +53,17 @@
 async fn book(
     State(target): State<Target>,
     Extension(hangup): Extension<Hangup>,
+    headers: HeaderMap,
     Json(request): Json<Booking>,
 ) -> Response {
     let Target { service, server } = target;
+    let sending = headers.get(SENDING).and_then(|value| value.to_str().ok());
+    let sending = sending.and_then(|value| value.parse().ok());
     let place = service.enter(server);
     work(&service).await;
-    let ending = service.state().run(&request.booking);
+    let ending = service
+        .state()
+        .run(&request.booking, sending.unwrap_or_default());
     match ending {
         Ending::Answer(serial) => {
             drop(place);
--- a/crates/testkit/src/service/state.rs
+++ b/crates/testkit/src/service/state.rs
@@ -19,7 +19,7 @@
     pub settings: Settings,
     pub fault: Fault,
     pub servers: Vec<Server>,
-    executions: BTreeMap<String, u64>,
+    executions: BTreeMap<String, Vec<u32>>,
     serial: u64,
     pub started: Instant,
 }
@@ -118,8 +118,9 @@
 
 impl State {
     /// Runs a booking and decides how it ends.
-    pub fn run(&mut self, booking: &str) -> Ending {
-        *self.executions.entry(booking.to_owned()).or_default() += 1;
+    pub fn run(&mut self, booking: &str, sending: u32) -> Ending {
+        let runs = self.executions.entry(booking.to_owned()).or_default();
+        runs.push(sending);
         self.serial += 1;
         let fault = &mut self.fault;
         let faults = [
@@ -137,9 +138,10 @@
     }
 
     pub fn executions(&self) -> Vec<Execution> {
-        let execution = |(booking, count): (&String, &u64)| Execution {
+        let execution = |(booking, sendings): (&String, &Vec<u32>)| Execution {
             booking: booking.clone(),
-            count: *count,
+            count: sendings.len() as u64,
+            sendings: sendings.clone(),
         };
         self.executions.iter().map(execution).collect()
     }
