Test bookings with ledger keys under faults of real processes

Change: `ledger_faults` runs three entries and two servers behind fault proxies with a lease term of 1.5 s and 8 callers that send a key again to the next entry after each refusal, broken connection or 1.5 s of silence. A `not run` fails the test if the key ran before the refused sending was sent, if an answered sending ran, or if the refused sending runs later; one caller in four stops at `not run`, and its booking must never run. Every other booking has to be done in the end, with one result through every entry, unless the platform object shows its claim at an agent that was replaced.

--- a/crates/testkit/tests/support/mod.rs
+++ b/crates/testkit/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod bookings;
+
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -54,7 +56,12 @@
         proxied_entries: true,
         ..Extra::default()
     };
-    let cluster = Cluster::start(&sheet(), &extra).await.unwrap();
+    start_with(&extra).await
+}
+
+/// Starts the cluster with other arguments and settings.
+pub async fn start_with(extra: &Extra) -> Cluster {
+    let cluster = Cluster::start(&sheet(), extra).await.unwrap();
     for probe in &mut probes(&cluster).await.unwrap() {
         probe.reached(1, INTERVAL).await.unwrap();
     }
