Kill agents while bookings that ran wait for their answers

Change: a fault of its own lets one to five bookings hang after they ran and then replaces both agents.

Conclusion: the check of the incarnation in a seal is covered.

--- a/crates/testkit/tests/ledger_faults.rs
+++ b/crates/testkit/tests/ledger_faults.rs
@@ -45,16 +45,18 @@
     EntryKilled,
     EntryPaused,
     AgentKilled,
+    AgentsKilledAfterRun,
     PlatformOutage,
     PlatformSlow,
     UpdateAnswersLost,
     AgentAnswersDropped,
 }
 
-const ALL: [Fault; 7] = [
+const ALL: [Fault; 8] = [
     Fault::EntryKilled,
     Fault::EntryPaused,
     Fault::AgentKilled,
+    Fault::AgentsKilledAfterRun,
     Fault::PlatformOutage,
     Fault::PlatformSlow,
     Fault::UpdateAnswersLost,
@@ -143,6 +145,7 @@
                 let index = self.rng.random_range(0..self.cluster.agents.len());
                 self.cluster.agents[index].restart().await.unwrap();
             }
+            Fault::AgentsKilledAfterRun => self.kill_after_run().await,
             Fault::PlatformOutage => self.platform(json!({"outage": true})).await,
             Fault::PlatformSlow => {
                 let slow = self.rng.random_range(200..1_500);
@@ -201,6 +204,25 @@
         taken.expect("another entry takes the partition over");
     }
 
+    /// Kills the agents while bookings that ran wait for their answers.
+    async fn kill_after_run(&mut self) {
+        let count = self.rng.random_range(1..6);
+        let control = self.cluster.fake("app").unwrap().control.clone();
+        let fault = json!({"hang_answers": count});
+        control.fault(fault).await.unwrap();
+        loop {
+            let left: Value = control.post("/fault", &json!({})).await.unwrap();
+            if left["hang_answers"] == 0 {
+                break;
+            }
+            tokio::time::sleep(support::INTERVAL).await;
+        }
+        // A booking without an answer may hang at either server.
+        for agent in &mut self.cluster.agents {
+            agent.restart().await.unwrap();
+        }
+    }
+
     /// Sends all bookings that were not given up once more after the faults:
     /// those without a result until they have one, the others to be answered
     /// with the result they have. Returns how many are unknown for good.
@@ -294,13 +316,20 @@
     assert_eq!(schedule(2, &[Fault::EntryPaused; ROUNDS]).await, 0);
 }
 
-/// Guards against an agent that says for its predecessor that a booking did
-/// not run.
+/// Guards against bookings that run again when their agent dies with them.
 #[tokio::test]
 async fn bookings_agent_killed() {
     schedule(3, &[Fault::AgentKilled; ROUNDS]).await;
 }
 
+/// Guards against an agent that promises for its predecessor that a booking
+/// never runs: it ran, and its answer was lost with the predecessor.
+#[tokio::test]
+async fn bookings_agents_killed_after_run() {
+    let lost = schedule(9, &[Fault::AgentsKilledAfterRun; ROUNDS]).await;
+    assert_ne!(lost, 0, "bookings that hang are unknown for good");
+}
+
 /// Guards against dispatches without a claim while the platform is down.
 #[tokio::test]
 async fn bookings_platform_outage() {
