Delay dispatches so that the seals of resends overtake them

Change: a fault that holds back for 1.2 to 1.8 s what goes to an agent within 5 to 40 ms, six times in a round; callers send again after 0.7 s instead of 1.5 s, before the entry gives the dispatch up.

--- a/crates/testkit/tests/ledger_faults.rs
+++ b/crates/testkit/tests/ledger_faults.rs
@@ -30,6 +30,9 @@
 /// Sendings after the end of a fault that fall into the same round.
 const AFTER: u64 = 16;
 
+/// Short delays in one round.
+const DELAYS: usize = 6;
+
 /// Resends after the faults until a booking counts as lost.
 const RESENDS: u32 = 200;
 
@@ -50,9 +53,10 @@
     PlatformSlow,
     UpdateAnswersLost,
     AgentAnswersDropped,
+    DispatchesDelayed,
 }
 
-const ALL: [Fault; 8] = [
+const ALL: [Fault; 9] = [
     Fault::EntryKilled,
     Fault::EntryPaused,
     Fault::AgentKilled,
@@ -61,6 +65,7 @@
     Fault::PlatformSlow,
     Fault::UpdateAnswersLost,
     Fault::AgentAnswersDropped,
+    Fault::DispatchesDelayed,
 ];
 
 struct Bench {
@@ -164,6 +169,7 @@
                 self.hold().await;
                 control.fault(json!({"drop_answer": false})).await.unwrap();
             }
+            Fault::DispatchesDelayed => self.delay_dispatches().await,
         }
     }
 
@@ -204,6 +210,23 @@
         taken.expect("another entry takes the partition over");
     }
 
+    /// Holds back what goes to one agent in a short time, so that the seals of
+    /// resends overtake dispatches. The entries still wait for these: the delay
+    /// is shorter than their progress timeout of 2 s.
+    async fn delay_dispatches(&mut self) {
+        let index = self.rng.random_range(0..self.cluster.agents.len());
+        let proxy = &self.cluster.agents[index].proxy;
+        let control = proxy.as_ref().unwrap().control.clone();
+        for _ in 0..DELAYS {
+            let delay = self.rng.random_range(1_200..1_800);
+            control.fault(json!({"delay_ms": delay})).await.unwrap();
+            let time = self.rng.random_range(5..40);
+            tokio::time::sleep(Duration::from_millis(time)).await;
+            control.fault(json!({"delay_ms": 0})).await.unwrap();
+            self.caller.more(AFTER).await;
+        }
+    }
+
     /// Kills the agents while bookings that ran wait for their answers.
     async fn kill_after_run(&mut self) {
         let count = self.rng.random_range(1..6);
@@ -354,6 +377,13 @@
     assert_eq!(schedule(7, &[Fault::AgentAnswersDropped; ROUNDS]).await, 0);
 }
 
+/// Guards against a grant that runs after the agent promised that it never
+/// does, or beside a newer grant of its key.
+#[tokio::test]
+async fn bookings_dispatches_delayed() {
+    assert_eq!(schedule(10, &[Fault::DispatchesDelayed; ROUNDS]).await, 0);
+}
+
 /// Guards against faults that are harmless alone and not one after the other:
 /// the second one meets bookings that the first one left without a result.
 #[tokio::test]
--- a/crates/testkit/tests/support/bookings.rs
+++ b/crates/testkit/tests/support/bookings.rs
@@ -18,7 +18,7 @@
 use super::{booking, caller};
 
 /// Time after which a caller sends again without an answer.
-const PATIENCE: Duration = Duration::from_millis(1_500);
+const PATIENCE: Duration = Duration::from_millis(700);
 
 /// Longest pause before a resend; callers do not wait longer than that for the
 /// retry time, so that resends fall into the faults.
