Measure platform calls of ledger keys and tickets

Change: `berylgw-load once` counts the calls of the fake platform for 1,000 bookings with ledger keys and with tickets at 1, 8 and 32 in flight, and what is served in an outage; it fails if a booking ran twice.

--- a/crates/testkit/src/load/scenario.rs
+++ b/crates/testkit/src/load/scenario.rs
@@ -3,6 +3,7 @@
 mod cost;
 mod fair;
 mod idle;
+mod once;
 mod retry;
 mod slow;
 
@@ -13,6 +14,7 @@
 pub use cost::cost;
 pub use fair::fair;
 pub use idle::idle;
+pub use once::once;
 pub use retry::retry;
 pub use slow::slow;
 
