--- a/crates/testkit/tests/ledger_faults.rs
+++ b/crates/testkit/tests/ledger_faults.rs
@@ -153,7 +153,8 @@
             Fault::AgentsKilledAfterRun => self.kill_after_run().await,
             Fault::PlatformOutage => self.platform(json!({"outage": true})).await,
             Fault::PlatformSlow => {
-                let slow = self.rng.random_range(200..1_500);
+                // Around the entries' timeout for platform calls of 1 s.
+                let slow = self.rng.random_range(600..2_000);
                 self.platform(json!({"slow_ms": slow})).await;
             }
             Fault::UpdateAnswersLost => {
