--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::forward::{Error, Server, head_of};
-use crate::identity;
+use crate::origin;
 use crate::place::Place;
 use crate::run::{Answer, Dropped};
 use crate::sse;
@@ -166,7 +166,7 @@
             }
             splitter.push(&data);
             while let Some(event) = splitter.next() {
-                if !identity::is_event_of(&event, &self.request_id) {
+                if !origin::is_event_of(&event, &self.request_id) {
                     return Err(End::Corrupt(OTHER_REQUEST));
                 }
                 done |= sse::is_done(&event);
@@ -182,7 +182,7 @@
         }
         // A larger answer than is kept is not checked.
         let whole = self.kind == Kind::Model && !events && kept.fits;
-        if whole && !identity::is_answer_of(&kept.body, &self.request_id) {
+        if whole && !origin::is_answer_of(&kept.body, &self.request_id) {
             return Err(End::Corrupt(OTHER_REQUEST));
         }
         Ok(())
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`dispatch`] serves the `Agent` interface, [`sync`] the `Sync` interface.
 //! - [`run`] takes a request from the queue to its last frame, [`call`] holds it
 //!   while it is at the server, [`forward`] speaks HTTP with the server, and
-//!   [`identity`] tells answers of other requests apart.
+//!   [`origin`] tells answers of other requests apart.
 //! - [`engine`] serves the `Engine` interface: [`orders`] passes orders to the
 //!   engine one at a time, [`report`] reads its state.
 //! - [`process`] runs everything until a graceful shutdown has finished.
@@ -24,10 +24,11 @@
 pub mod engine;
 pub mod forward;
 pub mod gate;
-pub mod identity;
+
 pub mod metrics;
 pub mod once;
 pub mod orders;
+pub mod origin;
 pub mod place;
 pub mod process;
 pub mod report;
--- a/crates/agent/src/identity.rs
+++ b/crates/agent/src/origin.rs
@@ -16,7 +16,7 @@
 /// the attempt. What carries no id cannot be told apart and passes.
 ///
 /// ```
-/// use berylgw_agent::identity::is_event_of;
+/// use berylgw_agent::origin::is_event_of;
 ///
 /// assert!(is_event_of(b"data: {\"id\":\"chatcmpl-r7\"}\n\n", "r7"));
 /// assert!(!is_event_of(b"data: {\"id\":\"chatcmpl-r8\"}\n\n", "r7"));
