Add tests of replaced, stopped and killed entries (they fail)

Change: callers that use the directory for its lifetime and reconnect, and tests that replace, move, stop and kill entries under them.

Before any change of the product: entries_rolled and entries_moved have cut requests and dead addresses, entry_killed still lists the dead entry after the lifetime, entry_stopped_in_outage does not end.

Conclusion: a stopping entry goes away while callers hold its address.

--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -4,6 +4,7 @@
 //! sheet that is applied has the addresses these processes listen on.
 
 mod plan;
+mod replace;
 mod scratch;
 pub mod sheet;
 
@@ -146,7 +147,8 @@
             text = text.replace(&any, &format!("{interface}: '{address}'"));
         }
         std::fs::write(&self.settings, text)?;
-        self.process.signal(nix::sys::signal::Signal::SIGKILL)?;
+        // It has ended already after a graceful stop.
+        let _ = self.process.signal(nix::sys::signal::Signal::SIGKILL);
         self.process.wait().await?;
         self.process = launch::start(self.binary, [Path::new("--settings"), &self.settings])?;
         let interfaces = self.process.address("metrics").await;
--- /dev/null
+++ b/crates/testkit/tests/replace.rs
@@ -0,0 +1,169 @@
+//! Entries that are replaced, stopped or killed while callers use them.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use berylgw_testkit::client::Client;
+use berylgw_testkit::cluster::{Cluster, Extra, Member};
+use berylgw_testkit::version::{Probe, probes};
+use nix::sys::signal::Signal;
+use serde_json::json;
+use support::callers::{Callers, Kind, Seen};
+use support::{INTERVAL, TOKEN};
+
+/// Lifetime of directory answers in these tests; the default would make each
+/// stop take 10 s.
+const SHORT: &str = "limits: {directory_ms: 1500}\n";
+
+const ALL: [Kind; 3] = [Kind::Stream, Kind::Plain, Kind::Keyed];
+
+/// Callers of each kind.
+const CALLERS: usize = 3;
+
+/// Three entries, and two servers each of a plain and of a model service.
+async fn start(entry: &str) -> Cluster {
+    let model = [
+        "service,draft,r,,,,,model,ignored,,,,,,,,",
+        "server,m1,,a,draft,127.9.9.9:1006,,,,,,16,16,,,,",
+        "server,m2,,b,draft,127.9.9.9:1007,,,,,,16,16,,,,",
+        "grant,works,,,draft,,,,,,,,,,,,",
+        "",
+    ];
+    let sheet = support::sheet() + &model.join("\n");
+    let extra = Extra {
+        engine: ["--step-ms", "10", "--capacity", "100"]
+            .map(str::to_owned)
+            .to_vec(),
+        entry: entry.to_owned(),
+        ..Extra::default()
+    };
+    let cluster = Cluster::start(&sheet, &extra).await.unwrap();
+    for probe in &mut probes(&cluster).await.unwrap() {
+        probe.reached(1, INTERVAL).await.unwrap();
+    }
+    for entry in &cluster.entries {
+        serves(&cluster, entry).await;
+    }
+    cluster
+}
+
+fn addresses(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster.entries.iter().map(|entry| entry.address).collect()
+}
+
+/// Waits until an entry answers callers and every other one lists it.
+async fn serves(cluster: &Cluster, entry: &Member) {
+    for asked in &cluster.entries {
+        lists(asked.address, entry.address, true).await;
+    }
+    let client = Client::new(entry.address, TOKEN);
+    while client.chat("draft", "ready", 1).await.is_err() {
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Waits until the directory of one entry lists another one, or does not.
+async fn lists(asked: SocketAddr, wanted: SocketAddr, is_listed: bool) {
+    let client = Client::new(asked, TOKEN);
+    loop {
+        if let Ok(directory) = client.directory("a").await {
+            let mut listed = directory.addresses.iter();
+            if listed.any(|entry| entry.address == wanted) == is_listed {
+                return;
+            }
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+fn assert_uncut(seen: &Seen) {
+    println!("answered {}, refused {:?}", seen.answered, seen.refused);
+    assert_eq!(seen.broken, Vec::<String>::new(), "cut requests");
+    assert_eq!(seen.dead, Vec::<SocketAddr>::new(), "dead addresses");
+    assert!(seen.answered > 0);
+}
+
+/// Guards against a stopping entry that goes away while callers may still hold
+/// its address, or that cuts what it runs.
+#[tokio::test]
+async fn entries_rolled() {
+    let mut cluster = start(SHORT).await;
+    let callers = Callers::start(&addresses(&cluster), &ALL, CALLERS);
+    for index in 0..cluster.entries.len() {
+        cluster.entries[index].replace().await.unwrap();
+        serves(&cluster, &cluster.entries[index]).await;
+    }
+    assert_uncut(&callers.finish().await);
+}
+
+/// Guards against a leaving process that hides the one which has its name at
+/// another address, and against callers left on the old address.
+#[tokio::test]
+async fn entries_moved() {
+    let mut cluster = start(SHORT).await;
+    let callers = Callers::start(&addresses(&cluster), &ALL, CALLERS);
+    for index in 0..cluster.entries.len() {
+        let new = cluster.entries[index].twin().await.unwrap();
+        let mut old = std::mem::replace(&mut cluster.entries[index], new);
+        cluster.readdress().await.unwrap();
+        assert!(old.process.stop().await.unwrap().success());
+        serves(&cluster, &cluster.entries[index]).await;
+    }
+    assert_uncut(&callers.finish().await);
+}
+
+/// Guards against a stop that other entries learn of only by the host list.
+#[tokio::test]
+async fn entry_stopped_in_outage() {
+    let mut cluster = start(SHORT).await;
+    let platform = &cluster.platform_fake.control;
+    platform.fault(json!({"outage": true})).await.unwrap();
+    let first = addresses(&cluster);
+    let callers = Callers::start(&first, &[Kind::Stream, Kind::Plain], CALLERS);
+    let stopped = cluster.entries[0].process.stop().await.unwrap();
+    assert!(stopped.success());
+    for asked in &first[1..] {
+        lists(*asked, first[0], false).await;
+    }
+    assert_uncut(&callers.finish().await);
+}
+
+/// Guards against an entry that is dead and stays in the directory.
+#[tokio::test]
+async fn entry_killed() {
+    let cluster = start("").await;
+    let all = addresses(&cluster);
+    let client = Client::new(all[1], TOKEN);
+    let lifetime = client.directory("a").await.unwrap().lifetime_ms;
+    cluster.entries[0].process.signal(Signal::SIGKILL).unwrap();
+    // An answer given before the death is kept for its lifetime.
+    tokio::time::sleep(std::time::Duration::from_millis(lifetime)).await;
+    for asked in &all[1..] {
+        let client = Client::new(*asked, TOKEN);
+        let directory = client.directory("a").await.unwrap();
+        let listed: Vec<SocketAddr> = directory
+            .addresses
+            .iter()
+            .map(|entry| entry.address)
+            .collect();
+        assert!(!listed.contains(&all[0]), "{asked} lists the dead entry");
+        assert_eq!(listed.len(), 2);
+    }
+}
+
+/// Guards against a restarted entry that stays out of the directory.
+#[tokio::test]
+async fn entry_killed_returns() {
+    let mut cluster = start(SHORT).await;
+    let all = addresses(&cluster);
+    cluster.entries[0].process.signal(Signal::SIGKILL).unwrap();
+    for asked in &all[1..] {
+        lists(*asked, all[0], false).await;
+    }
+    cluster.entries[0].restart().await.unwrap();
+    for asked in &all {
+        lists(*asked, all[0], true).await;
+    }
+    Probe::of(&cluster.entries[0]).await.unwrap();
+}
--- a/crates/testkit/tests/support/mod.rs
+++ b/crates/testkit/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod callers;
+
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
