Decide on membership, identity and stops in the core

Cause: a stopping entry accepted callers for a fixed second, whatever they held; nothing decided between two processes of one name; a dead entry stayed in the directory.

All take an explicit time.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -18,20 +18,34 @@
 
 /// Lists the entries that accept callers, nearest to `domain` first.
 ///
-/// `leaving` holds the sorted names of hosts about to stop. `turn` rotates
-/// entries that are equally near, so that callers spread over them.
+/// `leaving` holds the sorted names of hosts about to stop, `down` those that
+/// did not answer. `turn` rotates entries that are equally near, so that callers
+/// spread over them.
+///
+/// Entries that did not answer come last and only if fewer than two others are
+/// listed: this process may be the one that is cut off, and a caller needs more
+/// than one address.
 pub fn addresses(
     snapshot: &Snapshot,
     leaving: &[Arc<str>],
+    down: &[Arc<str>],
     domain: &str,
     turn: usize,
 ) -> Vec<Address> {
     let region = region_of(snapshot, domain);
     let mut near = [Vec::new(), Vec::new(), Vec::new()];
+    let mut silent = Vec::new();
     for entry in &snapshot.sheet.entries {
         if snapshot.is_out(&entry.domain) || leaving.binary_search(&entry.name).is_ok() {
             continue;
         }
+        if down.binary_search(&entry.name).is_ok() {
+            silent.push(Address {
+                address: entry.address,
+                domain: entry.domain.clone(),
+            });
+            continue;
+        }
         let tier = if *entry.domain == *domain {
             0
         } else if region.is_some() && region_of(snapshot, &entry.domain) == region {
@@ -48,7 +62,11 @@
         let count = tier.len().max(1);
         tier.rotate_left(turn % count);
     }
-    near.into_iter().flatten().collect()
+    let mut listed: Vec<Address> = near.into_iter().flatten().collect();
+    if listed.len() < 2 {
+        listed.extend(silent);
+    }
+    listed
 }
 
 /// Region of a failure domain, if the sheet has it.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,8 @@
 //! - A request's way through an agent: [`admission`], [`fair`], [`ticket`],
 //!   [`quarantine`], [`drain`]. It learns the configuration from its [`home`]
 //!   entries.
+//! - Membership: [`member`] holds what entries tell each other of each other,
+//!   [`identity`] decides between processes of the same name.
 //! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`].
 
 pub mod admission;
@@ -29,8 +31,10 @@
 pub mod fair;
 pub mod home;
 pub mod host;
+pub mod identity;
 pub mod lease;
 pub mod ledger;
+pub mod member;
 pub mod order;
 pub mod outcome;
 pub mod quarantine;
--- /dev/null
+++ b/crates/core/src/member.rs
@@ -0,0 +1,135 @@
+//! Which entries answer, as entries tell each other.
+//!
+//! The platform's host list lags, says nothing of a process that died and is
+//! not there in an outage. Entries therefore exchange what they saw themselves:
+//! the newest observation of an entry counts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::host::Entry;
+
+/// Time for which a change of state is told to other entries.
+const SPREAD: Duration = Duration::from_secs(30);
+
+/// Observations in one message; a larger number would exceed the control
+/// traffic allowed per entry if a failure domain of 100 entries fails.
+const SPREAD_COUNT: usize = 16;
+
+/// State of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It answered.
+    Open,
+    /// It is stopping.
+    Leaving,
+    /// It did not answer.
+    Down,
+}
+
+/// What one process saw of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// Name of the entry.
+    pub name: Arc<str>,
+    /// Incarnation of the process, 0 if not known.
+    pub incarnation: u64,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: State,
+    /// Time of the observation.
+    pub at: Instant,
+}
+
+/// The newest observation of each entry.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    // Sorted by name; the second value is the time of the last change of state.
+    records: Vec<(Observation, Instant)>,
+}
+
+impl Table {
+    /// Takes in an observation; returns whether the state of the entry changed.
+    ///
+    /// A process that is leaving stays so, also if it still answers: only
+    /// another incarnation or address replaces it.
+    pub fn merge(&mut self, now: Instant, seen: Observation) -> bool {
+        let by_name = |record: &(Observation, Instant)| record.0.name.cmp(&seen.name);
+        let index = match self.records.binary_search_by(by_name) {
+            Ok(index) => index,
+            Err(index) => {
+                let changed = seen.state != State::Open;
+                self.records.insert(index, (seen, now));
+                return changed;
+            }
+        };
+        let (known, changed_at) = &mut self.records[index];
+        let same_process = known.address == seen.address
+            && (known.incarnation == seen.incarnation || seen.incarnation == 0);
+        if same_process && known.state == State::Leaving {
+            return false;
+        }
+        let leaves = same_process && seen.state == State::Leaving;
+        if seen.at <= known.at && !leaves {
+            return false;
+        }
+        let changed = known.state != seen.state || known.address != seen.address;
+        let incarnation = match seen.incarnation {
+            0 => known.incarnation,
+            incarnation => incarnation,
+        };
+        *known = Observation {
+            incarnation,
+            at: seen.at.max(known.at),
+            ..seen
+        };
+        if changed {
+            *changed_at = now;
+        }
+        changed
+    }
+
+    /// State of the process that the sheet names in `entry`.
+    ///
+    /// An observation of a process at another address says nothing about it.
+    pub fn state(&self, entry: &Entry) -> State {
+        match self.get(&entry.name) {
+            Some(known) if known.address == entry.address => known.state,
+            _ => State::Open,
+        }
+    }
+
+    /// Whether a process answered at the address that `entry` names.
+    pub fn answered(&self, entry: &Entry) -> bool {
+        let known = self.get(&entry.name);
+        known.is_some_and(|known| known.address == entry.address && known.state == State::Open)
+    }
+
+    /// Observations to tell another entry: the last changes, newest first.
+    pub fn changes(&self, now: Instant) -> Vec<Observation> {
+        let fresh = |at: Instant| now.since(at) < SPREAD;
+        let mut recent: Vec<_> = self.records.iter().filter(|(_, at)| fresh(*at)).collect();
+        recent.sort_by_key(|(_, at)| std::cmp::Reverse(*at));
+        recent.truncate(SPREAD_COUNT);
+        recent.into_iter().map(|(seen, _)| seen.clone()).collect()
+    }
+
+    /// Forgets entries that the sheet does not name; `entries` is sorted by name.
+    pub fn retain(&mut self, entries: &[Entry]) {
+        let is_named = |name: &str| {
+            let found = entries.binary_search_by(|entry| (*entry.name).cmp(name));
+            found.is_ok()
+        };
+        self.records.retain(|(seen, _)| is_named(&seen.name));
+    }
+
+    fn get(&self, name: &str) -> Option<&Observation> {
+        let index = self
+            .records
+            .binary_search_by(|(seen, _)| (*seen.name).cmp(name));
+        index.ok().map(|index| &self.records[index].0)
+    }
+}
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -29,7 +29,7 @@
 }
 
 fn ports(snapshot: &Snapshot, leaving: &[Arc<str>], domain: &str, turn: usize) -> Vec<u16> {
-    let list = addresses(snapshot, leaving, domain, turn);
+    let list = addresses(snapshot, leaving, &[], domain, turn);
     list.iter().map(|entry| entry.address.port()).collect()
 }
 
@@ -50,3 +50,17 @@
     snapshot.domains_out = vec!["c".into()];
     assert_eq!(ports(&snapshot, &["e2".into()], "a", 0), [1, 3]);
 }
+
+/// Guards against a caller that gets a dead address, or only one address from an
+/// entry that is itself cut off.
+#[test]
+fn addresses_down_last() {
+    let snapshot = snapshot();
+    let listed = |down: &[Arc<str>]| -> Vec<u16> {
+        let list = addresses(&snapshot, &[], down, "a", 0);
+        list.iter().map(|entry| entry.address.port()).collect()
+    };
+    assert_eq!(listed(&["e1".into()]), [2, 3, 4]);
+    let all_but_own = ["e2".into(), "e3".into(), "e4".into()];
+    assert_eq!(listed(&all_but_own), [1, 2, 3, 4]);
+}
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -1,8 +1,10 @@
-//! Withdrawal of a backend server.
+//! Withdrawal of a backend server, and the stop of an entry.
 
 use berylgw_core::backend::Server;
+use berylgw_core::clock::Instant;
 use berylgw_core::config::{Sheet, Snapshot};
-use berylgw_core::drain::{State, state};
+use berylgw_core::drain::{Leave, State, Times, state};
+use std::time::Duration;
 
 /// Guards against work for a server that is out by its settings, by the sheet,
 /// or not listed, or whose agent is leaving.
@@ -32,3 +34,33 @@
         assert_eq!(state(&snapshot, "s", "d", false), State::Withdrawn);
     }
 }
+
+const TIMES: Times = Times {
+    least: Duration::from_secs(1),
+    tell: Duration::from_secs(5),
+    lifetime: Duration::from_secs(10),
+};
+
+fn at(second: u64) -> Instant {
+    Instant::from_micros(second * 1_000_000)
+}
+
+/// Guards against an entry that stops while a caller may hold its address, and
+/// against one that stays although none does.
+#[test]
+fn leave_until_answers_expire() {
+    let none = Duration::ZERO;
+    let mut leave = Leave::new(at(0), TIMES, none);
+    assert_eq!(leave.end(), at(1), "nobody else hands out the address");
+    leave.add(["b".into(), "c".into()]);
+    assert_eq!(leave.end(), at(15), "nobody knows");
+    leave.told(at(0), "b", Duration::from_secs(8));
+    leave.told(at(2), "b", Duration::from_secs(10));
+    assert_eq!(leave.end(), at(15), "one does not know");
+    leave.told(at(3), "c", none);
+    assert_eq!(leave.end(), at(8), "the last answer expires");
+    leave.add(["c".into(), "d".into()]);
+    assert_eq!(leave.waiting(), ["d".into()], "a new entry");
+    let own = Leave::new(at(0), TIMES, Duration::from_secs(7));
+    assert_eq!(own.end(), at(7), "an answer of its own");
+}
--- /dev/null
+++ b/crates/core/tests/member.rs
@@ -0,0 +1,79 @@
+//! What entries tell each other of each other.
+
+use berylgw_core::clock::Instant;
+use berylgw_core::host::Entry;
+use berylgw_core::member::{Observation, State, Table};
+
+const SECOND: u64 = 1_000_000;
+
+fn entry(port: u16) -> Entry {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    Entry {
+        name: "e".into(),
+        domain: "d".into(),
+        address,
+        peer_address: address,
+    }
+}
+
+fn seen(incarnation: u64, port: u16, state: State, second: u64) -> Observation {
+    Observation {
+        name: "e".into(),
+        incarnation,
+        address: entry(port).address,
+        state,
+        at: Instant::from_micros(second * SECOND),
+    }
+}
+
+fn after(observations: &[Observation]) -> Table {
+    let mut table = Table::default();
+    for (second, seen) in (100..).zip(observations) {
+        table.merge(Instant::from_micros(second * SECOND), seen.clone());
+    }
+    table
+}
+
+/// Guards against an older observation that undoes a newer one.
+#[test]
+fn merge_newest_wins() {
+    let down = seen(1, 1, State::Down, 5);
+    let open = seen(1, 1, State::Open, 6);
+    for order in [[down.clone(), open.clone()], [open, down]] {
+        assert_eq!(after(&order).state(&entry(1)), State::Open);
+    }
+}
+
+/// Guards against a leaving process that is listed again because it answers, or
+/// that hides the process which replaced it.
+#[test]
+fn merge_leaving_stays() {
+    let leaving = seen(1, 1, State::Leaving, 5);
+    let answers = seen(1, 1, State::Open, 9);
+    assert_eq!(
+        after(&[leaving.clone(), answers]).state(&entry(1)),
+        State::Leaving
+    );
+    let restarted = seen(2, 1, State::Open, 9);
+    let old_news = seen(1, 1, State::Leaving, 6);
+    let table = after(&[leaving.clone(), restarted, old_news]);
+    assert_eq!(table.state(&entry(1)), State::Open);
+    assert_eq!(after(&[leaving]).state(&entry(2)), State::Open, "moved");
+}
+
+/// Guards against a stop that is lost because its process answered just before
+/// by the receiver's clock.
+#[test]
+fn merge_leaving_not_late() {
+    let answers = seen(1, 1, State::Open, 7);
+    let leaving = seen(1, 1, State::Leaving, 6);
+    assert_eq!(after(&[answers, leaving]).state(&entry(1)), State::Leaving);
+}
+
+/// Guards against changes that are told for ever, or not at all.
+#[test]
+fn changes_recent() {
+    let table = after(&[seen(1, 1, State::Down, 5)]);
+    assert_eq!(table.changes(Instant::from_micros(101 * SECOND)).len(), 1);
+    assert_eq!(table.changes(Instant::from_micros(200 * SECOND)), []);
+}
