Keep a stopping entry open until no caller holds its address

Cause: a stopping entry accepted callers for 1 s while a directory answer lives for 10 s, others learned of a stop by the lagging host list only, and of a death not at all. Each entry learned of a leaving server by its own read of the host list, up to 2 s after the list shows it.

Change: entries exchange what they saw of each other in their pulls. A stopping entry tells all others, which answer for how long their last directory answer is valid; it accepts callers until the last one has expired (limits.tell_ms bounds the wait for entries that cannot be told). An entry that does not answer a pull is told as down. The first entry that reads a changed host list tells the others; up to 20 entries read it every second. A mark of a process at another address does not hide the one that the sheet names, and a moved entry registers again. An entry whose address in the sheet is answered by another process leaves.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -249,7 +249,7 @@
     }
 }
 
-async fn connect(
+pub(crate) async fn connect(
     address: SocketAddr,
     connector: Connector,
 ) -> Result<SyncClient<Channel>, tonic::transport::Error> {
@@ -341,8 +341,7 @@
         wire::PullRequest {
             sender: Some(self.gate.sender(self.view.version())),
             since: since.into(),
-            versions_only: false,
-            suspects: Vec::new(),
+            ..wire::PullRequest::default()
         }
     }
 
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -48,6 +48,7 @@
                 .collect(),
             entries: published.entries.iter().map(ToString::to_string).collect(),
             suspects: self.gate.suspects(),
+            ..wire::PullReply::default()
         }))
     }
 
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -157,13 +157,35 @@
     let domain = place.domain.as_deref().unwrap_or(&shared.settings.domain);
     let turn = shared.rng().random_range(0..usize::from(u16::MAX));
     let directory = Directory {
-        addresses: directory::addresses(&current.snapshot, &current.leaving, domain, turn),
+        addresses: list(&shared, domain, turn),
         lifetime_ms: shared.settings.limits.directory_ms,
     };
     let Ok(response) = render::json(&directory);
     response
 }
 
+/// Addresses for a caller; notes that they are handed out.
+fn list(shared: &Shared, domain: &str, turn: usize) -> Vec<Address> {
+    let now = shared.now();
+    let snapshot = shared.current.borrow().snapshot.clone();
+    let own = &shared.settings.name;
+    let stopping = shared.stopping.borrow().then_some(own);
+    let mut members = shared.members();
+    // Under one lock, so that an entry which leaves is told of every answer
+    // with its address.
+    members.answers(now);
+    let hidden = members.hidden(&snapshot, stopping);
+    let (leaving, down) = (&hidden.leaving, &hidden.down);
+    let listed = directory::addresses(&snapshot, leaving, down, domain, turn);
+    let entries = snapshot.sheet.entries.iter();
+    let row = entries.filter(|entry| entry.name == *own);
+    let mut addresses = row.map(|entry| entry.address).chain([members.address]);
+    if addresses.any(|address| listed.iter().any(|entry| entry.address == address)) {
+        members.answers_own(now);
+    }
+    listed
+}
+
 async fn serve_chat(State(shared): State<Arc<Shared>>, request: Request) -> Response<Body> {
     let id = new_id(&shared);
     match chat(&shared, request, &id).await {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -9,15 +9,36 @@
 use berylgw_core::backend::Server;
 use berylgw_core::clock::Instant;
 use berylgw_core::config::{Object, Snapshot, Version, View};
+use berylgw_core::host;
+use berylgw_core::identity::Standing;
+use berylgw_core::member::{Observation, State};
 use berylgw_platform::{Client, Event, Host, Kind, List};
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
+use tonic::Status;
 
 use crate::shared::{Current, Newer, Shared};
-use crate::sync;
+use crate::{members, register, sync};
 
+/// Time between reads of the host list by one entry, of which there are `few`
+/// or many. Whoever reads a change tells the others, so that among many the
+/// first read comes long before this time; a few could all read last at the
+/// same moment, and a leaving host has to be known within 2 s.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
+const HOSTS_INTERVAL_FEW: Duration = Duration::from_secs(1);
+
+/// Entries up to which they count as few.
+const FEW: usize = 20;
+
+/// Pause between registrations of the same host; the list shows them late.
+const REGISTER_PAUSE: Duration = Duration::from_secs(10);
+
+const IDENTITY_INTERVAL: Duration = Duration::from_secs(1);
 const PEER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Attempts to reach a peer: a connection made before its restart fails once.
+const PEER_ATTEMPTS: u32 = 2;
+
 const AGE_INTERVAL: Duration = Duration::from_millis(250);
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
@@ -60,6 +81,58 @@
                 current.snapshot = snapshot;
             }
         });
+        let snapshot = self.publish.borrow().snapshot.clone();
+        let mut members = self.shared.members();
+        members.table.retain(&snapshot.sheet.entries);
+        drop(members);
+        self.introduce();
+        self.refresh();
+    }
+
+    /// Tells other entries that this process answers, once the sheet has it.
+    fn introduce(&self) {
+        let shared = &self.shared;
+        if *shared.stopping.borrow() {
+            return;
+        }
+        let Some(own) = members::own_row(shared) else {
+            return;
+        };
+        let now = shared.now();
+        let mut members = shared.members();
+        if own.address != members.address {
+            return;
+        }
+        members.identity.named();
+        if members.table.answered(&own) {
+            return;
+        }
+        let seen = Observation {
+            name: own.name,
+            incarnation: shared.incarnation,
+            address: own.address,
+            state: State::Open,
+            at: now,
+        };
+        members.table.merge(now, seen);
+    }
+
+    /// Publishes which hosts leave or are down if that changed.
+    fn refresh(&self) {
+        let shared = &self.shared;
+        let stopping = *shared.stopping.borrow();
+        let own = stopping.then_some(&shared.settings.name);
+        let snapshot = self.publish.borrow().snapshot.clone();
+        let hidden = shared.members().hidden(&snapshot, own);
+        let changed = self.publish.send_if_modified(|current| {
+            let changed = *current.leaving != *hidden.leaving || *current.down != *hidden.down;
+            current.leaving = hidden.leaving.into();
+            current.down = hidden.down.into();
+            changed
+        });
+        if changed {
+            self.route(&snapshot);
+        }
     }
 
     /// Gives the routing table the backend servers that do not leave.
@@ -140,6 +213,8 @@
     tokio::join!(
         watch_config(&owner, &client),
         watch_hosts(&owner, &client),
+        watch_members(&owner),
+        check_identity(&owner),
         pull_peers(&owner),
         pull_newer(&owner, newer),
         measure_age(&owner),
@@ -208,28 +283,93 @@
 }
 
 async fn watch_hosts(owner: &Handle, client: &Client) {
-    let mut ticks = tokio::time::interval(HOSTS_INTERVAL);
+    let shared = owner.borrow().shared.clone();
+    let mut registered: Option<Instant> = None;
+    // Entries that start together do not all read at the same moment.
+    let mut phase = shared.rng().random_range(0.5..1.0);
     loop {
-        ticks.tick().await;
-        let hosts = match client.hosts().await {
-            Ok(hosts) => hosts,
-            Err(error) => {
-                tracing::debug!(%error, "host list not read");
-                continue;
+        let read_at = shared.now();
+        match client.hosts().await {
+            Ok(hosts) => {
+                take_hosts(owner, read_at, &hosts);
+                let paused = registered.is_some_and(|at| shared.now().since(at) < REGISTER_PAUSE);
+                if !paused && is_displaced(&shared, &hosts) {
+                    registered = Some(shared.now());
+                    let address = shared.members().address;
+                    register::report(&shared.settings, address, "live").await;
+                }
             }
+            Err(error) => tracing::debug!(%error, "host list not read"),
+        }
+        let entries = shared.current.borrow().snapshot.sheet.entries.len();
+        let interval = if entries <= FEW {
+            HOSTS_INTERVAL_FEW
+        } else {
+            HOSTS_INTERVAL
         };
-        let leaving = names(&hosts, "leaving");
-        let live = names(&hosts, "live");
-        let owner = owner.borrow();
-        let changed = owner.publish.send_if_modified(|current| {
-            let changed = *current.leaving != *leaving || *current.live != *live;
-            current.leaving = leaving.into();
-            current.live = live.into();
-            changed
-        });
-        if changed {
-            let snapshot = owner.publish.borrow().snapshot.clone();
-            owner.route(&snapshot);
+        tokio::time::sleep(interval.mul_f64(phase)).await;
+        phase = 1.0;
+    }
+}
+
+/// Takes in a host list and tells the other entries if other hosts leave.
+fn take_hosts(owner: &Handle, read_at: Instant, hosts: &[Host]) {
+    let live = names(hosts, "live");
+    let owner = owner.borrow();
+    owner.publish.send_if_modified(|current| {
+        let changed = *current.live != *live;
+        current.live = live.into();
+        changed
+    });
+    if let Some(list) = members::read_hosts(&owner.shared, read_at, hosts) {
+        owner.refresh();
+        tokio::spawn(members::tell_hosts(owner.shared.clone(), list));
+    }
+}
+
+/// Whether the list has another process under this name although the sheet has
+/// this one.
+fn is_displaced(shared: &Shared, hosts: &[Host]) -> bool {
+    if *shared.stopping.borrow() {
+        return false;
+    }
+    let own = shared.members().address;
+    let is_named = members::own_row(shared).is_some_and(|row: host::Entry| row.address == own);
+    let mut hosts = hosts.iter();
+    let listed = hosts.find(|host| host.name == shared.settings.name);
+    is_named && listed.is_some_and(|host| host.address != own)
+}
+
+async fn watch_members(owner: &Handle) {
+    let shared = owner.borrow().shared.clone();
+    loop {
+        shared.changed.notified().await;
+        owner.borrow().refresh();
+    }
+}
+
+/// Finds out whether another process answers at the address of the sheet.
+async fn check_identity(owner: &Handle) {
+    let shared = owner.borrow().shared.clone();
+    let mut ticks = tokio::time::interval(IDENTITY_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(own) = members::own_row(&shared) else {
+            continue;
+        };
+        if own.address == shared.members().address {
+            owner.borrow().introduce();
+            continue;
+        }
+        let Ok(delta) = sync::pull(&shared, own.peer_address, members::NO_OBJECTS).await else {
+            continue;
+        };
+        let Some(sender) = delta.sender else { continue };
+        let now = shared.now();
+        let standing = shared.members().identity.answered(now, sender.incarnation);
+        if standing == Standing::Superseded && !shared.superseded.send_replace(true) {
+            tracing::warn!(address = %own.address, "another process is the host of this name");
         }
     }
 }
@@ -248,7 +388,7 @@
         ticks.tick().await;
         let peer = owner.borrow().draw(&owner.borrow().peers());
         if let Some(peer) = peer
-            && pull(owner, peer).await
+            && pull_peer(owner, peer).await
         {
             continue;
         }
@@ -256,34 +396,47 @@
         // without work and without peers would not learn from the agents.
         let agent = owner.borrow().draw(&owner.borrow().agents());
         if let Some(agent) = agent {
-            pull(owner, agent).await;
+            // Another agent is asked at the next tick.
+            let _ = pull(owner, agent).await;
         }
     }
 }
 
+/// Pulls from another entry and notes whether it answered.
+async fn pull_peer(owner: &Handle, peer: SocketAddr) -> bool {
+    for _ in 0..PEER_ATTEMPTS {
+        match pull(owner, peer).await {
+            Ok(()) => return true,
+            Err(error) if sync::is_refusal(&error) => return false,
+            Err(_) => {}
+        }
+    }
+    let shared = owner.borrow().shared.clone();
+    members::contacted(&shared, peer, None);
+    false
+}
+
 async fn pull_newer(owner: &Handle, mut newer: mpsc::Receiver<Newer>) {
     while let Some(seen) = newer.recv().await {
         if seen.version > owner.borrow().view.version().into() {
-            pull(owner, seen.address).await;
+            // The next message that shows the version leads to another attempt.
+            let _ = pull(owner, seen.address).await;
         }
     }
 }
 
-/// Pulls the configuration; returns whether the process answered.
-async fn pull(owner: &Handle, peer: SocketAddr) -> bool {
+/// Pulls the configuration.
+async fn pull(owner: &Handle, peer: SocketAddr) -> Result<(), Status> {
     let shared = owner.borrow().shared.clone();
     let since = owner.borrow().view.version();
-    match sync::pull(&shared, peer, since.into()).await {
-        Ok(delta) => {
-            let version = Version::from(delta.version);
-            owner.borrow_mut().merge(since, version, &delta.objects);
-            true
-        }
-        Err(error) => {
-            tracing::debug!(%peer, %error, "configuration not pulled");
-            false
-        }
-    }
+    let delta = sync::pull(&shared, peer, since.into()).await;
+    let delta = delta.inspect_err(|error| {
+        tracing::debug!(%peer, %error, "configuration not pulled");
+    })?;
+    members::contacted(&shared, peer, delta.sender.as_ref());
+    let version = Version::from(delta.version);
+    owner.borrow_mut().merge(since, version, &delta.objects);
+    Ok(())
 }
 
 async fn measure_age(owner: &Handle) {
--- /dev/null
+++ b/crates/entry/src/members.rs
@@ -0,0 +1,335 @@
+//! What entries tell each other about entries and the host list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::config::Snapshot;
+use berylgw_core::host::Entry;
+use berylgw_core::identity::{Identity, Standing};
+use berylgw_core::member::{Observation, State, Table};
+use berylgw_platform::Host;
+use berylgw_wire as wire;
+use futures_util::future::join_all;
+
+use crate::shared::Shared;
+use crate::sync;
+
+/// Longest wait for a peer that is told of a change.
+const TELL_LIMIT: Duration = Duration::from_secs(1);
+
+/// Version that no object is newer than.
+pub const NO_OBJECTS: u64 = u64::MAX;
+
+/// Membership as one entry knows it.
+pub struct Members {
+    pub table: Table,
+    pub identity: Identity,
+    /// Address of the callers' interface.
+    pub address: SocketAddr,
+    /// When the last directory answer was handed out, and the last one with the
+    /// own address.
+    answered: Option<Instant>,
+    answered_own: Option<Instant>,
+    hosts: Hosts,
+}
+
+/// Newest host list read by this entry or told by another one.
+#[derive(Default)]
+struct Hosts {
+    read_at: Option<Instant>,
+    leaving: Vec<(Arc<str>, Option<SocketAddr>)>,
+}
+
+/// Sorted names of entries and servers not to be used.
+#[derive(Default)]
+pub struct Hidden {
+    pub leaving: Vec<Arc<str>>,
+    pub down: Vec<Arc<str>>,
+}
+
+impl Members {
+    pub fn new(incarnation: u64, address: SocketAddr) -> Self {
+        Members {
+            table: Table::default(),
+            identity: Identity::new(incarnation),
+            address,
+            answered: None,
+            answered_own: None,
+            hosts: Hosts::default(),
+        }
+    }
+
+    /// Notes that a directory answer is about to be made.
+    pub fn answers(&mut self, now: Instant) {
+        self.answered = Some(now);
+    }
+
+    /// Notes that the answer has the own address.
+    pub fn answers_own(&mut self, now: Instant) {
+        self.answered_own = Some(now);
+    }
+
+    /// Time for which the last answer is valid.
+    pub fn valid(&self, now: Instant, lifetime: Duration) -> Duration {
+        rest(self.answered, now, lifetime)
+    }
+
+    /// Time for which the last answer with the own address is valid.
+    pub fn own_valid(&self, now: Instant, lifetime: Duration) -> Duration {
+        rest(self.answered_own, now, lifetime)
+    }
+
+    /// Takes in a host list; returns whether other hosts leave than before.
+    pub fn listed(
+        &mut self,
+        read_at: Instant,
+        mut leaving: Vec<(Arc<str>, Option<SocketAddr>)>,
+    ) -> bool {
+        if self.hosts.read_at.is_some_and(|known| known >= read_at) {
+            return false;
+        }
+        leaving.sort();
+        let changed = self.hosts.leaving != leaving;
+        self.hosts = Hosts {
+            read_at: Some(read_at),
+            leaving,
+        };
+        changed
+    }
+
+    /// Names not to be used. `own` is the name of this entry if it is leaving.
+    pub fn hidden(&self, snapshot: &Snapshot, own: Option<&Arc<str>>) -> Hidden {
+        let mut hidden = Hidden::default();
+        let entries = &snapshot.sheet.entries;
+        let find = |name: &str| {
+            let index = entries.binary_search_by(|entry| (*entry.name).cmp(name));
+            index.ok().map(|index| &entries[index])
+        };
+        for (name, address) in &self.hosts.leaving {
+            // The process that left was replaced at another address.
+            let moved = |entry: &Entry| {
+                *address != Some(entry.address)
+                    && (self.table.answered(entry) || entry.address == self.address)
+            };
+            if !find(name).is_some_and(moved) {
+                hidden.leaving.push(name.clone());
+            }
+        }
+        for entry in entries {
+            match self.table.state(entry) {
+                State::Open => {}
+                State::Leaving => hidden.leaving.push(entry.name.clone()),
+                State::Down => hidden.down.push(entry.name.clone()),
+            }
+        }
+        if let Some(own) = own {
+            let moved = |entry: &Entry| entry.address != self.address && self.is_replaced();
+            if !find(own).is_some_and(moved) {
+                hidden.leaving.push(own.clone());
+            }
+        }
+        hidden.leaving.sort();
+        hidden.leaving.dedup();
+        hidden
+    }
+
+    /// Whether another process answers at the address of the sheet.
+    pub fn is_replaced(&self) -> bool {
+        matches!(
+            self.identity.standing(),
+            Standing::Standby | Standing::Superseded
+        )
+    }
+}
+
+fn rest(at: Option<Instant>, now: Instant, lifetime: Duration) -> Duration {
+    at.map_or(Duration::ZERO, |at| lifetime.saturating_sub(now.since(at)))
+}
+
+/// Observations for another entry.
+pub fn known(shared: &Shared) -> Vec<wire::Member> {
+    let now = shared.now();
+    let changes = shared.members().table.changes(now);
+    changes.iter().map(|seen| encode(seen, now)).collect()
+}
+
+fn encode(seen: &Observation, now: Instant) -> wire::Member {
+    let state = match seen.state {
+        State::Open => wire::MemberState::Open,
+        State::Leaving => wire::MemberState::Leaving,
+        State::Down => wire::MemberState::Down,
+    };
+    wire::Member {
+        name: seen.name.to_string(),
+        incarnation: seen.incarnation,
+        address: seen.address.to_string(),
+        state: state.into(),
+        age_ms: now.since(seen.at).as_millis() as u64,
+    }
+}
+
+fn decode(member: &wire::Member, now: Instant) -> Option<Observation> {
+    let state = match member.state() {
+        wire::MemberState::Open => State::Open,
+        wire::MemberState::Leaving => State::Leaving,
+        wire::MemberState::Down => State::Down,
+        wire::MemberState::Unspecified => return None,
+    };
+    Some(Observation {
+        name: member.name.as_str().into(),
+        incarnation: member.incarnation,
+        address: member.address.parse().ok()?,
+        state,
+        at: before(now, member.age_ms),
+    })
+}
+
+fn before(now: Instant, age_ms: u64) -> Instant {
+    let age = Duration::from_millis(age_ms);
+    Instant::ORIGIN + now.since(Instant::ORIGIN).saturating_sub(age)
+}
+
+/// Whether this process is the one that the sheet names, as far as is known.
+pub async fn is_host(shared: &Shared) -> bool {
+    let Some(own) = own_row(shared) else {
+        return false;
+    };
+    if own.address == shared.members().address {
+        return true;
+    }
+    // The address may be translated on the way, or be that of another process.
+    let request = sync::request(shared, NO_OBJECTS);
+    let call = sync::exchange(shared, own.peer_address, request);
+    let Ok(Ok(reply)) = tokio::time::timeout(TELL_LIMIT, call).await else {
+        return false;
+    };
+    let sender = reply.sender.as_ref();
+    sender.is_some_and(|sender| sender.incarnation == shared.incarnation)
+}
+
+/// Row of this entry's name in the sheet.
+pub fn own_row(shared: &Shared) -> Option<Entry> {
+    let snapshot = shared.current.borrow().snapshot.clone();
+    let mut entries = snapshot.sheet.entries.iter();
+    let own = entries.find(|entry| entry.name == shared.settings.name);
+    own.cloned()
+}
+
+/// Takes in what another entry saw.
+pub fn merge(shared: &Shared, members: &[wire::Member]) {
+    let now = shared.now();
+    let snapshot = shared.current.borrow().snapshot.clone();
+    for seen in members.iter().filter_map(|member| decode(member, now)) {
+        let entries = snapshot.sheet.entries.iter();
+        let mut named = entries.filter(|entry| entry.name == seen.name);
+        if !named.any(|entry| entry.address == seen.address) {
+            continue;
+        }
+        if seen.name == shared.settings.name {
+            if seen.incarnation != shared.incarnation || seen.state == State::Down {
+                // Others have to learn that this process answers.
+                refute(shared, &seen);
+            }
+            continue;
+        }
+        observe(shared, seen);
+    }
+}
+
+fn refute(shared: &Shared, seen: &Observation) {
+    if *shared.stopping.borrow() || shared.members().is_replaced() {
+        return;
+    }
+    let own = Observation {
+        incarnation: shared.incarnation,
+        state: State::Open,
+        at: shared.now(),
+        ..seen.clone()
+    };
+    let mut members = shared.members();
+    // Without the change of state the observation would not be told to others.
+    members.table.merge(shared.now(), seen.clone());
+    members.table.merge(shared.now(), own);
+}
+
+/// Notes the state of an entry.
+pub fn observe(shared: &Shared, seen: Observation) {
+    let now = shared.now();
+    let (name, state) = (seen.name.clone(), seen.state);
+    if shared.members().table.merge(now, seen) {
+        tracing::info!(entry = %name, ?state, "entry changed state");
+        shared.changed.notify_one();
+    }
+}
+
+/// Notes whether the entry at the peer address `peer` answered.
+pub fn contacted(shared: &Shared, peer: SocketAddr, sender: Option<&wire::Sender>) {
+    let snapshot = shared.current.borrow().snapshot.clone();
+    let mut entries = snapshot.sheet.entries.iter();
+    let Some(entry) = entries.find(|entry| entry.peer_address == peer) else {
+        return;
+    };
+    if entry.name == shared.settings.name {
+        return;
+    }
+    let state = match sender {
+        Some(_) => State::Open,
+        None => State::Down,
+    };
+    let seen = Observation {
+        name: entry.name.clone(),
+        incarnation: sender.map_or(0, |sender| sender.incarnation),
+        address: entry.address,
+        state,
+        at: shared.now(),
+    };
+    observe(shared, seen);
+}
+
+/// Takes in a host list that another entry read.
+pub fn merge_hosts(shared: &Shared, list: &wire::HostList) {
+    let read_at = before(shared.now(), list.age_ms);
+    let leaving = list.leaving.iter();
+    let leaving = leaving.map(|host| (host.name.as_str().into(), host.address.parse().ok()));
+    if shared.members().listed(read_at, leaving.collect()) {
+        shared.changed.notify_one();
+    }
+}
+
+/// Takes in a host list read by this entry; returns the message for others if
+/// it changed something.
+pub fn read_hosts(shared: &Shared, read_at: Instant, hosts: &[Host]) -> Option<wire::HostList> {
+    let leaving = || hosts.iter().filter(|host| *host.state == *"leaving");
+    let own = leaving().map(|host| (host.name.clone(), Some(host.address)));
+    if !shared.members().listed(read_at, own.collect()) {
+        return None;
+    }
+    shared.changed.notify_one();
+    let told = leaving().map(|host| wire::LeavingHost {
+        name: host.name.to_string(),
+        address: host.address.to_string(),
+    });
+    Some(wire::HostList {
+        leaving: told.collect(),
+        age_ms: shared.now().since(read_at).as_millis() as u64,
+    })
+}
+
+/// Tells all other entries that the host list changed.
+pub async fn tell_hosts(shared: Arc<Shared>, list: wire::HostList) {
+    let snapshot = shared.current().snapshot;
+    let others = snapshot.sheet.entries.iter();
+    let others = others.filter(|entry| entry.name != shared.settings.name);
+    let calls = others.map(|entry| {
+        let request = wire::PullRequest {
+            hosts: Some(list.clone()),
+            ..sync::request(&shared, NO_OBJECTS)
+        };
+        let call = sync::exchange(&shared, entry.peer_address, request);
+        tokio::time::timeout(TELL_LIMIT, call)
+    });
+    // An entry that cannot be reached reads the list itself.
+    let _ = join_all(calls).await;
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -17,7 +17,7 @@
 use crate::secure::Credentials;
 use crate::settings::Settings;
 use crate::shared::{Current, Newer, Shared};
-use crate::{accept, control, group, ledger, probe, register, sync};
+use crate::{accept, control, group, leave, ledger, probe, register, sync};
 
 /// Interval of HTTP/2 pings on connections of other processes.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
@@ -59,6 +59,7 @@
         let tls = Credentials::load(&settings.tls).map_err(io::Error::other)?;
         let (ledger, inbox) = ledger::channel(settings.ledger.partitions);
         let shared = Shared::new(settings, tls, current, sender, stopped, metrics, ledger);
+        shared.members().address = callers.local_addr()?;
         Ok(Entry {
             shared: Arc::new(shared),
             callers,
@@ -124,7 +125,7 @@
         let connections = GracefulShutdown::new();
         tokio::select! {
             () = accept::run(&self.callers, &shared, &connections) => {}
-            () = leave(stop, &shared, address, &self.stopping, announced) => {}
+            () = depart(stop, &shared, &self.stopping, announced) => {}
         }
         drop(self.callers);
         connections.shutdown().await;
@@ -156,24 +157,23 @@
     }
 }
 
-/// Waits for the request to stop, reports it and lets callers learn of it.
-async fn leave(
+/// Waits for the request to stop and until no caller holds the address.
+async fn depart(
     stop: impl Future<Output = ()>,
-    shared: &Shared,
-    address: SocketAddr,
+    shared: &Arc<Shared>,
     stopping: &watch::Sender<bool>,
     announced: tokio::task::JoinHandle<()>,
 ) {
-    stop.await;
+    tokio::select! {
+        () = stop => {}
+        () = until(shared.superseded.subscribe()) => {}
+    }
     tracing::info!("leaving");
     let _ = stopping.send(true);
-    let grace = Duration::from_millis(shared.settings.limits.leave_ms);
-    let report = async {
-        // A late registration would undo this report.
-        let _ = announced.await;
-        register::report(&shared.settings, address, "leaving").await;
-    };
-    tokio::join!(report, tokio::time::sleep(grace));
+    shared.changed.notify_one();
+    // A late registration would undo the report that this entry leaves.
+    let _ = announced.await;
+    leave::run(shared).await;
 }
 
 async fn until(mut ended: watch::Receiver<bool>) {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -131,8 +131,10 @@
     pub connect_ms: u64,
     /// Longest time a request may take.
     pub request_ms: u64,
-    /// Time for which a stopping entry still accepts callers.
+    /// Shortest time for which a stopping entry still accepts callers.
     pub leave_ms: u64,
+    /// Longest wait of a stopping entry for entries that it cannot tell.
+    pub tell_ms: u64,
     /// Lifetime of a directory answer.
     pub directory_ms: u64,
     /// Backend servers probed per service and second.
@@ -162,6 +164,7 @@
             connect_ms: 500,
             request_ms: 300_000,
             leave_ms: 1_000,
+            tell_ms: 5_000,
             directory_ms: 10_000,
             probes: 3,
             connections: 8_192,
@@ -277,6 +280,11 @@
         Duration::from_millis(self.progress_ms)
     }
 
+    /// Lifetime of a directory answer.
+    pub fn directory(&self) -> Duration {
+        Duration::from_millis(self.directory_ms)
+    }
+
     /// Longest wait for a connection.
     pub fn connect(&self) -> Duration {
         Duration::from_millis(self.connect_ms)
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,10 +10,11 @@
 use berylgw_wire as wire;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::ledger;
 use crate::limits::Limits;
+use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::secure::{self, Credentials};
@@ -29,6 +30,8 @@
     pub leaving: Arc<[Arc<str>]>,
     /// Sorted names of hosts that run.
     pub live: Arc<[Arc<str>]>,
+    /// Sorted names of entries that do not answer.
+    pub down: Arc<[Arc<str>]>,
 }
 
 impl Current {
@@ -78,6 +81,11 @@
     pub current: watch::Receiver<Current>,
     pub newer: mpsc::Sender<Newer>,
     pub stopping: watch::Receiver<bool>,
+    /// Set if another process is the host of this name.
+    pub superseded: watch::Sender<bool>,
+    /// Wakes the control thread when the members change.
+    pub changed: Notify,
+    members: Mutex<Members>,
     pub pool: Pool,
     pub metrics: Metrics,
     pub ledger: ledger::Handle,
@@ -109,9 +117,13 @@
         let names = current.clone();
         let expected = move |address| secure::name_at(&names.borrow().snapshot, address);
         let pool = Pool::new(limits.connect(), tls.peers.clone(), Arc::new(expected));
+        let incarnation = rng.random();
         Shared {
             clock,
-            incarnation: rng.random(),
+            incarnation,
+            superseded: watch::Sender::new(false),
+            changed: Notify::new(),
+            members: Mutex::new(Members::new(incarnation, settings.listen.callers)),
             current,
             newer,
             stopping,
@@ -158,6 +170,10 @@
         lock(&self.quarantine)
     }
 
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
     pub fn limits(&self) -> MutexGuard<'_, Limits> {
         lock(&self.limits)
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -12,6 +12,7 @@
 use futures_util::{Stream, stream};
 use tonic::{Code, Request, Response, Status};
 
+use crate::members;
 use crate::secure;
 use crate::shared::{Current, Shared};
 use crate::suspects;
@@ -54,6 +55,8 @@
 }
 
 fn reply(shared: &Shared, current: &Current, since: u64) -> wire::PullReply {
+    let lifetime = shared.settings.limits.directory();
+    let valid = shared.members().valid(shared.now(), lifetime);
     let objects = current.view.newer_than(Version::from(since));
     wire::PullReply {
         sender: Some(shared.sender()),
@@ -61,6 +64,8 @@
         objects: objects.iter().map(encode).collect(),
         entries: homes(current, &shared.settings.name),
         suspects: suspects::known(shared),
+        members: members::known(shared),
+        directory_ms: valid.as_millis() as u64,
     }
 }
 
@@ -108,6 +113,12 @@
         let request = request.into_inner();
         self.note(request.sender.as_ref());
         suspects::merge(&self.0, &request.suspects);
+        // Before the reply tells for how long the last directory answer is
+        // valid: later ones do not have the address of a leaving entry.
+        members::merge(&self.0, &request.members);
+        if let Some(hosts) = &request.hosts {
+            members::merge_hosts(&self.0, hosts);
+        }
         let current = self.0.current();
         Ok(Response::new(reply(&self.0, &current, request.since)))
     }
@@ -142,20 +153,41 @@
     }
 }
 
+/// A request with everything that this entry tells others.
+pub fn request(shared: &Shared, since: u64) -> wire::PullRequest {
+    wire::PullRequest {
+        sender: Some(shared.sender()),
+        since,
+        suspects: suspects::known(shared),
+        members: members::known(shared),
+        ..wire::PullRequest::default()
+    }
+}
+
 /// Objects of a peer that are newer than `since`, and the version they reach.
 pub async fn pull(shared: &Shared, peer: SocketAddr, since: u64) -> Result<Delta, Status> {
+    let reply = exchange(shared, peer, request(shared, since)).await?;
+    let objects: Option<Vec<_>> = reply.objects.into_iter().map(decode).collect();
+    let objects = objects.ok_or_else(|| Status::data_loss("object value is not UTF-8"))?;
+    Ok(Delta {
+        version: reply.version,
+        objects,
+        sender: reply.sender,
+    })
+}
+
+/// Sends a request to a peer and takes in what its reply says beside objects.
+pub async fn exchange(
+    shared: &Shared,
+    peer: SocketAddr,
+    request: wire::PullRequest,
+) -> Result<wire::PullReply, Status> {
     let limit = shared.settings.limits.progress();
     let call = async {
         let unreachable = |error: tonic::transport::Error| Status::unavailable(error.to_string());
         let channel = shared.pool.get(peer).await.map_err(unreachable)?;
         let mut client =
             wire::sync_client::SyncClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
-        let request = wire::PullRequest {
-            sender: Some(shared.sender()),
-            since,
-            versions_only: false,
-            suspects: suspects::known(shared),
-        };
         let reply = client.pull(request).await?;
         Ok::<_, Status>(reply.into_inner())
     };
@@ -167,16 +199,12 @@
         }
     })?;
     suspects::merge(shared, &reply.suspects);
-    let objects: Option<Vec<_>> = reply.objects.into_iter().map(decode).collect();
-    let objects = objects.ok_or_else(|| Status::data_loss("object value is not UTF-8"))?;
-    Ok(Delta {
-        version: reply.version,
-        objects,
-    })
+    members::merge(shared, &reply.members);
+    Ok(reply)
 }
 
 /// Whether the process answered, so that its connection works.
-fn is_refusal(status: &Status) -> bool {
+pub fn is_refusal(status: &Status) -> bool {
     let failed = matches!(status.code(), Code::DeadlineExceeded | Code::Unavailable);
     !failed && status.source().is_none()
 }
@@ -188,4 +216,5 @@
 pub struct Delta {
     pub version: u64,
     pub objects: Vec<Object>,
+    pub sender: Option<wire::Sender>,
 }
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -371,6 +371,8 @@
     Limits {
         progress_ms: 300,
         leave_ms: 1,
+        // A stopping entry waits until the directory answers of the test expire.
+        directory_ms: 1,
         ..Limits::default()
     }
 }
--- a/crates/testkit/src/version.rs
+++ b/crates/testkit/src/version.rs
@@ -57,10 +57,9 @@
     pub async fn version(&mut self) -> Result<Option<u64>, Error> {
         // Without objects: nothing is newer than the highest version.
         let request = wire::PullRequest {
-            sender: None,
             since: u64::MAX,
             versions_only: true,
-            suspects: Vec::new(),
+            ..wire::PullRequest::default()
         };
         let Ok(Ok(reply)) = timeout(CALL_LIMIT, self.client.pull(request)).await else {
             return Ok(None);
--- a/crates/testkit/tests/leave.rs
+++ b/crates/testkit/tests/leave.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
-use support::{INTERVAL, booking, caller, start};
+use support::{INTERVAL, booking, caller, cut_platform, start};
 
 /// Batches of calls after which the host list has to have an effect.
 const BATCHES: u32 = 100;
@@ -132,3 +132,39 @@
         avoided += u32::from(is_avoided);
     }
 }
+
+/// Guards against an entry that does not learn of a leaving server while it does
+/// not reach the platform, or only by its own next read.
+#[tokio::test]
+async fn server_leaving_told() {
+    let cluster = start(false).await;
+    let first = &cluster.entries[0];
+    cut_platform(first, true).await;
+    let platform = control::Client::new(cluster.platform);
+    let agent = &cluster.agents[0];
+    let host = json!({"address": agent.address, "domain": "a", "state": "leaving"});
+    platform.put::<Value>("/v1/hosts/s1", &host).await.unwrap();
+    slow(&cluster, 200).await;
+    let client = caller(first);
+    for _ in 0..BATCHES {
+        let calls = (0..4).map(|_| client.call::<Value>(booking("new")));
+        let look = async {
+            loop {
+                let servers = servers(&cluster).await;
+                if servers[0].in_flight > 0 {
+                    return false;
+                }
+                if servers[1].in_flight == 4 {
+                    return true;
+                }
+                tokio::time::sleep(INTERVAL).await;
+            }
+        };
+        let (answers, is_avoided) = tokio::join!(join_all(calls), look);
+        assert!(answers.iter().all(Result::is_ok));
+        if is_avoided {
+            return;
+        }
+    }
+    panic!("the host list has no effect");
+}
