Let an agent leave that another process replaced

Cause: an agent that was thought dead and wakes went on beside the agent that the sheet names instead.

Change: an agent whose row has another address asks the process there for its incarnation; if it once was the one in the sheet and another one answers for a second, it leaves gracefully. Tests with real processes for an entry and an agent that are paused, replaced and woken.

Conclusion: the accepted sheet decides between processes of one name.

--- /dev/null
+++ b/crates/agent/src/identity.rs
@@ -0,0 +1,93 @@
+//! Notices that another process is the agent of this name.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::identity::{Identity, Standing};
+use berylgw_runtime::clock::Clock;
+use berylgw_runtime::tls::{Connector, Peers};
+use berylgw_wire as wire;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use crate::control::{self, Published};
+
+/// Time between two looks.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for the other process.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Version that no object is newer than.
+const NO_OBJECTS: u64 = u64::MAX;
+
+/// What the check works with.
+pub struct Inputs {
+    /// Name of the backend server.
+    pub name: Arc<str>,
+    /// Address of this agent.
+    pub address: SocketAddr,
+    /// Incarnation of this agent.
+    pub incarnation: u64,
+    /// The newest configuration.
+    pub published: watch::Receiver<Arc<Published>>,
+    /// Credentials of connections.
+    pub peers: Option<Arc<Peers>>,
+    /// The process clock.
+    pub clock: Clock,
+}
+
+/// Returns once another process is the agent of this name.
+pub async fn superseded(inputs: Inputs) {
+    let mut identity = Identity::new(inputs.incarnation);
+    let mut ticks = interval(INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut changes = inputs.published.clone();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            // The address is noted at once: the process may be paused next.
+            Ok(()) = changes.changed() => {}
+        }
+        let published = changes.borrow_and_update().clone();
+        let Some(row) = published.snapshot.server(&inputs.name) else {
+            continue;
+        };
+        if row.address == inputs.address {
+            identity.named();
+            continue;
+        }
+        let Some(incarnation) = ask(&inputs, row.address).await else {
+            continue;
+        };
+        let standing = identity.answered(inputs.clock.now(), incarnation);
+        if standing == Standing::Superseded {
+            tracing::warn!(address = %row.address, "another process is the agent of this name");
+            return;
+        }
+    }
+}
+
+/// Incarnation of the process at `address`.
+async fn ask(inputs: &Inputs, address: SocketAddr) -> Option<u64> {
+    let name = inputs.name.clone();
+    let expected = move |_| Some(name.clone());
+    let connector = Connector::new(address, inputs.peers.clone(), Arc::new(expected));
+    let call = async {
+        let mut client = control::connect(address, connector).await.ok()?;
+        let sender = wire::Sender {
+            name: inputs.name.to_string(),
+            incarnation: inputs.incarnation,
+            config_version: 0,
+        };
+        let request = wire::PullRequest {
+            sender: Some(sender),
+            since: NO_OBJECTS,
+            ..wire::PullRequest::default()
+        };
+        let reply = client.pull(request).await.ok()?.into_inner();
+        reply.sender.map(|sender| sender.incarnation)
+    };
+    timeout(CALL_TIMEOUT, call).await.ok().flatten()
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod engine;
 pub mod forward;
 pub mod gate;
+mod identity;
 pub mod metrics;
 pub mod once;
 pub mod orders;
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -19,7 +19,7 @@
 use crate::gate::Gate;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::{dispatch, engine, orders, sync};
+use crate::{dispatch, engine, identity, orders, sync};
 
 /// Versions that wait for the control thread.
 const HINTS_BUFFERED: usize = 16;
@@ -91,6 +91,14 @@
         stop: stopped.clone(),
         peers: peers.clone(),
     })?;
+    let superseded = identity::superseded(identity::Inputs {
+        name: settings.name.clone(),
+        address: listener.local_addr()?,
+        incarnation: gate.current_sender().incarnation,
+        published: published.clone(),
+        peers: peers.clone(),
+        clock: gate.clock(),
+    });
     let service = dispatch::Service {
         gate: gate.clone(),
         server: Server::new(settings.server.address),
@@ -136,7 +144,10 @@
         .add_service(SyncServer::new(sync))
         .serve_with_incoming_shutdown(incoming, until(stopped));
     let leave = async {
-        stop.await;
+        tokio::select! {
+            () = stop => {}
+            () = superseded => {}
+        }
         tracing::info!("leaving");
         gate.leave();
         gate.idle().await;
--- a/crates/testkit/tests/replace.rs
+++ b/crates/testkit/tests/replace.rs
@@ -6,6 +6,7 @@
 
 use berylgw_testkit::client::Client;
 use berylgw_testkit::cluster::{Cluster, Extra, Member};
+use berylgw_testkit::service::Stats;
 use berylgw_testkit::version::{Probe, probes};
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -18,6 +19,9 @@
 
 const ALL: [Kind; 3] = [Kind::Stream, Kind::Plain, Kind::Keyed];
 
+/// Looks at a directory after which a change has to be there.
+const LOOKS: u32 = 1_500;
+
 /// Callers of each kind.
 const CALLERS: usize = 3;
 
@@ -66,7 +70,7 @@
 /// Waits until the directory of one entry lists another one, or does not.
 async fn lists(asked: SocketAddr, wanted: SocketAddr, is_listed: bool) {
     let client = Client::new(asked, TOKEN);
-    loop {
+    for _ in 0..LOOKS {
         if let Ok(directory) = client.directory("a").await {
             let mut listed = directory.addresses.iter();
             if listed.any(|entry| entry.address == wanted) == is_listed {
@@ -75,6 +79,7 @@
         }
         tokio::time::sleep(INTERVAL).await;
     }
+    panic!("{asked}: {wanted} does not become {is_listed}");
 }
 
 fn assert_uncut(seen: &Seen) {
@@ -167,3 +172,69 @@
     }
     Probe::of(&cluster.entries[0]).await.unwrap();
 }
+
+/// Starts another process with the name of `old`, which is paused meanwhile and
+/// woken once the sheet has the new one's address.
+async fn woken(cluster: &Cluster, old: &Member) {
+    old.process.signal(Signal::SIGSTOP).unwrap();
+    cluster.readdress().await.unwrap();
+    for member in cluster.entries.iter().chain(&cluster.agents) {
+        let mut probe = Probe::of(member).await.unwrap();
+        probe.reached(2, INTERVAL).await.unwrap();
+    }
+    old.process.signal(Signal::SIGCONT).unwrap();
+}
+
+/// Guards against an entry that was thought dead and goes on beside the one
+/// which replaced it.
+#[tokio::test]
+async fn entry_woken() {
+    let mut cluster = start(SHORT).await;
+    let new = cluster.entries[0].twin().await.unwrap();
+    let mut old = std::mem::replace(&mut cluster.entries[0], new);
+    woken(&cluster, &old).await;
+    assert!(old.process.wait().await.unwrap().success());
+    for asked in addresses(&cluster) {
+        lists(asked, cluster.entries[0].address, true).await;
+        lists(asked, old.address, false).await;
+    }
+}
+
+/// Guards against an agent that was thought dead and goes on beside the one
+/// which replaced it, or that cuts what it runs when it leaves.
+#[tokio::test]
+async fn agent_woken() {
+    let mut cluster = start(SHORT).await;
+    let fault = json!({"slow_ms": 4_000});
+    let service = cluster.fake("app").unwrap().control.clone();
+    service.fault(fault).await.unwrap();
+    let client = Client::new(cluster.entries[0].address, TOKEN);
+    let running = tokio::spawn(async move {
+        let call = support::booking("running");
+        client.call::<serde_json::Value>(call).await
+    });
+    let holder = loop {
+        let servers: Vec<Stats> = service.get("/servers").await.unwrap();
+        let holder = servers.iter().position(|stats| stats.in_flight > 0);
+        if let Some(holder) = holder {
+            break holder;
+        }
+        tokio::time::sleep(INTERVAL).await;
+    };
+    let new = cluster.agents[holder].twin().await.unwrap();
+    let mut old = std::mem::replace(&mut cluster.agents[holder], new);
+    woken(&cluster, &old).await;
+    assert!(old.process.wait().await.unwrap().success());
+    if let Err(error) = running.await.unwrap() {
+        // The entry may give up on a connection that was silent.
+        assert!(error.refusal().is_some(), "{error}");
+    }
+    let highest = service.get::<Vec<Stats>>("/servers").await.unwrap();
+    service.fault(json!({"slow_ms": 0})).await.unwrap();
+    let client = Client::new(cluster.entries[0].address, TOKEN);
+    for _ in 0..16 {
+        let call = support::booking("new");
+        client.call::<serde_json::Value>(call).await.unwrap();
+    }
+    assert!(highest[holder].highest_in_flight > 0);
+}
