Report a stop from behind a translated address

Cause: shutdown_finishes_stream did not end. A stopping entry whose row has an address that it cannot reach itself did not report that it leaves.

Change: it counts as the host unless another process is known to answer at the address, or nothing is known of its name.

Before: shutdown_finishes_stream waits for ever.

Conclusion: an unreachable address is no evidence of another process.

--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -194,7 +194,7 @@
 /// Whether this process is the one that the sheet names, as far as is known.
 pub async fn is_host(shared: &Shared) -> bool {
     let Some(own) = own_row(shared) else {
-        return false;
+        return true;
     };
     if own.address == shared.members().address {
         return true;
@@ -203,7 +203,8 @@
     let request = sync::request(shared, NO_OBJECTS);
     let call = sync::exchange(shared, own.peer_address, request);
     let Ok(Ok(reply)) = tokio::time::timeout(TELL_LIMIT, call).await else {
-        return false;
+        // A translated address may not be reachable from the host itself.
+        return !shared.members().is_replaced();
     };
     let sender = reply.sender.as_ref();
     sender.is_some_and(|sender| sender.incarnation == shared.incarnation)
