Test a second process with the name of a running entry

Cause: nothing with real processes showed that a copy started by mistake does no harm, least of all when it is stopped.

Change: entry_twin_by_mistake starts and stops such a process; the host stays in the directory and the name is never marked as leaving.

--- a/crates/testkit/tests/replace.rs
+++ b/crates/testkit/tests/replace.rs
@@ -6,6 +6,8 @@
 
 use berylgw_testkit::client::Client;
 use berylgw_testkit::cluster::{Cluster, Extra, Member};
+use berylgw_testkit::control;
+use berylgw_testkit::platform::Calls;
 use berylgw_testkit::service::Stats;
 use berylgw_testkit::version::{Probe, probes};
 use nix::sys::signal::Signal;
@@ -252,3 +254,44 @@
         client.call::<serde_json::Value>(call).await.unwrap();
     }
 }
+
+/// Registrations in the host list so far.
+async fn registrations(cluster: &Cluster) -> u64 {
+    let calls: Vec<Calls> = cluster.platform_fake.control.get("/calls").await.unwrap();
+    let mut calls = calls.iter();
+    let puts = calls.find(|calls| calls.verb == "put" && calls.kind == "hosts");
+    puts.map_or(0, |puts| puts.count)
+}
+
+/// Guards against a second process, started by mistake with the name of an
+/// entry, that displaces it or takes it out of the host list when it stops.
+#[tokio::test]
+async fn entry_twin_by_mistake() {
+    let cluster = start(SHORT).await;
+    let host = &cluster.entries[0];
+    let before = registrations(&cluster).await;
+    let mut twin = host.twin().await.unwrap();
+    let platform = control::Client::new(cluster.platform);
+    // The twin registers at its start, and the host again when it sees that.
+    for address in [twin.address, host.address] {
+        for look in 0.. {
+            assert!(look < LOOKS, "{address} is not in the host list");
+            let list: serde_json::Value = platform.get("/v1/hosts").await.unwrap();
+            let mut hosts = list["hosts"].as_array().unwrap().iter();
+            let own = hosts.find(|entry| entry["name"] == "e1").unwrap();
+            assert_eq!(own["state"], "live");
+            let both = registrations(&cluster).await >= before + 2;
+            if own["address"] == address.to_string() || (address == twin.address && both) {
+                break;
+            }
+            tokio::time::sleep(INTERVAL).await;
+        }
+        if address == twin.address {
+            assert!(twin.process.stop().await.unwrap().success());
+        }
+    }
+    for asked in addresses(&cluster) {
+        lists(asked, host.address, true).await;
+        lists(asked, twin.address, false).await;
+    }
+}
