--- a/crates/testkit/tests/support/mod.rs
+++ b/crates/testkit/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // Each test file uses a part of it.
 
 pub mod bookings;
+pub mod callers;
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
