Make the routing policy a setting of the entry

`route::Policy` has affinity (default), random, round robin and least in flight; `routing.policy` in entry.yaml selects it, and an unknown value is a finding with its line. Rules of usable servers and of regions hold for each policy. No change for the default.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -2,6 +2,7 @@
 
 mod affinity;
 mod choice;
+mod policy;
 mod slot;
 
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use crate::directory::region_of;
 
 pub use affinity::affinity;
+pub use policy::Policy;
 
 use affinity::first_word;
 use slot::{Group, Slot};
@@ -62,6 +64,7 @@
 #[derive(Clone, Debug)]
 pub struct Table {
     domain: Arc<str>,
+    policy: Policy,
     slots: Vec<Slot>,
     free: Vec<u32>,
     groups: Vec<Group>,
@@ -72,12 +75,18 @@
     pub fn new(domain: &str) -> Self {
         Table {
             domain: domain.into(),
+            policy: Policy::default(),
             slots: Vec::new(),
             free: Vec::new(),
             groups: Vec::new(),
         }
     }
 
+    /// The table with another policy.
+    pub fn with_policy(self, policy: Policy) -> Self {
+        Table { policy, ..self }
+    }
+
     /// Follows a configuration change; estimates of remaining servers are kept.
     pub fn update(&mut self, snapshot: &Snapshot) {
         self.retire();
@@ -144,6 +153,7 @@
         let group = self.slot(key).map(|slot| slot.group);
         if let Some(group) = group.and_then(|group| self.groups.get_mut(group)) {
             group.used = true;
+            group.turn = group.turn.wrapping_add(1);
         }
     }
 
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -4,7 +4,7 @@
 
 use super::affinity::mix;
 use super::slot::Group;
-use super::{Key, Request, Table};
+use super::{Key, Policy, Request, Table};
 use crate::clock::Instant;
 
 /// Servers sampled from each near set.
@@ -27,6 +27,24 @@
     /// Chooses a backend server, `None` if none is usable.
     pub fn pick(&self, request: Request<'_>, now: Instant, rng: &mut impl Rng) -> Option<Key> {
         let group = self.group(request.service)?;
+        let near = match self.policy {
+            Policy::Affinity => self.by_affinity(group, request, now, rng),
+            Policy::Random => self.by_random(group, request, now, rng),
+            Policy::RoundRobin => self.first_usable(group, group.turn, request, now),
+            Policy::LeastInFlight => self.by_count(group, request, now, rng),
+        };
+        // Another region is the last resort: its delay is far above that of a queue.
+        let remote = || self.sample(group.remote.len(), |i| group.remote[i], request, now, rng);
+        near.or_else(remote)
+    }
+
+    fn by_affinity(
+        &self,
+        group: &Group,
+        request: Request<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Key> {
         if let Some(hash) = request.affinity
             && let Some(key) = self.preferred(group, hash, request.tried, now)
         {
@@ -39,13 +57,59 @@
             .into_iter()
             .flatten()
             .min_by(|a, b| self.cost(*a, now).total_cmp(&self.cost(*b, now)));
-        let best = best.or_else(|| {
-            let usable = |key: &Key| self.usable(*key, request.tried, now);
-            group.region.iter().map(|(_, key)| *key).find(usable)
-        });
-        // Another region is the last resort: its delay is far above that of a queue.
-        let remote = || self.sample(group.remote.len(), |i| group.remote[i], request, now, rng);
-        best.or_else(remote)
+        best.or_else(|| self.first_usable(group, 0, request, now))
+    }
+
+    fn by_random(
+        &self,
+        group: &Group,
+        request: Request<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Key> {
+        for _ in 0..SAMPLES * DRAWS_PER_SAMPLE {
+            let index = rng.random_range(0..group.region.len().max(1));
+            let (_, key) = *group.region.get(index)?;
+            if self.usable(key, request.tried, now) {
+                return Some(key);
+            }
+        }
+        self.first_usable(group, 0, request, now)
+    }
+
+    fn by_count(
+        &self,
+        group: &Group,
+        request: Request<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Key> {
+        let mut best: Option<(u32, u32, Key)> = None;
+        for &(_, key) in &group.region {
+            if !self.usable(key, request.tried, now) {
+                continue;
+            }
+            let Some(slot) = self.slot(key) else { continue };
+            // Ties are broken by chance.
+            let place = (slot.held(now), rng.random::<u32>(), key);
+            if best.is_none_or(|least| place < least) {
+                best = Some(place);
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    /// The first usable server of the region from `start` on, in turn.
+    fn first_usable(
+        &self,
+        group: &Group,
+        start: usize,
+        request: Request<'_>,
+        now: Instant,
+    ) -> Option<Key> {
+        let count = group.region.len();
+        let mut turn = (0..count).map(|offset| group.region[(start + offset) % count].1);
+        turn.find(|key| self.usable(*key, request.tried, now))
     }
 
     fn preferred(&self, group: &Group, hash: u64, tried: &[Key], now: Instant) -> Option<Key> {
--- a/crates/core/src/route/slot.rs
+++ b/crates/core/src/route/slot.rs
@@ -38,6 +38,8 @@
     pub load: u64,
     pub service_time: f64,
     pub used: bool,
+    /// Dispatches so far, the position of the next one in turn.
+    pub turn: usize,
 }
 
 impl Slot {
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -4,7 +4,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::config::Snapshot;
-use berylgw_core::route::{Key, Load, Request, Table, affinity};
+use berylgw_core::route::{Key, Load, Policy, Request, Table, affinity};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -201,3 +201,72 @@
     table.update(&snapshot(3, &["a"]));
     assert!(table.server(key).is_none());
 }
+
+/// Guards against a policy that passes over a rule of usable servers, and
+/// against one that uses only a part of them.
+#[test]
+fn policies_use_usable_servers() {
+    let policies = [
+        Policy::Affinity,
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::LeastInFlight,
+    ];
+    for policy in policies {
+        let mut snapshot = snapshot(12, &["a", "b", "far"]);
+        snapshot.domains_out = vec!["a".into()];
+        let mut table = table(&snapshot).with_policy(policy);
+        let mut rng = rng();
+        let failed = table.find("s0001").unwrap();
+        let tried = table.find("s0004").unwrap();
+        let mut chosen = Vec::new();
+        for _ in 0..200 {
+            table.failed(failed, NOW);
+            let request = request(None, std::slice::from_ref(&tried));
+            let key = table.pick(request, NOW, &mut rng).unwrap();
+            table.dispatched(key);
+            table.finished(key);
+            chosen.push(name(&table, key));
+        }
+        chosen.sort();
+        chosen.dedup();
+        assert_eq!(chosen, ["s0007", "s0010"], "{policy:?}");
+    }
+}
+
+/// Guards against a round robin that skips servers.
+#[test]
+fn round_robin_in_turn() {
+    let mut table = table(&snapshot(5, &["a"])).with_policy(Policy::RoundRobin);
+    let mut rng = rng();
+    let hash = Some(affinity("x", b"prompt"));
+    let mut chosen = Vec::new();
+    for _ in 0..10 {
+        let key = table.pick(request(hash, &[]), NOW, &mut rng).unwrap();
+        table.dispatched(key);
+        chosen.push(name(&table, key));
+    }
+    let turn = ["s0000", "s0001", "s0002", "s0003", "s0004"];
+    assert_eq!(chosen, [turn, turn].concat());
+}
+
+/// Guards against a choice that does not follow the reports.
+#[test]
+fn least_in_flight_follows_reports() {
+    let mut table = table(&snapshot(8, &["a"])).with_policy(Policy::LeastInFlight);
+    let mut rng = rng();
+    for index in 0..8 {
+        let key = table.find(&format!("s{index:04}")).unwrap();
+        let load = Load {
+            in_flight: if index == 5 { 1 } else { 2 },
+            limit: 8,
+            ..Load::default()
+        };
+        table.reported(key, load, NOW);
+    }
+    let hash = Some(affinity("x", b"prompt"));
+    for _ in 0..20 {
+        let key = table.pick(request(hash, &[]), NOW, &mut rng).unwrap();
+        assert_eq!(name(&table, key), "s0005");
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use berylgw_core::expert::incremental;
+use berylgw_core::route::Policy;
 use berylgw_runtime::settings::Finding;
 use berylgw_runtime::tls::{CallerFiles, PeerFiles};
 use serde::Deserialize;
@@ -29,6 +30,9 @@
     /// Limits and timeouts.
     #[serde(default)]
     pub limits: Limits,
+    /// Choice of backend servers.
+    #[serde(default)]
+    pub routing: Routing,
     /// Claims of idempotency keys.
     #[serde(default)]
     pub ledger: Ledger,
@@ -40,6 +44,14 @@
     pub tls: Tls,
 }
 
+/// Choice of backend servers.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Routing {
+    /// How a server is chosen; all but `affinity` exist only for comparison.
+    pub policy: Policy,
+}
+
 /// Claims of idempotency keys.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -104,6 +104,7 @@
     ) -> Self {
         let clock = Clock::start();
         let limits = &settings.limits;
+        let table = route::Table::new(&settings.domain).with_policy(settings.routing.policy);
         let buffers = buffer::Budget::new(limits.stream_buffer_bytes, limits.buffer_bytes);
         let mut rng = ChaCha8Rng::from_os_rng();
         let names = current.clone();
@@ -120,7 +121,7 @@
             ledger,
             incarnations: Mutex::default(),
             tls,
-            table: Mutex::new(route::Table::new(&settings.domain)),
+            table: Mutex::new(table),
             rng: Mutex::new(rng),
             retries: Mutex::new(retry::Budget::new(clock.now())),
             buffers: Mutex::new(buffers),
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -44,6 +44,23 @@
     }
 }
 
+/// Guards against a routing policy that is not known and silently replaced.
+#[test]
+fn process_settings_policy() {
+    for (policy, code) in [("least_in_flight", 0), ("fastest", 2)] {
+        let text = format!(
+            "name: e\ndomain: d\n\
+             listen: {{callers: '127.0.0.1:0', peers: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
+             platform: {{address: '127.0.0.1:1'}}\nrouting: {{policy: {policy}}}\n"
+        );
+        let path = file("process_settings_policy.yaml", &text);
+        let output = entry(&["--settings", &path, "--check-settings"]);
+        let report = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(code), "{report}");
+        assert_eq!(report.contains(":5: "), code != 0, "{report}");
+    }
+}
+
 /// Guards against exit codes that do not tell wrong use from a failure.
 #[test]
 fn process_exit_codes() {
