Add load scenarios for routing policies and for domain moves of engines

Prompts have a long prefix, drawn by a skewed popularity, and a question of their own. The fake engine counts cached and all prompt blocks; sheets can spread servers over failure domains.

--- a/crates/testkit/src/bin/berylgw-load.rs
+++ b/crates/testkit/src/bin/berylgw-load.rs
@@ -11,6 +11,8 @@
     \x20 cost   latency beside the direct path, throughput\n\
     \x20 idle   control cost and memory of idle streams [--streams N]\n\
     \x20 fair   one client account offers 20 times its share\n\
+    \x20 route  the same load with each routing policy\n\
+    \x20 domain a failure domain of model engines leaves and returns\n\
     \x20 retry  a third of the backend servers slows down tenfold\n\
     \x20 slow   readers of 100 B/s [--streams N] [--buffer-bytes N]";
 
@@ -37,6 +39,8 @@
             "cost" => scenario::cost(&options).await,
             "idle" => scenario::idle(&options, streams).await,
             "fair" => scenario::fair(&options).await,
+            "route" => scenario::route(&options).await,
+            "domain" => scenario::domain(&options).await,
             "retry" => scenario::retry(&options).await,
             "slow" => scenario::slow(&options, streams, buffer_bytes).await,
             _ => Err(USAGE.into()),
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -174,6 +174,10 @@
     pub abandoned: u64,
     /// Requests with a complete answer.
     pub completed: u64,
+    /// Blocks of prompts that were in the prefix cache on arrival.
+    pub cached_blocks: u64,
+    /// Blocks of all prompts.
+    pub prompt_blocks: u64,
 }
 
 /// How often one response id was run.
--- a/crates/testkit/src/engine/cache.rs
+++ b/crates/testkit/src/engine/cache.rs
@@ -31,6 +31,8 @@
     events: VecDeque<Event>,
     sequence: u64,
     rng: ChaCha8Rng,
+    /// Blocks of prompts that were cached, and all blocks of prompts.
+    pub counts: (u64, u64),
 }
 
 impl Cache {
@@ -40,20 +42,23 @@
             events: VecDeque::new(),
             sequence: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            counts: (0, 0),
         }
     }
 
     /// Stores a prompt and returns which part of it was not cached, from 0 to 1.
     pub fn store(&mut self, prompt: &str, settings: &Settings) -> f64 {
         let mut prefix = hash(0, &[]);
-        let mut missed = 0;
-        let mut total = 0;
+        let mut missed = 0_usize;
+        let mut total = 0_usize;
         for block in prompt.as_bytes().chunks(BLOCK_BYTES) {
             prefix = hash(prefix, block);
             total += 1;
             missed += usize::from(!self.touch(prefix, settings));
         }
-        missed as f64 / f64::from(total.max(1))
+        self.counts.0 += (total - missed) as u64;
+        self.counts.1 += total as u64;
+        missed as f64 / total.max(1) as f64
     }
 
     /// Forgets all blocks.
--- a/crates/testkit/src/engine/rank.rs
+++ b/crates/testkit/src/engine/rank.rs
@@ -173,6 +173,8 @@
         };
         Stats {
             executions: self.executions.iter().map(execution).collect(),
+            cached_blocks: self.cache.counts.0,
+            prompt_blocks: self.cache.counts.1,
             ..self.stats.clone()
         }
     }
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -4,6 +4,7 @@
 //! answers, so a slow system does not slow its load down.
 
 pub mod drive;
+pub mod engines;
 pub mod record;
 pub mod scenario;
 pub mod sheet;
--- a/crates/testkit/src/load/drive.rs
+++ b/crates/testkit/src/load/drive.rs
@@ -15,6 +15,10 @@
 use crate::client::{Call, Client, Error};
 use crate::control;
 
+/// Length of a prefix: entries decide on affinity by the first 1,024 bytes of
+/// the messages, the JSON before the prompt included.
+const PREFIX_BYTES: usize = 1_024;
+
 /// Where requests are sent.
 #[derive(Clone, Debug)]
 pub enum Path {
@@ -34,6 +38,15 @@
         /// Different prompts.
         prompts: u32,
     },
+    /// A chat stream whose prompt starts with a long prefix of the offer and
+    /// ends in a question of its own. The most popular prefix is used twice
+    /// as often as the second and k times as often as the one of rank k.
+    Prefixed {
+        /// Tokens of the answer.
+        tokens: u32,
+        /// Different prefixes.
+        prefixes: u32,
+    },
     /// A plain idempotent call.
     Plain,
 }
@@ -87,6 +100,10 @@
     let record: Shared = Arc::new(Mutex::new(Record::new(&offer.name)));
     lock(&record).lasted = time;
     let targets = targets(&offer);
+    let popularity = match offer.work {
+        Work::Prefixed { prefixes, .. } => popularity(prefixes),
+        Work::Chat { .. } | Work::Plain => Vec::new(),
+    };
     let mut requests = JoinSet::new();
     let start = tokio::time::Instant::now();
     let mut due = 0.0;
@@ -95,7 +112,7 @@
         if due >= time.as_secs_f64() {
             break;
         }
-        let prompt = rng.random::<u32>();
+        let prompt = prompt(&offer, &popularity, turn, rng.random::<u32>());
         tokio::time::sleep_until(start + Duration::from_secs_f64(due)).await;
         let target = targets[turn % targets.len()].clone();
         lock(&record).offered += 1;
@@ -118,7 +135,9 @@
         Path::Direct(addresses) => {
             for address in addresses {
                 let target = match offer.work {
-                    Work::Chat { .. } => Target::Chat(Client::new(*address, "")),
+                    Work::Chat { .. } | Work::Prefixed { .. } => {
+                        Target::Chat(Client::new(*address, ""))
+                    }
                     Work::Plain => Target::Plain(control::Client::new(*address)),
                 };
                 targets.push(Arc::new(target));
@@ -128,13 +147,38 @@
     targets
 }
 
-async fn request(target: Arc<Target>, work: Work, prompt: u32, record: Shared) {
+/// Cumulative share of the prefixes up to each rank, the most popular first.
+fn popularity(prefixes: u32) -> Vec<f64> {
+    let mut shares = Vec::new();
+    let mut sum = 0.0;
+    for rank in 1..=prefixes.max(1) {
+        sum += 1.0 / f64::from(rank);
+        shares.push(sum);
+    }
+    shares.iter().map(|share| share / sum).collect()
+}
+
+fn prompt(offer: &Offer, popularity: &[f64], turn: usize, drawn: u32) -> String {
+    match offer.work {
+        Work::Chat { prompts, .. } => format!("prompt {}", drawn % prompts.max(1)),
+        Work::Prefixed { .. } => {
+            let place = f64::from(drawn) / (f64::from(u32::MAX) + 1.0);
+            let rank = popularity.partition_point(|share| *share <= place);
+            let line = format!("{} prefix {rank} ", offer.name);
+            let prefix = line.repeat(PREFIX_BYTES.div_ceil(line.len()));
+            format!("{}question {turn}", &prefix[..PREFIX_BYTES])
+        }
+        Work::Plain => String::new(),
+    }
+}
+
+async fn request(target: Arc<Target>, work: Work, prompt: String, record: Shared) {
     let start = Instant::now();
     let result = match (&*target, work) {
-        (Target::Entry(client) | Target::Chat(client), Work::Chat { tokens, prompts }) => {
-            let prompt = format!("prompt {}", prompt % prompts.max(1));
-            chat(client, &prompt, tokens, start, &record).await
-        }
+        (
+            Target::Entry(client) | Target::Chat(client),
+            Work::Chat { tokens, .. } | Work::Prefixed { tokens, .. },
+        ) => chat(client, &prompt, tokens, start, &record).await,
         (Target::Entry(client) | Target::Chat(client), Work::Plain) => {
             plain(client, start, &record).await
         }
--- a/crates/testkit/src/load/record.rs
+++ b/crates/testkit/src/load/record.rs
@@ -63,13 +63,35 @@
             Error::Broken(_) => "broken",
             Error::Unexpected(_) => "unexpected",
         };
+        self.count_failures(reason, 1);
+    }
+
+    fn count_failures(&mut self, reason: &str, count: u64) {
         let found = self
             .failures
             .binary_search_by(|(known, _)| known.as_str().cmp(reason));
         match found {
-            Ok(index) => self.failures[index].1 += 1,
-            Err(index) => self.failures.insert(index, (reason.to_owned(), 1)),
+            Ok(index) => self.failures[index].1 += count,
+            Err(index) => self.failures.insert(index, (reason.to_owned(), count)),
+        }
+    }
+
+    /// Adds what the requests of another offer experienced in the same time.
+    pub fn merge(&mut self, other: &Record) {
+        self.offered += other.offered;
+        self.complete += other.complete;
+        self.tokens += other.tokens;
+        for (own, add) in [
+            (&mut self.first, &other.first),
+            (&mut self.gap, &other.gap),
+            (&mut self.whole, &other.whole),
+        ] {
+            own.add(add).expect("the bounds are the same");
+        }
+        for (reason, count) in &other.failures {
+            self.count_failures(reason, *count);
         }
+        self.lasted = self.lasted.max(other.lasted);
     }
 
     /// Complete answers per second.
--- a/crates/testkit/src/load/scenario.rs
+++ b/crates/testkit/src/load/scenario.rs
@@ -1,9 +1,11 @@
 //! Scenarios of the load command.
 
 mod cost;
+mod domain;
 mod fair;
 mod idle;
 mod retry;
+mod route;
 mod slow;
 
 use std::error::Error;
@@ -11,9 +13,11 @@
 use std::time::Duration;
 
 pub use cost::cost;
+pub use domain::domain;
 pub use fair::fair;
 pub use idle::idle;
 pub use retry::retry;
+pub use route::route;
 pub use slow::slow;
 
 use super::drive::{Path, Work};
@@ -98,6 +102,13 @@
         }
     }
 
+    /// Runs the operator command line against the platform of the cluster.
+    async fn operate(&self, args: &[&str]) -> Result<()> {
+        let platform = self.cluster.platform.to_string();
+        let args = [args, &["--platform", &platform]].concat();
+        Ok(self.cluster.operate(&args).await.map(drop)?)
+    }
+
     fn usage(&self, entry: usize) -> Result<Usage> {
         Ok(Usage::read(self.cluster.entries[entry].process.id())?)
     }
@@ -134,3 +145,12 @@
         println!("{record}");
     }
 }
+
+/// One record of all offers.
+fn merged(name: &str, records: &[Record]) -> Record {
+    let mut all = Record::new(name);
+    for record in records {
+        all.merge(record);
+    }
+    all
+}
--- a/crates/testkit/src/load/sheet.rs
+++ b/crates/testkit/src/load/sheet.rs
@@ -11,9 +11,11 @@
 const COLUMNS: &str = "kind,name,region,domain,service,address,peer_address,type,fencing,group,\
                        rank,limit,cold_limit,weight,rate,concurrency,token_sha256";
 
-/// What a reduced sheet declares, all in one failure domain.
+/// What a reduced sheet declares, all in one region.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// Failure domains, over which entries and backend servers are spread.
+    pub domains: usize,
     /// Entry hosts.
     pub entries: usize,
     /// Backend servers of the model service, each a rank group of its own, so
@@ -36,6 +38,7 @@
 impl Default for Plan {
     fn default() -> Self {
         Plan {
+            domains: 1,
             entries: 1,
             models: 1,
             plain: 1,
@@ -48,6 +51,11 @@
     }
 }
 
+/// Name of the failure domain with this index.
+pub fn domain(index: usize) -> String {
+    format!("domain-{index}")
+}
+
 /// Name of the client account with this index.
 pub fn account(index: usize) -> String {
     format!("account-{index}")
@@ -63,10 +71,13 @@
     pub fn render(&self) -> String {
         let mut rows = vec![
             COLUMNS.to_owned(),
-            "domain,here,load,,,,,,,,,,,,,,".to_owned(),
             format!("service,{MODEL},load,,,,,model,ignored,,,,,,,,"),
             format!("service,{PLAIN},load,,,,,plain,ignored,,,,,,,,"),
         ];
+        for index in 0..self.domains {
+            rows.push(format!("domain,{},load,,,,,,,,,,,,,,", domain(index)));
+        }
+        let place = |index: usize| domain(index % self.domains.max(1));
         let mut port = 10_000;
         let mut address = || {
             port += 1;
@@ -75,20 +86,23 @@
         for index in 0..self.entries {
             let (callers, peers) = (address(), address());
             rows.push(format!(
-                "entry,entry-{index},,here,,{callers},{peers},,,,,,,,,,"
+                "entry,entry-{index},,{},,{callers},{peers},,,,,,,,,,",
+                place(index)
             ));
         }
         let limits = format!("{},{}", self.limit, self.cold_limit);
         for index in 0..self.models {
             let address = address();
             rows.push(format!(
-                "server,llm-{index},,here,{MODEL},{address},,,,group-{index},0,{limits},,,,"
+                "server,llm-{index},,{},{MODEL},{address},,,,group-{index},0,{limits},,,,",
+                place(index)
             ));
         }
         for index in 0..self.plain {
             let address = address();
             rows.push(format!(
-                "server,app-{index},,here,{PLAIN},{address},,,,,,{limits},,,,"
+                "server,app-{index},,{},{PLAIN},{address},,,,,,{limits},,,,",
+                place(index)
             ));
         }
         for index in 0..self.accounts {
