Let a server's share of the prefixes follow its limit

When a failure domain returned, affinity sent all prefixes of its servers there at once, while their caches were empty and their limits cold: without a report an entry assumed the warm limit. Rendezvous scores are now weighted by the last limit reported; a server that joins others of its service counts with its cold limit until its first report. As the limit grows, prefixes move only to that server. A server without recent reports keeps its weight, so that prefixes do not wander when reports age. Servers of different size get prefixes by limit.

`affinity_share_follows_limit` failed first: the returned half of the servers got 0.492 of the prefixes instead of 4 of 36.

Tried and not kept: a limit of 1 instead of the cold limit until the first report.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -98,7 +98,7 @@
             }
         }
         names.sort();
-        self.groups.clear();
+        let earlier = std::mem::take(&mut self.groups);
         for service in &snapshot.sheet.services {
             self.groups.push(Group {
                 service: service.name.clone(),
@@ -124,6 +124,17 @@
             slot.present = true;
             slot.group = group;
             slot.limit = server.limit.max(1);
+            if !std::mem::replace(&mut slot.before, true) {
+                slot.reported = None;
+                slot.counted = slot.outstanding;
+                // A server that joins others is cold; after the start of the
+                // entry or of a service nothing is known of any of them.
+                let joins = earlier.iter().any(|group| {
+                    let same = group.service == server.service;
+                    same && !(group.region.is_empty() && group.remote.is_empty())
+                });
+                slot.assumed = if joins { server.cold_limit } else { slot.limit };
+            }
             slot.local = *server.domain == *self.domain;
             let key = Key {
                 index,
@@ -140,6 +151,7 @@
                 let hash = first_word(&Sha256::digest(server.name.as_bytes()));
                 place.region.push((hash, key));
                 place.load += u64::from(counted);
+                place.highest = place.highest.max(server.limit.max(1));
             } else {
                 place.remote.push(key);
             }
@@ -211,7 +223,7 @@
             }
             let mut load = slot.reported.map(|(_, load)| load).unwrap_or_default();
             load.limit = if load.limit == 0 {
-                slot.limit
+                slot.assumed
             } else {
                 load.limit
             };
@@ -295,7 +307,7 @@
 
     fn retire(&mut self) {
         for slot in &mut self.slots {
-            slot.present = false;
+            slot.before = std::mem::take(&mut slot.present);
         }
     }
 
@@ -303,12 +315,14 @@
         let fresh = |generation| Slot {
             generation,
             present: true,
+            before: false,
             name: server.name.clone(),
             address: server.address,
             group: 0,
             local: false,
             near: false,
             limit: server.limit.max(1),
+            assumed: server.limit.max(1),
             outstanding: 0,
             reported: None,
             counted: 0,
--- a/crates/core/src/route/affinity.rs
+++ b/crates/core/src/route/affinity.rs
@@ -26,3 +26,12 @@
     let product = u128::from(word) * 0x9e37_79b9_7f4a_7c15;
     (product as u64) ^ ((product >> 64) as u64)
 }
+
+/// Score of a server in weighted rendezvous hashing: its chance to have the
+/// highest one is its share of the weights, and a rise of its weight takes
+/// prefixes from the others only for itself.
+pub(super) fn score(hash: u64, weight: u32) -> f64 {
+    // 53 bits fill the mantissa; the half keeps the logarithm finite.
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    f64::from(weight) / -unit.ln()
+}
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -2,7 +2,7 @@
 
 use rand::Rng;
 
-use super::affinity::mix;
+use super::affinity::{mix, score};
 use super::slot::Group;
 use super::{Key, Policy, Request, Table};
 use crate::clock::Instant;
@@ -121,17 +121,26 @@
         let hash = request.affinity?;
         let mean = (group.load + 1) as f64 / group.region.len().max(1) as f64;
         let mut best = None;
+        // No server with a lower hash can have a higher score.
+        let mut floor = 0;
         for &(server, key) in window(&group.region, mix(hash)) {
-            let score = mix(server ^ hash);
-            if best.is_some_and(|(top, _)| score <= top) || !self.usable(key, request.tried, now) {
+            let mixed = mix(server ^ hash);
+            if mixed < floor {
                 continue;
             }
             let Some(slot) = self.slot(key) else { continue };
+            let score = score(mixed, slot.weight());
+            if best.is_some_and(|(top, _)| score <= top) || !self.usable(key, request.tried, now) {
+                continue;
+            }
             let held = slot.held(now);
             let share = f64::from(slot.bound(now)) * AFFINITY_SHARE;
             let bound = (mean * AFFINITY_SLACK).max(share).max(1.0);
             if f64::from(held) < bound && held < slot.bound(now) {
                 best = Some((score, key));
+                if slot.weight() >= group.highest {
+                    floor = mixed;
+                }
             }
         }
         best.map(|(_, key)| key)
--- a/crates/core/src/route/slot.rs
+++ b/crates/core/src/route/slot.rs
@@ -14,12 +14,16 @@
 pub(super) struct Slot {
     pub generation: u32,
     pub present: bool,
+    /// Whether it took work in the configuration before this one.
+    pub before: bool,
     pub name: Arc<str>,
     pub address: SocketAddr,
     pub group: usize,
     pub local: bool,
     pub near: bool,
     pub limit: u32,
+    /// Limit until the first report.
+    pub assumed: u32,
     pub outstanding: u32,
     pub reported: Option<(Instant, Load)>,
     pub counted: u32,
@@ -35,6 +39,8 @@
     pub region: Vec<(u64, Key)>,
     pub local: Vec<Key>,
     pub remote: Vec<Key>,
+    /// Highest limit of a near server in the sheet.
+    pub highest: u32,
     pub load: u64,
     pub service_time: f64,
     pub used: bool,
@@ -54,7 +60,19 @@
     }
 
     pub fn bound(&self, now: Instant) -> u32 {
-        let reported = self.report(now).map_or(self.limit, |load| load.limit);
+        let unreported = if self.reported.is_some() {
+            self.limit
+        } else {
+            self.assumed
+        };
+        let reported = self.report(now).map_or(unreported, |load| load.limit);
         reported.clamp(1, self.limit)
     }
+
+    /// Share of the prefixes: the last limit known, however old it is, so that
+    /// a server without traffic keeps its prefixes.
+    pub fn weight(&self) -> u32 {
+        let known = self.reported.map_or(self.assumed, |(_, load)| load.limit);
+        known.clamp(1, self.limit)
+    }
 }
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -283,6 +283,51 @@
     (0..count).map(&mut pick).collect()
 }
 
+/// Guards against a failure domain that gets all prefixes of its servers back
+/// at once, while their caches are empty and their limits cold.
+#[test]
+fn affinity_share_follows_limit() {
+    let whole = snapshot(8, &["a", "b"]);
+    let mut out = whole.clone();
+    out.domains_out = vec!["b".into()];
+    let mut table = table(&whole);
+    let warm = preferred(&mut table, 4_000);
+    let warm: Vec<String> = warm.iter().map(|key| name(&table, *key)).collect();
+    table.update(&out);
+    table.update(&whole);
+    let returned: Vec<Key> = (0..4)
+        .map(|index| table.find(&format!("s{:04}", index * 2 + 1)).unwrap())
+        .collect();
+    let share = |chosen: &[Key]| {
+        let there = chosen.iter().filter(|key| returned.contains(key));
+        there.count() as f64 / chosen.len() as f64
+    };
+    // The limits are 8 and 1: 4 of 36 places before the first report.
+    let mut last = preferred(&mut table, 4_000);
+    assert!((share(&last) - 4.0 / 36.0).abs() < 0.03, "{}", share(&last));
+    for limit in [2, 4, 8] {
+        for key in &returned {
+            let load = Load {
+                limit,
+                ..Load::default()
+            };
+            table.reported(*key, load, NOW);
+        }
+        let next = preferred(&mut table, 4_000);
+        let expected = f64::from(limit) / f64::from(limit + 8);
+        assert!((share(&next) - expected).abs() < 0.04, "{}", share(&next));
+        for (before, after) in last.iter().zip(&next) {
+            assert!(before == after || returned.contains(after));
+        }
+        last = next;
+    }
+    let names = |keys: &[Key]| -> Vec<String> {
+        let names = keys.iter().map(|key| name(&table, *key));
+        names.collect()
+    };
+    assert_eq!(names(&last), warm);
+}
+
 /// Guards against prefixes that change their server when another one leaves,
 /// and against servers without prefixes, in a region of many servers.
 #[test]
