--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,4 +30,4 @@
 mod ticket;
 
 pub use server::Entry;
-pub use settings::{Groups, Ledger, Limits, Listen, Platform, Settings, Tls};
+pub use settings::{Groups, Ledger, Limits, Listen, Platform, Routing, Settings, Tls};
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -361,6 +361,7 @@
         },
         seeds: Vec::new(),
         limits,
+        routing: berylgw_entry::Routing::default(),
         ledger: Ledger::default(),
         groups: None,
         tls: berylgw_entry::Tls::default(),
