--- a/crates/testkit/tests/engine.rs
+++ b/crates/testkit/tests/engine.rs
@@ -250,3 +250,19 @@
     let last = events.last().unwrap()["sequence"].as_u64().unwrap();
     assert!(events.len() > 4 && (events.len() as u64) < last, "{reply}");
 }
+
+/// Guards against hits that are counted for a prompt that is not cached, or
+/// against a repeated prompt that counts as missed.
+#[tokio::test]
+async fn stats_count_cached_blocks() {
+    let group = Group::start(1, &["--cache-blocks", "4"]).await;
+    let (first, second) = ("a".repeat(150), "b".repeat(150));
+    // Three blocks each; the second prompt displaces two blocks of the first.
+    let mut counts = Vec::new();
+    for prompt in [&first, &first, &second, &second] {
+        group.caller(0).chat("m", prompt, 1).await.unwrap();
+        let stats = group.stats(0).await;
+        counts.push((stats.cached_blocks, stats.prompt_blocks));
+    }
+    assert_eq!(counts, [(0, 3), (3, 6), (3, 9), (6, 12)]);
+}
