Give servers without load reports work after the longest request

A server that gives no load report got no work at all after a start of its agent, and a busy server whose answers do not show that they are in its reports kept places reserved for ever.

The new setting `server.longest_ms` (default 300,000, as `limits.request_ms` of entries) is the longest time for which the server works on a request, also after its connection has closed. An agent that has run for so long takes it that the work of its predecessor is over, with or without reports; from then on its own count is the whole count.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -101,6 +101,7 @@
             .with_order(settings.queue.order);
         let limits = Limits { warm: 0, cold: 0 };
         let lag = Duration::from_millis(settings.server.report_lag_ms);
+        let longest = Duration::from_millis(settings.server.longest_ms);
         let conviction = Duration::from_millis(settings.quarantine.conviction_ms);
         Gate {
             name: settings.name.clone(),
@@ -111,7 +112,9 @@
                 published: Arc::default(),
                 confirmed_at: Instant::ORIGIN,
                 leaving: false,
-                admission: admission::State::new(limits, queue, lag),
+                // The clock starts with the agent.
+                admission: admission::State::new(limits, queue, lag)
+                    .with_earlier_until(Instant::ORIGIN + longest),
                 quarantine: quarantine::Table::new(conviction, settings.quarantine.capacity),
                 cohort: Cohort::default(),
                 waiters: Vec::new(),
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -83,12 +83,22 @@
     /// Greatest age of a load report, in milliseconds.
     #[serde(default = "report_lag_ms")]
     pub report_lag_ms: u64,
+    /// Longest time for which it works on a request, in milliseconds, also when
+    /// the connection has closed before. So long after the agent's start, the
+    /// server holds no work of an earlier agent.
+    #[serde(default = "longest_ms")]
+    pub longest_ms: u64,
 }
 
 fn report_lag_ms() -> u64 {
     1_000
 }
 
+/// The same as the default of `limits.request_ms` of entries.
+fn longest_ms() -> u64 {
+    300_000
+}
+
 /// Bounds of the queue.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -217,6 +227,7 @@
         findings.push(Finding::new("claims.result_bytes", message));
     }
     for (field, value) in [
+        ("server.longest_ms", settings.server.longest_ms as usize),
         ("queue.total", settings.queue.total),
         ("queue.per_account", settings.queue.per_account),
         ("claims.capacity", settings.claims.capacity),
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -272,6 +272,7 @@
         server: settings::Server {
             address: server,
             report_lag_ms: 1_000,
+            longest_ms: 300_000,
         },
         queue: settings::Queue::default(),
         claims: settings::Claims::default(),
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -124,6 +124,13 @@
         }
     }
 
+    /// Sets the time at which work from before the start is over, whatever load
+    /// reports say and whether or not there are any.
+    pub fn with_earlier_until(mut self, over_at: Instant) -> Self {
+        self.earlier = self.earlier.until(over_at);
+        self
+    }
+
     /// Requests of this agent that the server holds or may still hold.
     pub fn held(&self) -> u32 {
         self.running.len() as u32
@@ -283,7 +290,7 @@
     }
 
     fn start_one(&mut self, now: Instant) -> Option<u64> {
-        let earlier = self.earlier.most()?;
+        let earlier = self.earlier.most(now)?;
         let occupied = self.held() + earlier;
         if occupied >= self.current || self.running.iter().any(|running| running.alone) {
             return None;
--- a/crates/core/src/admission/earlier.rs
+++ b/crates/core/src/admission/earlier.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Earlier {
     lag: Duration,
+    /// When it is over in any case.
+    over_at: Option<Instant>,
     state: State,
     count: Option<Count>,
 }
@@ -40,14 +42,21 @@
     pub fn new(lag: Duration) -> Self {
         Earlier {
             lag,
+            over_at: None,
             state: State::Unknown,
             count: None,
         }
     }
 
+    pub fn until(mut self, over_at: Instant) -> Self {
+        self.over_at = Some(over_at);
+        self
+    }
+
     /// Most requests that it can be; `None` as long as this is unknown.
-    pub fn most(&self) -> Option<u32> {
+    pub fn most(&self, now: Instant) -> Option<u32> {
         match self.state {
+            _ if self.over_at.is_some_and(|over_at| over_at <= now) => Some(0),
             State::AtMost(count) => Some(count),
             _ => None,
         }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -321,3 +321,30 @@
         assert_eq!(running.len(), 4, "silent: {silent}");
     }
 }
+
+/// Guards against a server without load reports that gets no work for ever
+/// after a start of its agent, or gets it while earlier work may go on.
+#[test]
+fn advance_no_reports() {
+    let over_at = Instant::from_millis(300_000);
+    let mut state = state(8, 2).with_earlier_until(over_at);
+    for id in 0..8 {
+        state.offer(Instant::ORIGIN, request(id));
+    }
+    assert!(started(&mut state, Instant::from_millis(299_999)).is_empty());
+    assert_eq!(started(&mut state, over_at), [0, 1]);
+}
+
+/// Guards against places reserved for ever at a busy server whose answers do
+/// not show that they are in its reports.
+#[test]
+fn advance_earlier_work_over() {
+    let over_at = Instant::from_millis(300_000);
+    let mut state = saturated(8).with_earlier_until(over_at);
+    assert_eq!(started(&mut state, Instant::from_millis(1_500)).len(), 4);
+    give(&mut state, report(299_999, 8));
+    assert!(started(&mut state, Instant::from_millis(299_999)).is_empty());
+    assert_eq!(started(&mut state, over_at).len(), 4);
+    give(&mut state, report(300_100, 8));
+    assert!(started(&mut state, Instant::from_millis(300_100)).is_empty());
+}
