Judge the pace of model servers by the time per token

The service time of a stream counts its length: long answers after short ones looked like a slow server and caused a fall back to the cold limit. A server that really turned cold was noticed only when its answers ended.

Streams now give a sample of the time per token while they run: the shorter of two successive times, so that one long step with the prompt of another request is no sign. Whole answers of an engine give the time per token from their usage if they have at least 16 tokens. Plain answers are judged by their whole time as before. The baseline learns at most twice itself from one sample; with whole samples it followed a server that was ten times slower before the recent time reached the threshold of four.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -12,10 +12,12 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response};
+use serde::Deserialize;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::forward::{Error, Server, head_of};
-use crate::place::Place;
+use crate::gaps::Gaps;
+use crate::place::{Place, Time};
 use crate::run::{Answer, Dropped};
 use crate::sse;
 
@@ -32,6 +34,9 @@
 /// Retry time after a failure of the server.
 const RETRY_FAILED: Duration = Duration::from_millis(250);
 
+/// Tokens of a whole answer that are enough for a sample of the time per token.
+const ENOUGH_TOKENS: u32 = 16;
+
 /// Largest result kept for `Seal`, in bytes.
 pub const MAX_RESULT: usize = 16 << 10;
 
@@ -151,8 +156,11 @@
     ) -> Result<(), End> {
         let mut splitter = sse::Splitter::default();
         let mut done = false;
+        let mut gaps = Gaps::new();
         loop {
+            let asked = Instant::now();
             let data = self.next(body, events, answer).await?;
+            let arrived = Instant::now();
             let Some(data) = data else { break };
             kept.push(&data);
             if !events {
@@ -160,10 +168,15 @@
                 continue;
             }
             splitter.push(&data);
+            let mut count = 0;
             while let Some(event) = splitter.next() {
                 done |= sse::is_done(&event);
+                count += 1;
                 pass(answer, event, self.deadline).await?;
             }
+            if let Some(time) = gaps.sample(asked, arrived, count).filter(|_| !done) {
+                self.place.token(time);
+            }
             if splitter.pending() > sse::MAX_EVENT {
                 return Err(End::Corrupt("an event of the server's answer is too long"));
             }
@@ -218,9 +231,16 @@
     }
 
     fn complete(mut self, kept: Kept) {
+        let whole = self.started.elapsed();
+        let time = match self.kind {
+            Kind::Plain => Time::Plain(whole),
+            Kind::Model => Time::Model {
+                whole,
+                per_token: kept.tokens().map(|tokens| whole / tokens),
+            },
+        };
         let healthy = kept.head.status < 500;
-        self.place
-            .completed(healthy.then(|| self.started.elapsed()), kept.result());
+        self.place.completed(healthy.then_some(time), kept.result());
     }
 
     /// Keeps the place until the server does not hold the request any more.
@@ -334,6 +354,25 @@
         }
     }
 
+    /// Tokens of a whole answer of a model engine, if it says so and they are
+    /// enough for its prompt not to decide the time.
+    fn tokens(&self) -> Option<u32> {
+        #[derive(Deserialize)]
+        struct Answer {
+            usage: Usage,
+        }
+        #[derive(Deserialize)]
+        struct Usage {
+            completion_tokens: u32,
+        }
+        if !self.fits {
+            return None;
+        }
+        let answer: Answer = serde_json::from_slice(&self.body).ok()?;
+        let tokens = answer.usage.completion_tokens;
+        (tokens >= ENOUGH_TOKENS).then_some(tokens)
+    }
+
     fn result(self) -> Option<wire::Result> {
         self.fits.then(|| wire::Result {
             status: self.head.status,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod dispatch;
 pub mod engine;
 pub mod forward;
+mod gaps;
 pub mod gate;
 pub mod metrics;
 pub mod once;
--- a/crates/agent/src/place.rs
+++ b/crates/agent/src/place.rs
@@ -20,6 +20,20 @@
     phase: Phase,
 }
 
+/// Time that the server took for an answer.
+#[derive(Clone, Copy, Debug)]
+pub enum Time {
+    /// Of a plain service.
+    Plain(Duration),
+    /// Of a model engine.
+    Model {
+        /// For the whole answer.
+        whole: Duration,
+        /// For each token, if the answer did not come as a stream.
+        per_token: Option<Duration>,
+    },
+}
+
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -90,6 +104,12 @@
         state.admission.heard(self.id, waited_from);
     }
 
+    /// Notes the time between two tokens of the answer.
+    pub fn token(&self, time: Duration) {
+        let mut state = self.gate.lock();
+        state.admission.token(time);
+    }
+
     /// Notes that the server has not seen the request.
     pub fn not_run(&mut self) {
         self.phase = Phase::Ended;
@@ -97,15 +117,19 @@
         self.gate.lock().once.give_back(now, &self.permit);
     }
 
-    /// Notes that the server answered to the end, with its service time if it
+    /// Notes that the server answered to the end, with the time it took if it
     /// answered well and with the result if it is short enough to keep.
-    pub fn completed(&mut self, service_time: Option<Duration>, result: Option<wire::Result>) {
+    pub fn completed(&mut self, service: Option<Time>, result: Option<wire::Result>) {
         self.phase = Phase::Ended;
         let now = self.gate.clock().now();
         let mut state = self.gate.lock();
         state.cohort.clear_suspicion();
-        if let Some(service_time) = service_time {
-            state.admission.complete(service_time);
+        match service {
+            Some(Time::Plain(time)) => state.admission.complete(time),
+            Some(Time::Model { whole, per_token }) => {
+                state.admission.complete_model(whole, per_token);
+            }
+            None => {}
         }
         if self.alone {
             state.quarantine.acquit(self.fingerprint);
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,6 +1,7 @@
 //! Limits and cold-start ramp of one backend server, decided by its agent.
 
 mod earlier;
+mod pace;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,15 +10,13 @@
 use crate::fair::{Full, Queue};
 use crate::outcome::{Reason, Refusal};
 use earlier::Earlier;
+use pace::Pace;
 
-/// Factor by which service time has to rise above its baseline to fall back.
-const RISE_FACTOR: u32 = 4;
+/// Rise of the time of a whole answer below which it is noise.
+const ANSWER_FLOOR: Duration = Duration::from_millis(200);
 
-/// Rise below which service time is noise.
-const RISE_FLOOR: Duration = Duration::from_millis(200);
-
-/// Samples needed before the baseline of service time is used.
-const BASELINE_SAMPLES: u32 = 8;
+/// Rise of the time per token below which it is noise.
+const TOKEN_FLOOR: Duration = Duration::from_millis(50);
 
 /// Retry time given when nothing better is known.
 const DEFAULT_RETRY: Duration = Duration::from_millis(250);
@@ -100,8 +99,10 @@
     waiting: Vec<Request>,
     queue: Queue,
     service_time: Duration,
-    baseline: Duration,
-    samples: u32,
+    answers: Pace,
+    /// Per token of answers that do not come as a stream; includes the prompt.
+    answer_tokens: Pace,
+    tokens: Pace,
 }
 
 impl State {
@@ -119,8 +120,9 @@
             waiting: Vec::new(),
             queue,
             service_time: Duration::ZERO,
-            baseline: Duration::ZERO,
-            samples: 0,
+            answers: Pace::new(ANSWER_FLOOR),
+            answer_tokens: Pace::new(TOKEN_FLOOR),
+            tokens: Pace::new(TOKEN_FLOOR),
         }
     }
 
@@ -237,16 +239,33 @@
         queued
     }
 
-    /// Records the service time of a request that was answered well.
+    /// Records a plain answer and the time it took.
+    ///
+    /// A sudden rise of this time is a fall back to the cold limit.
     pub fn complete(&mut self, service_time: Duration) {
-        self.sample(service_time);
-        self.completed += 1;
-        if self.reported_cold || self.completed < self.current {
-            return;
+        if self.answers.rises(service_time) {
+            self.fall_back();
+        }
+        self.finish(service_time);
+    }
+
+    /// Records an answer of a model, the time it took and, if it did not come
+    /// as a stream, the time per token.
+    ///
+    /// The time of the whole answer follows its length, so only the time per
+    /// token says whether the server has become slow.
+    pub fn complete_model(&mut self, service_time: Duration, per_token: Option<Duration>) {
+        if per_token.is_some_and(|time| self.answer_tokens.rises(time)) {
+            self.fall_back();
+        }
+        self.finish(service_time);
+    }
+
+    /// Records the time between two tokens of a stream.
+    pub fn token(&mut self, time: Duration) {
+        if self.tokens.rises(time) {
+            self.fall_back();
         }
-        self.completed = 0;
-        let step = (self.current / 2).max(1);
-        self.current = (self.current + step).min(self.limits.warm);
     }
 
     /// Frees the place of a request that the server does not hold any more.
@@ -258,8 +277,9 @@
     pub fn fall_back(&mut self) {
         self.current = self.limits.cold.min(self.limits.warm);
         self.completed = 0;
-        self.samples = 0;
-        self.baseline = Duration::ZERO;
+        for pace in [&mut self.answers, &mut self.answer_tokens, &mut self.tokens] {
+            pace.reset();
+        }
     }
 
     /// Notes that the answer to a request has begun to arrive.
@@ -348,18 +368,19 @@
         self.expected_wait().max(DEFAULT_RETRY)
     }
 
-    fn sample(&mut self, service_time: Duration) {
-        if self.samples == 0 {
-            self.service_time = service_time;
-            self.baseline = service_time;
-        }
-        self.samples += 1;
-        self.service_time = (self.service_time * 3 + service_time) / 4;
-        let threshold = (self.baseline * RISE_FACTOR).max(self.baseline + RISE_FLOOR);
-        if self.samples > BASELINE_SAMPLES && self.service_time > threshold {
-            self.fall_back();
+    /// Updates the service time and the ramp.
+    fn finish(&mut self, service_time: Duration) {
+        self.service_time = if self.service_time.is_zero() {
+            service_time
+        } else {
+            (self.service_time * 3 + service_time) / 4
+        };
+        self.completed += 1;
+        if self.reported_cold || self.completed < self.current {
             return;
         }
-        self.baseline = (self.baseline * 31 + service_time) / 32;
+        self.completed = 0;
+        let step = (self.current / 2).max(1);
+        self.current = (self.current + step).min(self.limits.warm);
     }
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -348,3 +348,50 @@
     give(&mut state, report(300_100, 8));
     assert!(started(&mut state, Instant::from_millis(300_100)).is_empty());
 }
+
+/// Guards against a server that is ten times slower and goes unnoticed because
+/// the baseline follows it.
+#[test]
+fn complete_tenfold_rise() {
+    let mut state = ready(8, 2);
+    for _ in 0..30 {
+        state.complete(Duration::from_millis(100));
+    }
+    assert_eq!(state.limit(), 8);
+    for _ in 0..3 {
+        state.complete(Duration::from_secs(1));
+    }
+    // A completed answer counts for the ramp again.
+    assert!(state.limit() < 4, "limit {}", state.limit());
+}
+
+/// Guards against a false fall back when long answers follow short ones.
+#[test]
+fn complete_model_mixed_lengths() {
+    let token = Duration::from_millis(20);
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut state = ready(8, 2);
+    for round in 0..200 {
+        let tokens = if round % 20 < 18 { 4 } else { 2_000 };
+        for _ in 0..4 {
+            state.token(token + Duration::from_millis(random.random_range(0..20)));
+        }
+        state.complete_model(token * tokens, Some(token));
+        assert!(round < 30 || state.limit() == 8, "round {round}");
+    }
+}
+
+/// Guards against a model server that turned cold and is noticed only when its
+/// long answers end.
+#[test]
+fn token_rises() {
+    let mut state = ready(8, 2);
+    for _ in 0..30 {
+        state.token(Duration::from_millis(20));
+        state.complete_model(Duration::from_secs(1), None);
+    }
+    assert_eq!(state.limit(), 8);
+    state.token(Duration::from_millis(200));
+    state.token(Duration::from_millis(200));
+    assert_eq!(state.limit(), 2);
+}
