Keep a fallen server at its cold limit until a later report

After a fall back, completed work raised the limit again while late load reports still called the server warm: with reports two seconds late and short answers the ramp was over before the first report that says cold. An idle server that restarted between two requests kept its warm limit. An engine that stalls reports a state older than its lag allows, so the server's clock alone does not show that a report is from after the start of the agent.

The ramp now waits for a report from after the fall back that does not say cold. A report whose clock went back, or a load call that finds no server, is a fall back. Reports count as later than the start, or than a fall back, only if they are late enough by the agent's clock as well. A server without load reports ramps by completed work as before; one whose reports stop stays at its cold limit after a fall back.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -16,7 +16,7 @@
 use wire::sync_client::SyncClient;
 
 use crate::convert;
-use crate::forward::Server;
+use crate::forward::{Error, Server};
 use crate::gate::Gate;
 use crate::metrics::Metrics;
 
@@ -272,7 +272,12 @@
         let asked = gate.clock().now();
         match timeout(CALL_TIMEOUT, server.load()).await {
             Ok(Ok(report)) => gate.report(asked, report),
-            Ok(Err(error)) => tracing::debug!(%error, "no load report"),
+            Ok(Err(error)) => {
+                if matches!(error, Error::Connect(_)) {
+                    gate.lost();
+                }
+                tracing::debug!(%error, "no load report");
+            }
             Err(_) => tracing::debug!("load report timed out"),
         }
         gate.tick();
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -156,7 +156,7 @@
         // The caches of a server that got no work are cold. Both moves of a
         // failure domain may arrive at once.
         if is_open && (moved || !was_open) {
-            state.admission.fall_back();
+            state.admission.fall_back(self.clock.now());
         }
         if let Some(server) = state.published.snapshot.server(&self.name) {
             let limits = Limits {
@@ -181,6 +181,12 @@
         self.settle(&mut state);
     }
 
+    /// Notes that the server cannot be reached: it comes back cold.
+    pub fn lost(&self) {
+        let now = self.clock.now();
+        self.lock().admission.fall_back(now);
+    }
+
     /// Gives up queued requests whose deadline has passed.
     pub fn tick(&self) {
         self.settle(&mut self.lock());
--- a/crates/agent/src/place.rs
+++ b/crates/agent/src/place.rs
@@ -106,8 +106,8 @@
 
     /// Notes the time between two tokens of the answer.
     pub fn token(&self, time: Duration) {
-        let mut state = self.gate.lock();
-        state.admission.token(time);
+        let now = self.gate.clock().now();
+        self.gate.lock().admission.token(now, time);
     }
 
     /// Notes that the server has not seen the request.
@@ -125,9 +125,9 @@
         let mut state = self.gate.lock();
         state.cohort.clear_suspicion();
         match service {
-            Some(Time::Plain(time)) => state.admission.complete(time),
+            Some(Time::Plain(time)) => state.admission.complete(now, time),
             Some(Time::Model { whole, per_token }) => {
-                state.admission.complete_model(whole, per_token);
+                state.admission.complete_model(now, whole, per_token);
             }
             None => {}
         }
@@ -171,7 +171,7 @@
             return;
         };
         self.quarantine.crash(now, &fingerprints);
-        self.admission.fall_back();
+        self.admission.fall_back(now);
         self.crashes += 1;
         tracing::warn!(suspects = fingerprints.len(), "backend server crashed");
     }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,6 +1,7 @@
 //! Limits and cold-start ramp of one backend server, decided by its agent.
 
 mod earlier;
+mod fence;
 mod pace;
 
 use std::sync::Arc;
@@ -10,6 +11,7 @@
 use crate::fair::{Full, Queue};
 use crate::outcome::{Reason, Refusal};
 use earlier::Earlier;
+use fence::Fence;
 use pace::Pace;
 
 /// Rise of the time of a whole answer below which it is noise.
@@ -94,6 +96,11 @@
     current: u32,
     completed: u32,
     reported_cold: bool,
+    /// When the server made its last load report, by its own clock.
+    reported_ms: Option<u64>,
+    report_lag: Duration,
+    /// Ramp that waits for a report from after the last fall back.
+    fallen: Option<Fence>,
     earlier: Earlier,
     running: Vec<Running>,
     waiting: Vec<Request>,
@@ -115,6 +122,9 @@
             current: limits.cold.min(limits.warm),
             completed: 0,
             reported_cold: false,
+            reported_ms: None,
+            report_lag,
+            fallen: None,
             earlier: Earlier::new(report_lag),
             running: Vec::new(),
             waiting: Vec::new(),
@@ -242,9 +252,9 @@
     /// Records a plain answer and the time it took.
     ///
     /// A sudden rise of this time is a fall back to the cold limit.
-    pub fn complete(&mut self, service_time: Duration) {
+    pub fn complete(&mut self, now: Instant, service_time: Duration) {
         if self.answers.rises(service_time) {
-            self.fall_back();
+            self.fall_back(now);
         }
         self.finish(service_time);
     }
@@ -254,17 +264,22 @@
     ///
     /// The time of the whole answer follows its length, so only the time per
     /// token says whether the server has become slow.
-    pub fn complete_model(&mut self, service_time: Duration, per_token: Option<Duration>) {
+    pub fn complete_model(
+        &mut self,
+        now: Instant,
+        service_time: Duration,
+        per_token: Option<Duration>,
+    ) {
         if per_token.is_some_and(|time| self.answer_tokens.rises(time)) {
-            self.fall_back();
+            self.fall_back(now);
         }
         self.finish(service_time);
     }
 
     /// Records the time between two tokens of a stream.
-    pub fn token(&mut self, time: Duration) {
+    pub fn token(&mut self, now: Instant, time: Duration) {
         if self.tokens.rises(time) {
-            self.fall_back();
+            self.fall_back(now);
         }
     }
 
@@ -274,7 +289,15 @@
     }
 
     /// Falls back to the cold limit at once.
-    pub fn fall_back(&mut self) {
+    ///
+    /// A server that gives load reports stays there until one from after this
+    /// moment says that it is not cold: late ones may still call it warm.
+    pub fn fall_back(&mut self, now: Instant) {
+        self.lower();
+        self.fallen = self.reported_ms.map(|_| Fence::new(now));
+    }
+
+    fn lower(&mut self) {
         self.current = self.limits.cold.min(self.limits.warm);
         self.completed = 0;
         for pace in [&mut self.answers, &mut self.answer_tokens, &mut self.tokens] {
@@ -302,10 +325,19 @@
 
     /// Takes in a load report that was asked for at `asked`.
     pub fn report(&mut self, asked: Instant, now: Instant, report: Report) {
+        // The clock of a restarted server starts again.
+        if self.reported_ms.is_some_and(|last| report.as_of_ms < last) {
+            self.fall_back(now);
+        }
+        self.reported_ms = Some(report.as_of_ms);
         if report.cold {
-            self.fall_back();
+            self.lower();
         }
         self.reported_cold = report.cold;
+        let fallen = self.fallen.as_mut();
+        if fallen.is_some_and(|fence| fence.passes(asked, report, self.report_lag)) {
+            self.fallen = None;
+        }
         self.earlier.report(asked, now, report, &self.running);
     }
 
@@ -375,8 +407,11 @@
         } else {
             (self.service_time * 3 + service_time) / 4
         };
+        if self.reported_cold || self.fallen.is_some() {
+            return;
+        }
         self.completed += 1;
-        if self.reported_cold || self.completed < self.current {
+        if self.completed < self.current {
             return;
         }
         self.completed = 0;
--- a/crates/core/src/admission/earlier.rs
+++ b/crates/core/src/admission/earlier.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::fence::Fence;
 use super::{Report, Running};
 use crate::clock::Instant;
 
@@ -15,12 +16,10 @@
     count: Option<Count>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 enum State {
-    /// No report yet.
-    Unknown,
-    /// Reports up to this time by the server's clock may predate the start.
-    Waiting { after_ms: u64 },
+    /// No report that describes the server after the start.
+    Unknown(Fence),
     /// At most this many.
     AtMost(u32),
 }
@@ -43,7 +42,7 @@
         Earlier {
             lag,
             over_at: None,
-            state: State::Unknown,
+            state: State::Unknown(Fence::new(Instant::ORIGIN)),
             count: None,
         }
     }
@@ -64,22 +63,16 @@
 
     /// Takes in a report that was asked for at `asked` and arrived at `now`.
     pub fn report(&mut self, asked: Instant, now: Instant, report: Report, running: &[Running]) {
-        let lag_ms = self.lag.as_millis() as u64;
-        self.state = match self.state {
-            State::Unknown => State::Waiting {
-                after_ms: report.as_of_ms + lag_ms,
-            },
-            // The clock of a restarted server starts again.
-            State::Waiting { after_ms } if report.as_of_ms + lag_ms < after_ms => State::Waiting {
-                after_ms: report.as_of_ms + lag_ms,
-            },
-            State::Waiting { after_ms } if report.as_of_ms <= after_ms => {
-                State::Waiting { after_ms }
+        match &mut self.state {
+            State::Unknown(fence) => {
+                if !fence.passes(asked, report, self.lag) {
+                    return;
+                }
+                self.state = State::AtMost(report.in_flight);
             }
-            State::Waiting { .. } => State::AtMost(report.in_flight),
             // Reports include the agent's own work, so they only bound it.
-            State::AtMost(count) => State::AtMost(count.min(report.in_flight)),
-        };
+            State::AtMost(count) => *count = report.in_flight.min(*count),
+        }
         self.subtract_own(asked, now, report, running);
     }
 
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -99,7 +99,7 @@
     let service_time = Duration::from_millis(10);
     let mut limits = vec![state.limit()];
     for _ in 0..30 {
-        state.complete(service_time);
+        state.complete(Instant::ORIGIN, service_time);
         if limits.last() != Some(&state.limit()) {
             limits.push(state.limit());
         }
@@ -112,7 +112,7 @@
     give(&mut state, cold);
     assert_eq!(state.limit(), 2);
     for _ in 0..30 {
-        state.complete(service_time);
+        state.complete(Instant::ORIGIN, service_time);
     }
     assert_eq!(state.limit(), 2);
 }
@@ -122,10 +122,10 @@
 fn complete_service_time_rises() {
     let mut state = ready(8, 2);
     for _ in 0..30 {
-        state.complete(Duration::from_millis(100));
+        state.complete(Instant::ORIGIN, Duration::from_millis(100));
     }
     assert_eq!(state.limit(), 8);
-    state.complete(Duration::from_secs(5));
+    state.complete(Instant::ORIGIN, Duration::from_secs(5));
     assert_eq!(state.limit(), 2);
 }
 
@@ -134,7 +134,7 @@
 fn offer_deadline_cannot_be_met() {
     let now = Instant::ORIGIN;
     let mut state = ready(1, 1);
-    state.complete(Duration::from_millis(100));
+    state.complete(Instant::ORIGIN, Duration::from_millis(100));
     state.offer(now, request(1));
     assert_eq!(started(&mut state, now), [1]);
     let hurried = Request {
@@ -154,7 +154,7 @@
 fn offer_idle_server() {
     let now = Instant::ORIGIN;
     let mut state = ready(1, 1);
-    state.complete(Duration::from_secs(60));
+    state.complete(Instant::ORIGIN, Duration::from_secs(60));
     let short = Request {
         deadline: Instant::from_millis(1_000),
         ..request(1)
@@ -231,7 +231,10 @@
             }
             2 if !running.is_empty() => {
                 let index = random.random_range(0..running.len());
-                state.complete(Duration::from_millis(random.random_range(1..2_000)));
+                state.complete(
+                    Instant::ORIGIN,
+                    Duration::from_millis(random.random_range(1..2_000)),
+                );
                 state.release(running.swap_remove(index));
             }
             3 => earlier = earlier.saturating_sub(random.random_range(0..2)),
@@ -355,11 +358,11 @@
 fn complete_tenfold_rise() {
     let mut state = ready(8, 2);
     for _ in 0..30 {
-        state.complete(Duration::from_millis(100));
+        state.complete(Instant::ORIGIN, Duration::from_millis(100));
     }
     assert_eq!(state.limit(), 8);
     for _ in 0..3 {
-        state.complete(Duration::from_secs(1));
+        state.complete(Instant::ORIGIN, Duration::from_secs(1));
     }
     // A completed answer counts for the ramp again.
     assert!(state.limit() < 4, "limit {}", state.limit());
@@ -374,9 +377,12 @@
     for round in 0..200 {
         let tokens = if round % 20 < 18 { 4 } else { 2_000 };
         for _ in 0..4 {
-            state.token(token + Duration::from_millis(random.random_range(0..20)));
+            state.token(
+                Instant::ORIGIN,
+                token + Duration::from_millis(random.random_range(0..20)),
+            );
         }
-        state.complete_model(token * tokens, Some(token));
+        state.complete_model(Instant::ORIGIN, token * tokens, Some(token));
         assert!(round < 30 || state.limit() == 8, "round {round}");
     }
 }
@@ -387,11 +393,66 @@
 fn token_rises() {
     let mut state = ready(8, 2);
     for _ in 0..30 {
-        state.token(Duration::from_millis(20));
-        state.complete_model(Duration::from_secs(1), None);
+        state.token(Instant::ORIGIN, Duration::from_millis(20));
+        state.complete_model(Instant::ORIGIN, Duration::from_secs(1), None);
     }
     assert_eq!(state.limit(), 8);
-    state.token(Duration::from_millis(200));
-    state.token(Duration::from_millis(200));
+    state.token(Instant::ORIGIN, Duration::from_millis(200));
+    state.token(Instant::ORIGIN, Duration::from_millis(200));
+    assert_eq!(state.limit(), 2);
+}
+
+/// Guards against work from before a restart that an engine which stalled left
+/// out of its first reports: they are older than its lag allows.
+#[test]
+fn report_after_stall() {
+    let mut state = state(4, 4);
+    for id in 0..4 {
+        state.offer(Instant::ORIGIN, request(id));
+    }
+    let at = Instant::from_millis;
+    state.report(at(0), at(0), report(1_000, 0));
+    state.report(at(100), at(100), report(5_000, 0));
+    assert!(started(&mut state, at(100)).is_empty());
+    state.report(at(1_000), at(1_000), report(6_000, 3));
+    assert_eq!(started(&mut state, at(1_000)), [0]);
+}
+
+/// Guards against a ramp that is over while late reports still call a server
+/// warm that has turned cold.
+#[test]
+fn complete_reports_late() {
+    let mut state = ready(8, 2);
+    let answers = |state: &mut State, now_ms| {
+        for _ in 0..30 {
+            state.complete(Instant::from_millis(now_ms), Duration::from_millis(10));
+        }
+    };
+    answers(&mut state, 3_000);
+    assert_eq!(state.limit(), 8);
+    state.fall_back(Instant::from_millis(4_000));
+    for now_ms in (4_000..5_000).step_by(100) {
+        give(&mut state, report(now_ms, 0));
+        answers(&mut state, now_ms);
+        assert_eq!(state.limit(), 2, "{now_ms} ms");
+    }
+    give(&mut state, report(5_100, 0));
+    answers(&mut state, 5_100);
+    assert_eq!(state.limit(), 8);
+}
+
+/// Guards against the warm limit for an idle server that restarted unnoticed.
+#[test]
+fn report_server_restarts_cold() {
+    let mut state = ready(8, 2);
+    for _ in 0..30 {
+        state.complete(Instant::from_millis(2_000), Duration::from_millis(10));
+    }
+    assert_eq!(state.limit(), 8);
+    state.report(
+        Instant::from_millis(3_000),
+        Instant::from_millis(3_000),
+        report(10, 0),
+    );
     assert_eq!(state.limit(), 2);
 }
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -101,7 +101,10 @@
         }
         if ends <= comes {
             let (end, id, start) = held.remove(0);
-            state.complete(Duration::from_micros(end - start));
+            state.complete(
+                Instant::from_micros(now),
+                Duration::from_micros(end - start),
+            );
             state.release(id);
             let arrival = &arrivals[id as usize];
             outcomes[arrival.account].latencies.push(end - arrival.at);
--- a/crates/core/tests/storm.rs
+++ b/crates/core/tests/storm.rs
@@ -103,7 +103,7 @@
         let at = Instant::from_micros(now);
         if ends <= comes {
             let (end, start, id, index) = held.remove(0);
-            servers[index].complete(Duration::from_micros(end - start));
+            servers[index].complete(at, Duration::from_micros(end - start));
             servers[index].release(id);
             table.finished(keys[index]);
             table.reported(keys[index], load(&servers[index]), at);
