Test limits of servers under faults with real processes

Nothing with real processes showed that eight entries that do not hear of one another, late load reports, killed agents and ranks that turn cold cannot overfill a server.

tests/limits.rs does so on a rank group of three (limit 8, cold limit 2) and a plain service of two (limit 6, cold limit 2) with 80 callers: agents killed one by one, all of them killed after a burst that no report shows yet, ranks turned cold or crashed, and mixes, from fixed seeds. The fakes go on with abandoned work (`--run-abandoned`), reports are two or five seconds late, and a rank can turn cold with a few slow steps as the only notice (`notice_steps`). No server may be overfilled, and every request has to end with an answer or a refusal.

--- a/crates/testkit/src/bin/fake-engine.rs
+++ b/crates/testkit/src/bin/fake-engine.rs
@@ -79,6 +79,7 @@
         expert_slots,
         expert_share: default.expert_share,
         drift: drift.unwrap_or(default.drift),
+        run_abandoned: args.contains("--run-abandoned"),
         unchecked_maps: args.contains("--unchecked-maps"),
         crash_marker: crash_marker.unwrap_or(default.crash_marker),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(default.seed),
--- a/crates/testkit/src/bin/fake-service.rs
+++ b/crates/testkit/src/bin/fake-service.rs
@@ -47,5 +47,6 @@
         work,
         restart,
         load_lag,
+        run_abandoned: args.contains("--run-abandoned"),
     })
 }
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -58,6 +58,9 @@
     pub entry: String,
     /// Further lines of the settings of each agent.
     pub agent: String,
+    /// Greatest age of a load report in the settings of each agent, if not the
+    /// default.
+    pub report_lag_ms: Option<u64>,
     /// Whether the bytes between entries and the platform, and to the peer
     /// interfaces of entries, are counted.
     pub counted: bool,
@@ -415,14 +418,18 @@
         let mut served = fakes.iter().flat_map(|fake| &fake.servers);
         let local = served.find(|(name, _)| *name == server.name);
         let (_, local) = local.ok_or_else(|| Error(format!("{}: no fake", server.name)))?;
+        let lag = extra
+            .report_lag_ms
+            .map(|lag| format!(", report_lag_ms: {lag}"));
         let settings = format!(
             "name: {}\ndomain: {}\n\
              listen: {{agent: '127.0.0.1:0', metrics: '127.0.0.1:0'}}\n\
              entries: {}\n\
-             server: {{address: '{local}'}}\n{}",
+             server: {{address: '{local}'{}}}\n{}",
             server.name,
             server.domain,
             quoted(&homes),
+            lag.unwrap_or_default(),
             extra.agent,
         );
         agents.push(start_member("berylgw-agent", "agent", server, scratch, &settings).await?);
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -63,6 +63,8 @@
     pub expert_share: f64,
     /// Standard deviation of the logarithm of an expert's demand, per step.
     pub drift: f64,
+    /// Whether a request goes on to its end after its caller went away.
+    pub run_abandoned: bool,
     /// Ranks without the stamped map use another one instead of waiting.
     pub unchecked_maps: bool,
     /// Text in a prompt that makes the rank fall over.
@@ -94,6 +96,7 @@
             expert_slots: 0,
             expert_share: 0.4,
             drift: 0.01,
+            run_abandoned: false,
             unchecked_maps: false,
             crash_marker: "#crash#".to_owned(),
             seed: 1,
@@ -113,6 +116,9 @@
     pub slow_factor: Option<f64>,
     /// Turns the rank cold or warm.
     pub cold: Option<bool>,
+    /// With `cold`: steps with a token for a caller after which the cold limit
+    /// applies. They are the only notice of a rank whose reports are late.
+    pub notice_steps: u64,
     /// Makes the rank fall over.
     pub crash: bool,
 }
--- a/crates/testkit/src/engine/group.rs
+++ b/crates/testkit/src/engine/group.rs
@@ -158,6 +158,7 @@
             rank.slow_factor = fault.slow_factor.unwrap_or(rank.slow_factor);
             if let Some(cold) = fault.cold {
                 rank.turn(cold);
+                rank.notice_steps = fault.notice_steps;
             }
             if fault.crash {
                 self.fall_over(&mut group, fault.rank);
--- a/crates/testkit/src/engine/job.rs
+++ b/crates/testkit/src/engine/job.rs
@@ -39,12 +39,17 @@
         false
     }
 
+    /// Whether a step gives its caller a token.
+    pub fn is_seen(&self) -> bool {
+        self.prefill_steps == 0 && self.next < self.end && !self.progress.is_closed()
+    }
+
     /// Emits one token.
-    pub fn step(&mut self) -> Step {
+    pub fn step(&mut self, run_abandoned: bool) -> Step {
         if self.next < self.end {
             let token = super::answer::token(&self.prompt, self.next);
             self.next += 1;
-            if self.progress.send(Progress::Token(token)).is_err() {
+            if self.progress.send(Progress::Token(token)).is_err() && !run_abandoned {
                 return Step::Abandoned;
             }
         }
--- a/crates/testkit/src/engine/rank.rs
+++ b/crates/testkit/src/engine/rank.rs
@@ -17,6 +17,8 @@
     pub stalled: bool,
     pub slow_factor: f64,
     pub cold: bool,
+    /// Steps with a token for a caller until the cold limit applies.
+    pub notice_steps: u64,
     /// Requests completed since the rank turned cold.
     warmed: u64,
     /// Differs after each start.
@@ -39,6 +41,7 @@
             stalled: false,
             slow_factor: 1.0,
             cold: settings.cold,
+            notice_steps: 0,
             warmed: 0,
             incarnation: 1,
             maps: BTreeMap::from([(0, now)]),
@@ -62,7 +65,7 @@
     }
 
     fn limit(&self, settings: &Settings) -> usize {
-        if self.cold {
+        if self.cold && self.notice_steps == 0 {
             settings.cold_capacity
         } else {
             settings.capacity
@@ -71,6 +74,7 @@
 
     pub fn turn(&mut self, cold: bool) {
         self.cold = cold;
+        self.notice_steps = 0;
         self.warmed = 0;
     }
 
@@ -114,6 +118,8 @@
 
     /// One token for each running job; prompts advance by one step of prefill.
     pub fn step(&mut self, settings: &Settings) {
+        let seen = self.jobs.iter().any(Job::is_seen);
+        self.notice_steps = self.notice_steps.saturating_sub(u64::from(seen));
         self.jobs.sort_by_key(|job| std::cmp::Reverse(job.priority));
         let mut kept = Vec::with_capacity(self.jobs.len());
         for mut job in std::mem::take(&mut self.jobs) {
@@ -121,7 +127,7 @@
                 kept.push(job);
                 continue;
             }
-            match job.step() {
+            match job.step(settings.run_abandoned) {
                 Step::Running => kept.push(job),
                 Step::Completed => self.complete(settings),
                 Step::Abandoned => self.stats.abandoned += 1,
--- a/crates/testkit/src/service.rs
+++ b/crates/testkit/src/service.rs
@@ -23,6 +23,8 @@
     pub restart: Duration,
     /// Lag of the reported load.
     pub load_lag: Duration,
+    /// Whether a request goes on to its end after its caller went away.
+    pub run_abandoned: bool,
 }
 
 impl Default for Settings {
@@ -33,6 +35,7 @@
             work: Duration::from_millis(5),
             restart: Duration::from_millis(500),
             load_lag: Duration::from_millis(200),
+            run_abandoned: false,
         }
     }
 }
--- a/crates/testkit/src/service/http.rs
+++ b/crates/testkit/src/service/http.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use super::state::{Ending, Service};
+use super::state::{Ending, Place, Service};
 use super::{Execution, Stats};
 use crate::control::patched;
 use crate::engine::answer;
@@ -55,7 +55,7 @@
 ) -> Response {
     let Target { service, server } = target;
     let place = service.enter(server);
-    work(&service).await;
+    let place = worked(&service, place).await;
     let ending = service.state().run(&request.booking);
     match ending {
         Ending::Answer(serial) => {
@@ -73,13 +73,27 @@
 }
 
 async fn stock(State(target): State<Target>, Path(item): Path<String>) -> Json<Value> {
-    let _place = target.service.enter(target.server);
-    work(&target.service).await;
+    let place = target.service.enter(target.server);
+    let _place = worked(&target.service, place).await;
     let count = answer::token(&item, 0);
     let count = u32::from_str_radix(count.trim(), 16).unwrap_or_default();
     Json(json!({ "item": item, "count": count }))
 }
 
+/// Does the work of a place and gives the place back.
+async fn worked(service: &Service, place: Place) -> Option<Place> {
+    if !service.state().settings.run_abandoned {
+        work(service).await;
+        return Some(place);
+    }
+    let service = service.clone();
+    let task = tokio::spawn(async move {
+        work(&service).await;
+        place
+    });
+    task.await.ok()
+}
+
 async fn work(service: &Service) {
     let time = {
         let state = service.state();
--- /dev/null
+++ b/crates/testkit/tests/limits.rs
@@ -0,0 +1,431 @@
+//! Limits of backend servers under faults, with real processes.
+//!
+//! The fakes count every request beyond what they can hold, whichever entry or
+//! incarnation of an agent sent it.
+
+mod support;
+
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use berylgw_core::client::token_digest;
+use berylgw_testkit::answer;
+use berylgw_testkit::client::{Client, Error};
+use berylgw_testkit::cluster::{Cluster, Extra, Member};
+use berylgw_testkit::control;
+use berylgw_testkit::engine::Stats as RankStats;
+use berylgw_testkit::service::Stats;
+use berylgw_testkit::version::probes;
+use berylgw_wire as wire;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use support::{HEADER, INTERVAL, TOKEN, all_reach, booking, cut_peers};
+use tokio::task::JoinSet;
+
+const ENTRIES: u64 = 8;
+const RANKS: usize = 3;
+const SERVERS: usize = 2;
+
+/// Limits of a rank and of a server of the plain service.
+const RANK_WARM: usize = 8;
+const RANK_COLD: usize = 2;
+const SERVER_WARM: usize = 6;
+const SERVER_COLD: usize = 2;
+
+/// Callers of each entry that send one request after the other.
+const STREAMS: u64 = 6;
+const CALLS: u64 = 4;
+
+/// Slow steps after which a rank that turned cold holds no more than its cold
+/// limit: two make a pause between tokens a sign, and two are for the requests
+/// on their way.
+const NOTICE_STEPS: u64 = 4;
+
+/// Restarts of one agent after the other.
+const RESTARTS: usize = 5;
+
+/// Faults of different kinds in one schedule.
+const MIXED: usize = 8;
+
+/// Faults of one schedule that waits for the warm limit before each of them.
+const COLD_TURNS: usize = 3;
+
+/// Kills of all agents after a burst.
+const BURSTS: usize = 2;
+
+/// Tokens of a stream, and time of a plain call.
+const TOKENS: Range<u32> = 2..24;
+const WORK_MS: u64 = 300;
+
+/// The same for work that goes on while its agent is restarted.
+const LONG_TOKENS: Range<u32> = 150..200;
+const LONG_WORK_MS: u64 = 4_000;
+
+/// Lag of load reports, and one that covers a burst and the restarts after it.
+const LAG_MS: u64 = 2_000;
+const LONG_LAG_MS: u64 = 5_000;
+
+/// Requests answered between two faults.
+const ANSWERS: u64 = 100;
+
+fn sheet() -> String {
+    let mut rows = vec![HEADER.to_owned(), "domain,a,r,,,,,,,,,,,,,,".to_owned()];
+    for entry in 0..ENTRIES {
+        let port = 1001 + entry;
+        let row = format!("entry,e{entry},,a,,127.9.9.9:{port},127.9.9.9:1{port},,,,,,,,,,");
+        rows.push(row);
+    }
+    rows.push("service,llm,r,,,,,model,ignored,,,,,,,,".to_owned());
+    rows.push("service,app,r,,,,,plain,ignored,,,,,,,,".to_owned());
+    for rank in 0..RANKS {
+        let port = 1101 + rank;
+        rows.push(format!(
+            "server,g{rank},,a,llm,127.9.9.9:{port},,,,g,{rank},{RANK_WARM},{RANK_COLD},,,,"
+        ));
+    }
+    for server in 0..SERVERS {
+        let port = 1201 + server;
+        rows.push(format!(
+            "server,s{server},,a,app,127.9.9.9:{port},,,,,,{SERVER_WARM},{SERVER_COLD},,,,"
+        ));
+    }
+    let digest = token_digest(TOKEN);
+    rows.push(format!("account,works,,,,,,,,,,,,1,100000,1000,{digest}"));
+    rows.push("grant,works,,,llm,,,,,,,,,,,,".to_owned());
+    rows.push("grant,works,,,app,,,,,,,,,,,,".to_owned());
+    rows.push(String::new());
+    rows.join("\n")
+}
+
+fn words(text: String) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
+}
+
+/// Starts the cluster with entries that do not hear of one another and fakes
+/// that report their load late and go on with abandoned work.
+async fn start(work_ms: u64, lag_ms: u64) -> Cluster {
+    let extra = Extra {
+        engine: words(format!(
+            "--step-ms 20 --capacity {RANK_WARM} --cold-capacity {RANK_COLD} --cold-factor 10 \
+             --warm-after 6 --prefill-steps 5 --load-lag-ms {lag_ms} --run-abandoned"
+        )),
+        service: words(format!(
+            "--capacity {SERVER_WARM} --work-ms {work_ms} --load-lag-ms {lag_ms} --run-abandoned"
+        )),
+        report_lag_ms: Some(lag_ms + 1_000),
+        proxied_entries: true,
+        ..Extra::default()
+    };
+    let cluster = Cluster::start(&sheet(), &extra).await.unwrap();
+    all_reach(&mut probes(&cluster).await.unwrap(), 1).await;
+    for entry in &cluster.entries {
+        cut_peers(entry, true).await;
+    }
+    cluster
+}
+
+/// What became of the requests of all callers.
+#[derive(Debug, Default)]
+struct Tally {
+    stop: AtomicBool,
+    pause: AtomicBool,
+    answered: AtomicU64,
+    refused: AtomicU64,
+}
+
+impl Tally {
+    async fn note<T>(&self, result: Result<T, Error>) -> Option<T> {
+        match result {
+            Ok(answer) => {
+                self.answered.fetch_add(1, Ordering::Relaxed);
+                Some(answer)
+            }
+            Err(Error::Refused(refusal)) => {
+                self.refused.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(refusal.retry_after).await;
+                None
+            }
+            Err(error) => panic!("a request was lost: {error}"),
+        }
+    }
+
+    /// Waits while callers pause; returns whether they go on.
+    async fn goes_on(&self) -> bool {
+        while self.pause.load(Ordering::Relaxed) {
+            tokio::time::sleep(INTERVAL).await;
+        }
+        !self.stop.load(Ordering::Relaxed)
+    }
+
+    /// Waits for further answers.
+    async fn more_answers(&self, callers: &mut Callers) {
+        let enough = self.answered.load(Ordering::Relaxed) + ANSWERS;
+        while self.answered.load(Ordering::Relaxed) < enough {
+            callers.check().await;
+            tokio::time::sleep(INTERVAL).await;
+        }
+    }
+}
+
+/// Callers at work, and what the fakes say meanwhile.
+struct Callers {
+    tasks: JoinSet<()>,
+    ranks: Vec<(Arc<str>, control::Client)>,
+    service: control::Client,
+}
+
+impl Callers {
+    /// Fails if a caller has lost a request or a server was overfilled.
+    async fn check(&mut self) -> Vec<(Arc<str>, usize, u64)> {
+        while let Some(ended) = self.tasks.try_join_next() {
+            ended.unwrap();
+        }
+        let mut all = Vec::new();
+        for (name, client) in &self.ranks {
+            // A rank that crashed answers again after its restart.
+            let Ok(rank) = client.get::<RankStats>("/stats").await else {
+                continue;
+            };
+            assert_eq!(rank.overfilled, 0, "{name}: {rank:?}");
+            all.push((name.clone(), rank.highest_in_flight, rank.crashes));
+        }
+        let servers: Vec<Stats> = self.service.get("/servers").await.unwrap();
+        for server in servers {
+            assert_eq!(server.overfilled, 0, "{server:?}");
+            all.push(("app".into(), server.highest_in_flight, server.crashes));
+        }
+        all
+    }
+
+    /// Ends the callers; every request has to end with an answer or a refusal.
+    async fn finish(mut self, tally: &Tally, crashes: u64) {
+        tally.stop.store(true, Ordering::Relaxed);
+        while let Some(ended) = self.tasks.join_next().await {
+            ended.unwrap();
+        }
+        let servers = self.check().await;
+        println!("{tally:?} {servers:?}");
+        assert_eq!(servers.len(), RANKS + SERVERS);
+        let crashed: u64 = servers.iter().map(|(_, _, crashes)| crashes).sum();
+        assert_eq!(crashed, crashes);
+    }
+}
+
+async fn stream(client: &Client, prompt: &str, tokens: u32) -> Result<String, Error> {
+    let mut stream = client.stream("llm", prompt, tokens).await?;
+    let mut text = String::new();
+    while let Some(token) = stream.next().await? {
+        text += &token;
+    }
+    Ok(text)
+}
+
+async fn read_streams(client: Client, seed: u64, lengths: Range<u32>, tally: Arc<Tally>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for round in 0.. {
+        if !tally.goes_on().await {
+            return;
+        }
+        let tokens = rng.random_range(lengths.clone());
+        let prompt = format!("prompt {seed} {round}");
+        let text = tally.note(stream(&client, &prompt, tokens).await).await;
+        if let Some(text) = text {
+            assert_eq!(text, answer::text(&prompt, tokens as usize));
+        }
+    }
+}
+
+async fn make_calls(client: Client, seed: u64, tally: Arc<Tally>) {
+    for round in 0.. {
+        if !tally.goes_on().await {
+            return;
+        }
+        let id = format!("{seed} {round}");
+        let answer = client.call::<Value>(booking(&id)).await;
+        tally.note(answer).await;
+    }
+}
+
+fn start_callers(cluster: &Cluster, seed: u64, lengths: Range<u32>, tally: &Arc<Tally>) -> Callers {
+    let mut tasks = JoinSet::new();
+    for (index, entry) in cluster.entries.iter().enumerate() {
+        let client = Client::new(entry.address, TOKEN);
+        let first = seed * 1_000 + index as u64 * 100;
+        for caller in 0..STREAMS {
+            let (seed, lengths) = (first + caller, lengths.clone());
+            tasks.spawn(read_streams(client.clone(), seed, lengths, tally.clone()));
+        }
+        for caller in STREAMS..STREAMS + CALLS {
+            tasks.spawn(make_calls(client.clone(), first + caller, tally.clone()));
+        }
+    }
+    let group = cluster.fake("g").unwrap();
+    let ranks = group.servers.iter();
+    Callers {
+        tasks,
+        ranks: ranks
+            .map(|(name, address)| (name.clone(), control::Client::new(*address)))
+            .collect(),
+        service: cluster.fake("app").unwrap().control.clone(),
+    }
+}
+
+async fn load(agent: &Member) -> wire::Load {
+    let address = agent.direct().await.unwrap();
+    let client = wire::agent_client::AgentClient::connect(format!("http://{address}")).await;
+    let reply = client.unwrap().probe(wire::ProbeRequest::default()).await;
+    reply.unwrap().into_inner().load.unwrap()
+}
+
+/// Waits until every agent holds work.
+async fn all_busy(cluster: &Cluster, callers: &mut Callers) {
+    for agent in &cluster.agents {
+        while load(agent).await.in_flight == 0 {
+            callers.check().await;
+            tokio::time::sleep(INTERVAL).await;
+        }
+    }
+}
+
+/// Waits until an agent has its warm limit and uses it.
+async fn full(agent: &Member, limit: usize, callers: &mut Callers) {
+    while (load(agent).await.in_flight as usize) < limit {
+        callers.check().await;
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Waits until an agent has the warm limit of its server.
+async fn warm(agent: &Member, callers: &mut Callers) {
+    while load(agent).await.cold {
+        callers.check().await;
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Waits until the late reports of all servers say that they hold nothing.
+async fn all_reported_idle(cluster: &Cluster) {
+    for (_, address) in cluster.fakes.iter().flat_map(|fake| &fake.servers) {
+        let server = control::Client::new(*address);
+        loop {
+            let report: Value = server.get("/load").await.unwrap();
+            if report["in_flight"] == 0 && report["queued"] == 0 {
+                break;
+            }
+            tokio::time::sleep(INTERVAL).await;
+        }
+    }
+}
+
+async fn turn_cold(cluster: &Cluster, rank: usize) {
+    let engine = &cluster.fake("g").unwrap().control;
+    let fault = json!({"rank": rank, "cold": true, "notice_steps": NOTICE_STEPS});
+    engine.fault(fault).await.unwrap();
+}
+
+/// Guards against an agent that takes up work on top of what its server still
+/// holds from the agent before it.
+#[tokio::test]
+async fn agents_killed_with_work() {
+    let mut cluster = start(LONG_WORK_MS, LAG_MS).await;
+    let tally = Arc::new(Tally::default());
+    let mut callers = start_callers(&cluster, 1, LONG_TOKENS, &tally);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..RESTARTS {
+        let agent = rng.random_range(0..cluster.agents.len());
+        warm(&cluster.agents[agent], &mut callers).await;
+        cluster.agents[agent].restart().await.unwrap();
+    }
+    all_busy(&cluster, &mut callers).await;
+    callers.finish(&tally, 0).await;
+}
+
+/// Guards against an agent that trusts a load report from before the burst that
+/// filled its server.
+#[tokio::test]
+async fn agents_killed_after_burst() {
+    let mut cluster = start(LONG_WORK_MS, LONG_LAG_MS).await;
+    let tally = Arc::new(Tally::default());
+    let mut callers = start_callers(&cluster, 5, LONG_TOKENS, &tally);
+    for _ in 0..BURSTS {
+        for agent in &cluster.agents {
+            warm(agent, &mut callers).await;
+        }
+        tally.pause.store(true, Ordering::Relaxed);
+        all_reported_idle(&cluster).await;
+        tally.pause.store(false, Ordering::Relaxed);
+        for agent in &mut cluster.agents {
+            // An agent that fell back meanwhile is full below its warm limit.
+            while load(agent).await.in_flight < load(agent).await.limit {
+                callers.check().await;
+                tokio::time::sleep(INTERVAL).await;
+            }
+            agent.restart().await.unwrap();
+        }
+    }
+    all_busy(&cluster, &mut callers).await;
+    callers.finish(&tally, 0).await;
+}
+
+/// Guards against full load on a rank that turned cold, whose load report says
+/// so two seconds late, and against a ramp that is over before the rank is warm.
+#[tokio::test]
+async fn ranks_turned_cold() {
+    let cluster = start(WORK_MS, LAG_MS).await;
+    let tally = Arc::new(Tally::default());
+    let mut callers = start_callers(&cluster, 2, TOKENS, &tally);
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    for _ in 0..COLD_TURNS {
+        let rank = rng.random_range(0..RANKS);
+        full(&cluster.agents[rank], RANK_WARM, &mut callers).await;
+        turn_cold(&cluster, rank).await;
+        tally.more_answers(&mut callers).await;
+    }
+    callers.finish(&tally, 0).await;
+}
+
+/// Guards against full load on a rank that crashed and comes back cold.
+#[tokio::test]
+async fn ranks_crashed() {
+    let cluster = start(WORK_MS, LAG_MS).await;
+    let tally = Arc::new(Tally::default());
+    let mut callers = start_callers(&cluster, 3, TOKENS, &tally);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..COLD_TURNS {
+        let rank = rng.random_range(0..RANKS);
+        full(&cluster.agents[rank], RANK_WARM, &mut callers).await;
+        let engine = &cluster.fake("g").unwrap().control;
+        let fault = json!({"rank": rank, "crash": true});
+        engine.fault(fault).await.unwrap();
+        tally.more_answers(&mut callers).await;
+    }
+    callers.finish(&tally, COLD_TURNS as u64).await;
+}
+
+/// Guards against faults that are safe one by one and not together.
+#[tokio::test]
+async fn faults_mixed() {
+    let mut cluster = start(WORK_MS, LAG_MS).await;
+    let tally = Arc::new(Tally::default());
+    let mut callers = start_callers(&cluster, 4, TOKENS, &tally);
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    for _ in 0..MIXED {
+        all_busy(&cluster, &mut callers).await;
+        tally.more_answers(&mut callers).await;
+        let rank = rng.random_range(0..RANKS);
+        if rng.random_bool(0.5) {
+            turn_cold(&cluster, rank).await;
+        }
+        if rng.random_bool(0.5) {
+            cluster.agents[rank].restart().await.unwrap();
+        }
+        let server = RANKS + rng.random_range(0..SERVERS);
+        if rng.random_bool(0.5) {
+            cluster.agents[server].restart().await.unwrap();
+        }
+    }
+    all_busy(&cluster, &mut callers).await;
+    callers.finish(&tally, 0).await;
+}
--- a/crates/testkit/tests/support/mod.rs
+++ b/crates/testkit/tests/support/mod.rs
@@ -18,7 +18,7 @@
 /// Pause between two questions for a version.
 pub const INTERVAL: Duration = Duration::from_millis(20);
 
-const HEADER: &str = "kind,name,region,domain,service,address,peer_address,type,fencing,group,rank,\
+pub const HEADER: &str = "kind,name,region,domain,service,address,peer_address,type,fencing,group,rank,\
     limit,cold_limit,weight,rate,concurrency,token_sha256";
 
 /// Three entries and two servers of one service, in two failure domains.
