--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -12,11 +12,13 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response};
+use serde::Deserialize;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::forward::{Error, Server, head_of};
+use crate::gaps::Gaps;
 use crate::origin;
-use crate::place::Place;
+use crate::place::{Place, Time};
 use crate::run::{Answer, Dropped};
 use crate::sse;
 
@@ -26,9 +28,16 @@
 /// Pause before a cancel call that failed is repeated.
 const CANCEL_PAUSE: Duration = Duration::from_millis(250);
 
+/// Wait without data after which the connection has been read empty: the task
+/// that reads it is woken before this timer is set.
+const READ_EMPTY: Duration = Duration::from_millis(5);
+
 /// Retry time after a failure of the server.
 const RETRY_FAILED: Duration = Duration::from_millis(250);
 
+/// Tokens of a whole answer that are enough for a sample of the time per token.
+const ENOUGH_TOKENS: u32 = 16;
+
 /// Largest result kept for `Seal`, in bytes.
 pub const MAX_RESULT: usize = 16 << 10;
 
@@ -109,6 +118,9 @@
         let mut kept = Kept::new(&response);
         let events = self.kind == Kind::Model && is_event_stream(&response);
         let mut body = response.into_body();
+        if events {
+            self.place.answering();
+        }
         let end = match answer.head(kept.head.clone()).await {
             Ok(()) => self.copy(&mut body, &mut kept, events, answer).await,
             Err(Dropped) => Err(End::Dropped),
@@ -149,29 +161,30 @@
     ) -> Result<(), End> {
         let mut splitter = sse::Splitter::default();
         let mut done = false;
+        let mut gaps = Gaps::new();
         loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                Dropped = answer.beat() => return Err(End::Dropped),
-                () = sleep_until(self.deadline) => return Err(End::Late),
-            };
-            let Some(frame) = frame else { break };
-            let Ok(data) = frame.map_err(|_| End::Broken)?.into_data() else {
-                continue;
-            };
+            let asked = Instant::now();
+            let data = self.next(body, events, answer).await?;
+            let arrived = Instant::now();
+            let Some(data) = data else { break };
             kept.push(&data);
             if !events {
                 pass(answer, data, self.deadline).await?;
                 continue;
             }
             splitter.push(&data);
+            let mut count = 0;
             while let Some(event) = splitter.next() {
                 if !origin::is_event_of(&event, &self.request_id) {
                     return Err(End::Corrupt(OTHER_REQUEST));
                 }
                 done |= sse::is_done(&event);
+                count += 1;
                 pass(answer, event, self.deadline).await?;
             }
+            if let Some(time) = gaps.sample(asked, arrived, count).filter(|_| !done) {
+                self.place.token(time);
+            }
             if splitter.pending() > sse::MAX_EVENT {
                 return Err(End::Corrupt("an event of the server's answer is too long"));
             }
@@ -188,6 +201,37 @@
         Ok(())
     }
 
+    /// Reads further bytes; `None` at the end of the body.
+    async fn next(
+        &self,
+        body: &mut Incoming,
+        events: bool,
+        answer: &mut Answer,
+    ) -> Result<Option<Bytes>, End> {
+        let waited_from = self.place.now();
+        let mut is_empty = false;
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                Dropped = answer.beat() => return Err(End::Dropped),
+                () = sleep_until(self.deadline) => return Err(End::Late),
+                () = sleep(READ_EMPTY), if events && !is_empty => {
+                    is_empty = true;
+                    continue;
+                }
+            };
+            let Some(frame) = frame else { return Ok(None) };
+            let Ok(data) = frame.map_err(|_| End::Broken)?.into_data() else {
+                continue;
+            };
+            if is_empty {
+                self.place.heard(waited_from);
+            }
+            return Ok(Some(data));
+        }
+    }
+
     /// Accounts for a request that got no head.
     fn failed(mut self, error: &Error) -> Refusal {
         if matches!(error, Error::Connect(_)) {
@@ -200,9 +244,16 @@
     }
 
     fn complete(mut self, kept: Kept) {
+        let whole = self.started.elapsed();
+        let time = match self.kind {
+            Kind::Plain => Time::Plain(whole),
+            Kind::Model => Time::Model {
+                whole,
+                per_token: kept.tokens().map(|tokens| whole / tokens),
+            },
+        };
         let healthy = kept.head.status < 500;
-        self.place
-            .completed(healthy.then(|| self.started.elapsed()), kept.result());
+        self.place.completed(healthy.then_some(time), kept.result());
     }
 
     /// Keeps the place until the server does not hold the request any more.
@@ -316,6 +367,25 @@
         }
     }
 
+    /// Tokens of a whole answer of a model engine, if it says so and they are
+    /// enough for its prompt not to decide the time.
+    fn tokens(&self) -> Option<u32> {
+        #[derive(Deserialize)]
+        struct Answer {
+            usage: Usage,
+        }
+        #[derive(Deserialize)]
+        struct Usage {
+            completion_tokens: u32,
+        }
+        if !self.fits {
+            return None;
+        }
+        let answer: Answer = serde_json::from_slice(&self.body).ok()?;
+        let tokens = answer.usage.completion_tokens;
+        (tokens >= ENOUGH_TOKENS).then_some(tokens)
+    }
+
     fn result(self) -> Option<wire::Result> {
         self.fits.then(|| wire::Result {
             status: self.head.status,
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -101,6 +101,7 @@
             .with_order(settings.queue.order);
         let limits = Limits { warm: 0, cold: 0 };
         let lag = Duration::from_millis(settings.server.report_lag_ms);
+        let longest = Duration::from_millis(settings.server.longest_ms);
         let conviction = Duration::from_millis(settings.quarantine.conviction_ms);
         Gate {
             name: settings.name.clone(),
@@ -111,7 +112,9 @@
                 published: Arc::default(),
                 confirmed_at: Instant::ORIGIN,
                 leaving: false,
-                admission: admission::State::new(limits, queue, lag),
+                // The clock starts with the agent.
+                admission: admission::State::new(limits, queue, lag)
+                    .with_earlier_until(Instant::ORIGIN + longest),
                 quarantine: quarantine::Table::new(conviction, settings.quarantine.capacity),
                 cohort: Cohort::default(),
                 waiters: Vec::new(),
@@ -153,7 +156,7 @@
         // The caches of a server that got no work are cold. Both moves of a
         // failure domain may arrive at once.
         if is_open && (moved || !was_open) {
-            state.admission.fall_back();
+            state.admission.fall_back(self.clock.now());
         }
         if let Some(server) = state.published.snapshot.server(&self.name) {
             let limits = Limits {
@@ -170,13 +173,20 @@
         self.lock().confirmed_at = self.clock.now();
     }
 
-    /// Takes in a load report of the server.
-    pub fn report(&self, report: Report) {
+    /// Takes in a load report of the server that was asked for at `asked`.
+    pub fn report(&self, asked: Instant, report: Report) {
+        let now = self.clock.now();
         let mut state = self.lock();
-        state.admission.report(report);
+        state.admission.report(asked, now, report);
         self.settle(&mut state);
     }
 
+    /// Notes that the server cannot be reached: it comes back cold.
+    pub fn lost(&self) {
+        let now = self.clock.now();
+        self.lock().admission.fall_back(now);
+    }
+
     /// Gives up queued requests whose deadline has passed.
     pub fn tick(&self) {
         self.settle(&mut self.lock());
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod dispatch;
 pub mod engine;
 pub mod forward;
+mod gaps;
 pub mod gate;
 mod identity;
 pub mod metrics;
--- a/crates/agent/src/place.rs
+++ b/crates/agent/src/place.rs
@@ -20,6 +20,20 @@
     phase: Phase,
 }
 
+/// Time that the server took for an answer.
+#[derive(Clone, Copy, Debug)]
+pub enum Time {
+    /// Of a plain service.
+    Plain(Duration),
+    /// Of a model engine.
+    Model {
+        /// For the whole answer.
+        whole: Duration,
+        /// For each token, if the answer did not come as a stream.
+        per_token: Option<Duration>,
+    },
+}
+
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -73,6 +87,29 @@
         });
     }
 
+    /// The current time.
+    pub fn now(&self) -> Instant {
+        self.gate.clock().now()
+    }
+
+    /// Notes that the answer has begun to arrive.
+    pub fn answering(&self) {
+        let now = self.gate.clock().now();
+        self.gate.lock().admission.answering(self.id, now);
+    }
+
+    /// Notes that a part of the answer has come that was waited for.
+    pub fn heard(&self, waited_from: Instant) {
+        let mut state = self.gate.lock();
+        state.admission.heard(self.id, waited_from);
+    }
+
+    /// Notes the time between two tokens of the answer.
+    pub fn token(&self, time: Duration) {
+        let now = self.gate.clock().now();
+        self.gate.lock().admission.token(now, time);
+    }
+
     /// Notes that the server has not seen the request.
     pub fn not_run(&mut self) {
         self.phase = Phase::Ended;
@@ -80,15 +117,19 @@
         self.gate.lock().once.give_back(now, &self.permit);
     }
 
-    /// Notes that the server answered to the end, with its service time if it
+    /// Notes that the server answered to the end, with the time it took if it
     /// answered well and with the result if it is short enough to keep.
-    pub fn completed(&mut self, service_time: Option<Duration>, result: Option<wire::Result>) {
+    pub fn completed(&mut self, service: Option<Time>, result: Option<wire::Result>) {
         self.phase = Phase::Ended;
         let now = self.gate.clock().now();
         let mut state = self.gate.lock();
         state.cohort.clear_suspicion();
-        if let Some(service_time) = service_time {
-            state.admission.complete(service_time);
+        match service {
+            Some(Time::Plain(time)) => state.admission.complete(now, time),
+            Some(Time::Model { whole, per_token }) => {
+                state.admission.complete_model(now, whole, per_token);
+            }
+            None => {}
         }
         if self.alone {
             state.quarantine.acquit(self.fingerprint);
@@ -130,7 +171,7 @@
             return;
         };
         self.quarantine.crash(now, &fingerprints);
-        self.admission.fall_back();
+        self.admission.fall_back(now);
         self.crashes += 1;
         tracing::warn!(suspects = fingerprints.len(), "backend server crashed");
     }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,20 +1,24 @@
 //! Limits and cold-start ramp of one backend server, decided by its agent.
 
+mod earlier;
+mod fence;
+mod pace;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::fair::{Full, Queue};
 use crate::outcome::{Reason, Refusal};
+use earlier::Earlier;
+use fence::Fence;
+use pace::Pace;
 
-/// Factor by which service time has to rise above its baseline to fall back.
-const RISE_FACTOR: u32 = 4;
-
-/// Rise below which service time is noise.
-const RISE_FLOOR: Duration = Duration::from_millis(200);
+/// Rise of the time of a whole answer below which it is noise.
+const ANSWER_FLOOR: Duration = Duration::from_millis(200);
 
-/// Samples needed before the baseline of service time is used.
-const BASELINE_SAMPLES: u32 = 8;
+/// Rise of the time per token below which it is noise.
+const TOKEN_FLOOR: Duration = Duration::from_millis(50);
 
 /// Retry time given when nothing better is known.
 const DEFAULT_RETRY: Duration = Duration::from_millis(250);
@@ -74,22 +78,15 @@
     pub as_of_ms: u64,
 }
 
-/// Work from before the agent's start that the server may still hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Earlier {
-    /// No report yet.
-    Unknown,
-    /// Reports up to this time by the server's clock may predate the start.
-    Waiting { after_ms: u64 },
-    /// At most this many.
-    AtMost(u32),
-}
-
 #[derive(Clone, Debug)]
 struct Running {
     id: u64,
     account: Arc<str>,
     alone: bool,
+    /// Since when its answer has been arriving.
+    answering: Option<Instant>,
+    /// Until when more of its answer was outstanding for certain.
+    heard: Instant,
 }
 
 /// Requests held and queued for one backend server.
@@ -99,14 +96,20 @@
     current: u32,
     completed: u32,
     reported_cold: bool,
-    earlier: Earlier,
+    /// When the server made its last load report, by its own clock.
+    reported_ms: Option<u64>,
     report_lag: Duration,
+    /// Ramp that waits for a report from after the last fall back.
+    fallen: Option<Fence>,
+    earlier: Earlier,
     running: Vec<Running>,
     waiting: Vec<Request>,
     queue: Queue,
     service_time: Duration,
-    baseline: Duration,
-    samples: u32,
+    answers: Pace,
+    /// Per token of answers that do not come as a stream; includes the prompt.
+    answer_tokens: Pace,
+    tokens: Pace,
 }
 
 impl State {
@@ -119,17 +122,27 @@
             current: limits.cold.min(limits.warm),
             completed: 0,
             reported_cold: false,
-            earlier: Earlier::Unknown,
+            reported_ms: None,
             report_lag,
+            fallen: None,
+            earlier: Earlier::new(report_lag),
             running: Vec::new(),
             waiting: Vec::new(),
             queue,
             service_time: Duration::ZERO,
-            baseline: Duration::ZERO,
-            samples: 0,
+            answers: Pace::new(ANSWER_FLOOR),
+            answer_tokens: Pace::new(TOKEN_FLOOR),
+            tokens: Pace::new(TOKEN_FLOOR),
         }
     }
 
+    /// Sets the time at which work from before the start is over, whatever load
+    /// reports say and whether or not there are any.
+    pub fn with_earlier_until(mut self, over_at: Instant) -> Self {
+        self.earlier = self.earlier.until(over_at);
+        self
+    }
+
     /// Requests of this agent that the server holds or may still hold.
     pub fn held(&self) -> u32 {
         self.running.len() as u32
@@ -236,16 +249,38 @@
         queued
     }
 
-    /// Records the service time of a request that was answered well.
-    pub fn complete(&mut self, service_time: Duration) {
-        self.sample(service_time);
-        self.completed += 1;
-        if self.reported_cold || self.completed < self.current {
-            return;
+    /// Records a plain answer and the time it took.
+    ///
+    /// A sudden rise of this time is a fall back to the cold limit.
+    pub fn complete(&mut self, now: Instant, service_time: Duration) {
+        if self.answers.rises(service_time) {
+            self.fall_back(now);
+        }
+        self.finish(service_time);
+    }
+
+    /// Records an answer of a model, the time it took and, if it did not come
+    /// as a stream, the time per token.
+    ///
+    /// The time of the whole answer follows its length, so only the time per
+    /// token says whether the server has become slow.
+    pub fn complete_model(
+        &mut self,
+        now: Instant,
+        service_time: Duration,
+        per_token: Option<Duration>,
+    ) {
+        if per_token.is_some_and(|time| self.answer_tokens.rises(time)) {
+            self.fall_back(now);
+        }
+        self.finish(service_time);
+    }
+
+    /// Records the time between two tokens of a stream.
+    pub fn token(&mut self, now: Instant, time: Duration) {
+        if self.tokens.rises(time) {
+            self.fall_back(now);
         }
-        self.completed = 0;
-        let step = (self.current / 2).max(1);
-        self.current = (self.current + step).min(self.limits.warm);
     }
 
     /// Frees the place of a request that the server does not hold any more.
@@ -254,43 +289,60 @@
     }
 
     /// Falls back to the cold limit at once.
-    pub fn fall_back(&mut self) {
+    ///
+    /// A server that gives load reports stays there until one from after this
+    /// moment says that it is not cold: late ones may still call it warm.
+    pub fn fall_back(&mut self, now: Instant) {
+        self.lower();
+        self.fallen = self.reported_ms.map(|_| Fence::new(now));
+    }
+
+    fn lower(&mut self) {
         self.current = self.limits.cold.min(self.limits.warm);
         self.completed = 0;
-        self.samples = 0;
-        self.baseline = Duration::ZERO;
+        for pace in [&mut self.answers, &mut self.answer_tokens, &mut self.tokens] {
+            pace.reset();
+        }
     }
 
-    /// Takes in a load report.
-    pub fn report(&mut self, report: Report) {
+    /// Notes that the answer to a request has begun to arrive.
+    ///
+    /// From here to the end of the answer, the request counts in the server's
+    /// load reports.
+    pub fn answering(&mut self, id: u64, now: Instant) {
+        if let Some(running) = self.running.iter_mut().find(|running| running.id == id) {
+            running.answering = Some(now);
+        }
+    }
+
+    /// Notes that a further part of an answer has come that was not there yet
+    /// at `waited_from`, when the agent began to wait for it.
+    pub fn heard(&mut self, id: u64, waited_from: Instant) {
+        if let Some(running) = self.running.iter_mut().find(|running| running.id == id) {
+            running.heard = waited_from;
+        }
+    }
+
+    /// Takes in a load report that was asked for at `asked`.
+    pub fn report(&mut self, asked: Instant, now: Instant, report: Report) {
+        // The clock of a restarted server starts again.
+        if self.reported_ms.is_some_and(|last| report.as_of_ms < last) {
+            self.fall_back(now);
+        }
+        self.reported_ms = Some(report.as_of_ms);
         if report.cold {
-            self.fall_back();
+            self.lower();
         }
         self.reported_cold = report.cold;
-        let lag_ms = self.report_lag.as_millis() as u64;
-        self.earlier = match self.earlier {
-            Earlier::Unknown => Earlier::Waiting {
-                after_ms: report.as_of_ms + lag_ms,
-            },
-            // The clock of a restarted server starts again.
-            Earlier::Waiting { after_ms } if report.as_of_ms + lag_ms < after_ms => {
-                Earlier::Waiting {
-                    after_ms: report.as_of_ms + lag_ms,
-                }
-            }
-            Earlier::Waiting { after_ms } if report.as_of_ms <= after_ms => {
-                Earlier::Waiting { after_ms }
-            }
-            Earlier::Waiting { .. } => Earlier::AtMost(report.in_flight),
-            // Reports include the agent's own work, so they only bound it.
-            Earlier::AtMost(count) => Earlier::AtMost(count.min(report.in_flight)),
-        };
+        let fallen = self.fallen.as_mut();
+        if fallen.is_some_and(|fence| fence.passes(asked, report, self.report_lag)) {
+            self.fallen = None;
+        }
+        self.earlier.report(asked, now, report, &self.running);
     }
 
     fn start_one(&mut self, now: Instant) -> Option<u64> {
-        let Earlier::AtMost(earlier) = self.earlier else {
-            return None;
-        };
+        let earlier = self.earlier.most(now)?;
         let occupied = self.held() + earlier;
         if occupied >= self.current || self.running.iter().any(|running| running.alone) {
             return None;
@@ -319,6 +371,8 @@
             id: item.id,
             account: item.account,
             alone: request.alone,
+            answering: None,
+            heard: Instant::ORIGIN,
         });
         Some(item.id)
     }
@@ -346,18 +400,22 @@
         self.expected_wait().max(DEFAULT_RETRY)
     }
 
-    fn sample(&mut self, service_time: Duration) {
-        if self.samples == 0 {
-            self.service_time = service_time;
-            self.baseline = service_time;
+    /// Updates the service time and the ramp.
+    fn finish(&mut self, service_time: Duration) {
+        self.service_time = if self.service_time.is_zero() {
+            service_time
+        } else {
+            (self.service_time * 3 + service_time) / 4
+        };
+        if self.reported_cold || self.fallen.is_some() {
+            return;
         }
-        self.samples += 1;
-        self.service_time = (self.service_time * 3 + service_time) / 4;
-        let threshold = (self.baseline * RISE_FACTOR).max(self.baseline + RISE_FLOOR);
-        if self.samples > BASELINE_SAMPLES && self.service_time > threshold {
-            self.fall_back();
+        self.completed += 1;
+        if self.completed < self.current {
             return;
         }
-        self.baseline = (self.baseline * 31 + service_time) / 32;
+        self.completed = 0;
+        let step = (self.current / 2).max(1);
+        self.current = (self.current + step).min(self.limits.warm);
     }
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -34,11 +34,17 @@
     State::new(Limits { warm, cold }, Queue::new(1_000, 1_000), LAG)
 }
 
+/// Hands over a report that arrives at once.
+fn give(state: &mut State, report: Report) {
+    let now = Instant::from_millis(report.as_of_ms);
+    state.report(now, now, report);
+}
+
 /// A state whose earlier work is known to be over.
 fn ready(warm: u32, cold: u32) -> State {
     let mut state = state(warm, cold);
-    state.report(report(0, 0));
-    state.report(report(2_000, 0));
+    give(&mut state, report(0, 0));
+    give(&mut state, report(2_000, 0));
     state
 }
 
@@ -62,14 +68,14 @@
         assert_eq!(state.offer(now, request(id)), Decision::Queued);
     }
     assert!(started(&mut state, now).is_empty());
-    state.report(report(5_000, 0));
+    give(&mut state, report(5_000, 0));
     assert!(started(&mut state, now).is_empty());
     // This report may still be older than the restart.
-    state.report(report(6_000, 0));
+    give(&mut state, report(6_000, 0));
     assert!(started(&mut state, now).is_empty());
-    state.report(report(6_001, 3));
+    give(&mut state, report(6_001, 3));
     assert_eq!(started(&mut state, now), [0]);
-    state.report(report(7_000, 1));
+    give(&mut state, report(7_000, 1));
     assert_eq!(started(&mut state, now), [1, 2]);
 }
 
@@ -77,11 +83,11 @@
 #[test]
 fn report_server_clock_restarts() {
     let mut state = state(2, 2);
-    state.report(report(900_000, 2));
-    state.report(report(10, 0));
+    give(&mut state, report(900_000, 2));
+    give(&mut state, report(10, 0));
     state.offer(Instant::ORIGIN, request(1));
     assert!(started(&mut state, Instant::ORIGIN).is_empty());
-    state.report(report(1_011, 0));
+    give(&mut state, report(1_011, 0));
     assert_eq!(started(&mut state, Instant::ORIGIN), [1]);
 }
 
@@ -93,7 +99,7 @@
     let service_time = Duration::from_millis(10);
     let mut limits = vec![state.limit()];
     for _ in 0..30 {
-        state.complete(service_time);
+        state.complete(Instant::ORIGIN, service_time);
         if limits.last() != Some(&state.limit()) {
             limits.push(state.limit());
         }
@@ -103,10 +109,10 @@
         cold: true,
         ..report(3_000, 0)
     };
-    state.report(cold);
+    give(&mut state, cold);
     assert_eq!(state.limit(), 2);
     for _ in 0..30 {
-        state.complete(service_time);
+        state.complete(Instant::ORIGIN, service_time);
     }
     assert_eq!(state.limit(), 2);
 }
@@ -116,10 +122,10 @@
 fn complete_service_time_rises() {
     let mut state = ready(8, 2);
     for _ in 0..30 {
-        state.complete(Duration::from_millis(100));
+        state.complete(Instant::ORIGIN, Duration::from_millis(100));
     }
     assert_eq!(state.limit(), 8);
-    state.complete(Duration::from_secs(5));
+    state.complete(Instant::ORIGIN, Duration::from_secs(5));
     assert_eq!(state.limit(), 2);
 }
 
@@ -128,7 +134,7 @@
 fn offer_deadline_cannot_be_met() {
     let now = Instant::ORIGIN;
     let mut state = ready(1, 1);
-    state.complete(Duration::from_millis(100));
+    state.complete(Instant::ORIGIN, Duration::from_millis(100));
     state.offer(now, request(1));
     assert_eq!(started(&mut state, now), [1]);
     let hurried = Request {
@@ -148,7 +154,7 @@
 fn offer_idle_server() {
     let now = Instant::ORIGIN;
     let mut state = ready(1, 1);
-    state.complete(Duration::from_secs(60));
+    state.complete(Instant::ORIGIN, Duration::from_secs(60));
     let short = Request {
         deadline: Instant::from_millis(1_000),
         ..request(1)
@@ -225,14 +231,17 @@
             }
             2 if !running.is_empty() => {
                 let index = random.random_range(0..running.len());
-                state.complete(Duration::from_millis(random.random_range(1..2_000)));
+                state.complete(
+                    Instant::ORIGIN,
+                    Duration::from_millis(random.random_range(1..2_000)),
+                );
                 state.release(running.swap_remove(index));
             }
             3 => earlier = earlier.saturating_sub(random.random_range(0..2)),
             4 => {
                 let oldest = reports.len().saturating_sub(10);
                 if let Some(report) = reports[oldest..].first() {
-                    state.report(*report);
+                    state.report(now, now, *report);
                 }
             }
             _ => {
@@ -257,3 +266,193 @@
         );
     }
 }
+
+/// A server at its limit whose reports are a second late: the work of the
+/// earlier agent ends at once, and all of its own answers go on.
+fn saturated(warm: u32) -> State {
+    let mut state = state(warm, warm);
+    give(&mut state, report(0, 0));
+    give(&mut state, report(1_500, warm / 2));
+    for id in 0..u64::from(warm) {
+        state.offer(Instant::from_millis(1_500), request(id));
+    }
+    state
+}
+
+/// Guards against places that stay reserved for ever for earlier work because
+/// the reports of a busy server never fall below the agent's own work.
+#[test]
+fn report_saturated_server() {
+    let mut state = saturated(8);
+    let mut running = Vec::new();
+    for now_ms in (1_500..10_000).step_by(100) {
+        let now = Instant::from_millis(now_ms);
+        for id in started(&mut state, now) {
+            state.answering(id, now);
+            running.push(id);
+        }
+        for id in &running {
+            state.heard(*id, now);
+        }
+        give(&mut state, report(now_ms, running.len() as u32));
+    }
+    assert_eq!(running.len(), 8);
+}
+
+/// Guards against subtracting a request of the agent that the report may not
+/// have counted: one without an answer yet, and one that nothing more came of.
+#[test]
+fn report_own_work_uncertain() {
+    for silent in [true, false] {
+        let mut state = saturated(8);
+        let mut running = Vec::new();
+        for now_ms in (1_500..10_000).step_by(100) {
+            let now = Instant::from_millis(now_ms);
+            for id in started(&mut state, now) {
+                if silent {
+                    state.answering(id, now);
+                }
+                running.push(id);
+            }
+            for id in &running {
+                if !silent {
+                    state.heard(*id, now);
+                }
+            }
+            give(&mut state, report(now_ms, 8));
+        }
+        assert_eq!(running.len(), 4, "silent: {silent}");
+    }
+}
+
+/// Guards against a server without load reports that gets no work for ever
+/// after a start of its agent, or gets it while earlier work may go on.
+#[test]
+fn advance_no_reports() {
+    let over_at = Instant::from_millis(300_000);
+    let mut state = state(8, 2).with_earlier_until(over_at);
+    for id in 0..8 {
+        state.offer(Instant::ORIGIN, request(id));
+    }
+    assert!(started(&mut state, Instant::from_millis(299_999)).is_empty());
+    assert_eq!(started(&mut state, over_at), [0, 1]);
+}
+
+/// Guards against places reserved for ever at a busy server whose answers do
+/// not show that they are in its reports.
+#[test]
+fn advance_earlier_work_over() {
+    let over_at = Instant::from_millis(300_000);
+    let mut state = saturated(8).with_earlier_until(over_at);
+    assert_eq!(started(&mut state, Instant::from_millis(1_500)).len(), 4);
+    give(&mut state, report(299_999, 8));
+    assert!(started(&mut state, Instant::from_millis(299_999)).is_empty());
+    assert_eq!(started(&mut state, over_at).len(), 4);
+    give(&mut state, report(300_100, 8));
+    assert!(started(&mut state, Instant::from_millis(300_100)).is_empty());
+}
+
+/// Guards against a server that is ten times slower and goes unnoticed because
+/// the baseline follows it.
+#[test]
+fn complete_tenfold_rise() {
+    let mut state = ready(8, 2);
+    for _ in 0..30 {
+        state.complete(Instant::ORIGIN, Duration::from_millis(100));
+    }
+    assert_eq!(state.limit(), 8);
+    for _ in 0..3 {
+        state.complete(Instant::ORIGIN, Duration::from_secs(1));
+    }
+    // A completed answer counts for the ramp again.
+    assert!(state.limit() < 4, "limit {}", state.limit());
+}
+
+/// Guards against a false fall back when long answers follow short ones.
+#[test]
+fn complete_model_mixed_lengths() {
+    let token = Duration::from_millis(20);
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut state = ready(8, 2);
+    for round in 0..200 {
+        let tokens = if round % 20 < 18 { 4 } else { 2_000 };
+        for _ in 0..4 {
+            state.token(
+                Instant::ORIGIN,
+                token + Duration::from_millis(random.random_range(0..20)),
+            );
+        }
+        state.complete_model(Instant::ORIGIN, token * tokens, Some(token));
+        assert!(round < 30 || state.limit() == 8, "round {round}");
+    }
+}
+
+/// Guards against a model server that turned cold and is noticed only when its
+/// long answers end.
+#[test]
+fn token_rises() {
+    let mut state = ready(8, 2);
+    for _ in 0..30 {
+        state.token(Instant::ORIGIN, Duration::from_millis(20));
+        state.complete_model(Instant::ORIGIN, Duration::from_secs(1), None);
+    }
+    assert_eq!(state.limit(), 8);
+    state.token(Instant::ORIGIN, Duration::from_millis(200));
+    state.token(Instant::ORIGIN, Duration::from_millis(200));
+    assert_eq!(state.limit(), 2);
+}
+
+/// Guards against work from before a restart that an engine which stalled left
+/// out of its first reports: they are older than its lag allows.
+#[test]
+fn report_after_stall() {
+    let mut state = state(4, 4);
+    for id in 0..4 {
+        state.offer(Instant::ORIGIN, request(id));
+    }
+    let at = Instant::from_millis;
+    state.report(at(0), at(0), report(1_000, 0));
+    state.report(at(100), at(100), report(5_000, 0));
+    assert!(started(&mut state, at(100)).is_empty());
+    state.report(at(1_000), at(1_000), report(6_000, 3));
+    assert_eq!(started(&mut state, at(1_000)), [0]);
+}
+
+/// Guards against a ramp that is over while late reports still call a server
+/// warm that has turned cold.
+#[test]
+fn complete_reports_late() {
+    let mut state = ready(8, 2);
+    let answers = |state: &mut State, now_ms| {
+        for _ in 0..30 {
+            state.complete(Instant::from_millis(now_ms), Duration::from_millis(10));
+        }
+    };
+    answers(&mut state, 3_000);
+    assert_eq!(state.limit(), 8);
+    state.fall_back(Instant::from_millis(4_000));
+    for now_ms in (4_000..5_000).step_by(100) {
+        give(&mut state, report(now_ms, 0));
+        answers(&mut state, now_ms);
+        assert_eq!(state.limit(), 2, "{now_ms} ms");
+    }
+    give(&mut state, report(5_100, 0));
+    answers(&mut state, 5_100);
+    assert_eq!(state.limit(), 8);
+}
+
+/// Guards against the warm limit for an idle server that restarted unnoticed.
+#[test]
+fn report_server_restarts_cold() {
+    let mut state = ready(8, 2);
+    for _ in 0..30 {
+        state.complete(Instant::from_millis(2_000), Duration::from_millis(10));
+    }
+    assert_eq!(state.limit(), 8);
+    state.report(
+        Instant::from_millis(3_000),
+        Instant::from_millis(3_000),
+        report(10, 0),
+    );
+    assert_eq!(state.limit(), 2);
+}
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -71,11 +71,12 @@
     };
     let mut state = State::new(limits, queue, Duration::ZERO);
     for as_of_ms in [1, 2] {
-        state.report(Report {
+        let report = Report {
             in_flight: 0,
             cold: false,
             as_of_ms,
-        });
+        };
+        state.report(Instant::ORIGIN, Instant::ORIGIN, report);
     }
     let names: Vec<Arc<str>> = (0..rates.len()).map(|i| format!("a{i}").into()).collect();
     let mut rng = ChaCha8Rng::seed_from_u64(99);
@@ -100,7 +101,10 @@
         }
         if ends <= comes {
             let (end, id, start) = held.remove(0);
-            state.complete(Duration::from_micros(end - start));
+            state.complete(
+                Instant::from_micros(now),
+                Duration::from_micros(end - start),
+            );
             state.release(id);
             let arrival = &arrivals[id as usize];
             outcomes[arrival.account].latencies.push(end - arrival.at);
--- a/crates/core/tests/storm.rs
+++ b/crates/core/tests/storm.rs
@@ -64,11 +64,12 @@
     };
     let mut state = State::new(limits, Queue::new(QUEUED, QUEUED), Duration::ZERO);
     for as_of_ms in [1, 2] {
-        state.report(Report {
+        let report = Report {
             in_flight: 0,
             cold: false,
             as_of_ms,
-        });
+        };
+        state.report(Instant::ORIGIN, Instant::ORIGIN, report);
     }
     state
 }
@@ -102,7 +103,7 @@
         let at = Instant::from_micros(now);
         if ends <= comes {
             let (end, start, id, index) = held.remove(0);
-            servers[index].complete(Duration::from_micros(end - start));
+            servers[index].complete(at, Duration::from_micros(end - start));
             servers[index].release(id);
             table.finished(keys[index]);
             table.reported(keys[index], load(&servers[index]), at);
