Let an agent without its home entry go on to the next one

Cause: after 10 s with another entry, an agent tries its home again. If that failed, it came back to the same replacement, for ever.

Ruled out: the watches that are replaced in turn (the entry in question has no platform).

Change: after the failed try the agent takes the candidate after the last one.

An agent whose home entries both answer but are cut off learns a newer version only from the work that it refuses.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -100,6 +100,8 @@
     followed: [Option<SocketAddr>; HOMES],
     /// Position of the next candidate of each home.
     next: [usize; HOMES],
+    /// Whether to try the home entry before the next candidate.
+    returning: [bool; HOMES],
     view: View,
     gate: Arc<Gate>,
     published: watch::Sender<Arc<Published>>,
@@ -138,6 +140,7 @@
         listed: Vec::new(),
         followed: [None; HOMES],
         next: std::array::from_fn(|home| home),
+        returning: [false; HOMES],
         view: View::new(),
         gate: inputs.gate.clone(),
         published: inputs.published,
@@ -296,6 +299,15 @@
     /// The next candidate that no other home follows.
     fn choose(&mut self, home: usize) -> Option<SocketAddr> {
         let candidates = self.candidates();
+        // If the home entry is still away, another candidate follows: the last
+        // one may be cut off from newer versions.
+        let wanted = candidates.get(home).copied();
+        if std::mem::take(&mut self.returning[home])
+            && let Some(wanted) = wanted.filter(|wanted| !self.followed.contains(&Some(*wanted)))
+        {
+            self.followed[home] = Some(wanted);
+            return Some(wanted);
+        }
         for _ in 0..candidates.len() {
             let address = candidates[self.next[home] % candidates.len()];
             self.next[home] += 1;
@@ -312,9 +324,7 @@
         let wanted = self.listed.get(home).copied();
         let returns = wanted
             .is_some_and(|wanted| wanted != address && !self.followed.contains(&Some(wanted)));
-        if returns {
-            self.next[home] = home;
-        }
+        self.returning[home] = returns;
         returns
     }
 
