Keep the connections of requests off the control thread

Cause: the control thread pulls from agents since idle entries ask them, and the pool opened the connection in the runtime of whoever asked first. Its task then ran on the control thread and carried all requests to that agent.

Change: the pool polls the connecting future in the traffic runtime, to which the connection's tasks and socket then belong.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,10 +1,13 @@
 //! Pooled gRPC channels to agents and peers.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use berylgw_runtime::tls::{Connector, Expected, Peers};
+use tokio::runtime::Handle;
 use tonic::transport::{Channel, Endpoint, Error};
 
 /// Interval of HTTP/2 pings on a connection with running calls.
@@ -15,17 +18,24 @@
     connect: Duration,
     peers: Option<Arc<Peers>>,
     expected: Expected,
+    traffic: Handle,
     channels: Mutex<Vec<(SocketAddr, Channel)>>,
 }
 
 impl Pool {
-    /// An empty pool; a connection is refused if `expected` has another name
-    /// for its address than the certificate.
+    /// An empty pool whose connections belong to the current runtime; one is
+    /// refused if `expected` has another name for its address than the
+    /// certificate.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime.
     pub fn new(connect: Duration, peers: Option<Arc<Peers>>, expected: Expected) -> Self {
         Pool {
             connect,
             peers,
             expected,
+            traffic: Handle::current(),
             channels: Mutex::new(Vec::new()),
         }
     }
@@ -40,12 +50,12 @@
             return Ok(channel);
         }
         let connector = Connector::new(address, self.peers.clone(), self.expected.clone());
-        let channel = Endpoint::from_shared(format!("http://{address}"))?
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))?
             .connect_timeout(self.connect)
             .http2_keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(PING_INTERVAL)
-            .connect_with_connector(connector)
-            .await?;
+            .keep_alive_timeout(PING_INTERVAL);
+        let connecting = endpoint.connect_with_connector(connector);
+        let channel = within(&self.traffic, connecting).await?;
         let mut channels = self.lock();
         let by_address = |(known, _): &(SocketAddr, Channel)| known.cmp(&address);
         if let Err(index) = channels.binary_search_by(by_address) {
@@ -71,3 +81,17 @@
         self.channels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Polls a future in the context of a runtime, so that the tasks and sockets it
+/// makes belong to that runtime.
+///
+/// The control thread opens connections as well. Their tasks would run on it
+/// and carry the traffic of all requests to the same address.
+async fn within<T>(runtime: &Handle, future: impl Future<Output = T>) -> T {
+    let mut future = pin!(future);
+    poll_fn(|context| {
+        let _entered = runtime.enter();
+        future.as_mut().poll(context)
+    })
+    .await
+}
