--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -1,4 +1,4 @@
-//! Generates `crates/wire/src/generated/berylgw.v1.rs` from the proto file.
+//! Generates `crates/wire/src/generated` from the proto files.
 //!
 //! Run from the repository root: `cargo run -p berylgw-codegen`.
 
@@ -8,7 +8,7 @@
 const OUT_DIR: &str = "crates/wire/src/generated";
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let descriptors = protox::compile(["berylgw.proto"], [PROTO_DIR])?;
+    let descriptors = protox::compile(["berylgw.proto", "direct.proto"], [PROTO_DIR])?;
     std::fs::create_dir_all(OUT_DIR)?;
     tonic_prost_build::configure()
         .bytes(".")
--- /dev/null
+++ b/crates/core/src/group/place.rs
@@ -0,0 +1,54 @@
+//! The backend server that a request goes to.
+//!
+//! Load pattern: many entries choose at the same moment among ranks that wait
+//! for the slowest of them. A request goes to the server with the fewest
+//! requests of all entries, and entries break ties differently.
+
+/// What an entry knows about one server that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Requests in flight from all entries.
+    pub in_flight: u32,
+    /// Requests that the server runs at once.
+    pub slots: u32,
+    /// Whether the server is in the failure domain of the entry.
+    pub near: bool,
+    /// Whether earlier requests failed and the server is being tried again.
+    pub doubtful: bool,
+}
+
+/// Requests in flight that a server in another failure domain must have fewer
+/// to be preferred; less than one, so that it only decides between equals.
+const NEAR_ADVANTAGE: f64 = 0.9;
+
+/// Chooses a candidate; `turn` differs by entry and request.
+///
+/// ```
+/// use berylgw_core::group::place::{Candidate, choose};
+///
+/// let busy = Candidate { in_flight: 3, slots: 12, near: true, doubtful: false };
+/// let idle = Candidate { in_flight: 1, ..busy };
+/// assert_eq!(choose(&[busy, idle], 0), Some(1));
+/// ```
+pub fn choose(candidates: &[Candidate], turn: usize) -> Option<usize> {
+    let count = candidates.len();
+    let mut best: Option<(f64, usize)> = None;
+    for offset in 0..count {
+        let index = (turn + offset) % count;
+        let cost = cost(&candidates[index]);
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, index));
+        }
+    }
+    best.map(|(_, index)| index)
+}
+
+fn cost(candidate: &Candidate) -> f64 {
+    let in_flight = f64::from(candidate.in_flight);
+    let slots = f64::from(candidate.slots.max(1));
+    // A request beyond the slots waits for a whole one before it.
+    let over = (in_flight + 1.0 - slots).max(0.0);
+    let far = if candidate.near { 0.0 } else { NEAR_ADVANTAGE };
+    let doubt = if candidate.doubtful { slots } else { 0.0 };
+    in_flight + over * slots + far + doubt
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 //!   entries.
 //! - Membership: [`member`] holds what entries tell each other of each other,
 //!   [`identity`] decides between processes of the same name.
+//! - Load of services that entries reach without an agent: [`group`].
 //! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`].
 
 pub mod admission;
@@ -29,6 +30,7 @@
 pub mod expert;
 pub mod failure;
 pub mod fair;
+pub mod group;
 pub mod home;
 pub mod host;
 pub mod identity;
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,5 +1,8 @@
 //! Budget for further attempts of a request.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
 use crate::clock::Instant;
 
 /// Share of a token that each request adds.
@@ -73,3 +76,68 @@
         }
     }
 }
+
+/// Part of the allowance that an entry uses; the rest covers requests that the
+/// receiver counts in another window.
+const WINDOW_MARGIN: f64 = 0.8;
+
+/// How many repeated attempts all entries together may send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Length of the window in which attempts are counted.
+    pub window: Duration,
+    /// Repeated attempts allowed for each request in the window.
+    pub ratio: f64,
+    /// Repeated attempts allowed beside, for all entries together.
+    pub extra: f64,
+}
+
+/// The attempts that one entry sent to a service within a sliding window.
+///
+/// Where [`Budget`] bounds a long-term ratio, this bounds every window, and
+/// each entry keeps to its share of the part that does not depend on traffic.
+///
+/// ```
+/// use berylgw_core::clock::Instant;
+/// use berylgw_core::retry::{Allowance, Window};
+/// use std::time::Duration;
+///
+/// let allowance = Allowance { window: Duration::from_secs(10), ratio: 0.2, extra: 10.0 };
+/// let mut window = Window::default();
+/// window.request(Instant::ORIGIN, allowance);
+/// assert!(window.repeat(Instant::ORIGIN, allowance, 4));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl Window {
+    /// Counts the request of a client.
+    pub fn request(&mut self, now: Instant, allowance: Allowance) {
+        self.expire(now, allowance);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeated attempt; returns whether it may be sent while
+    /// `entries` entries share the allowance.
+    pub fn repeat(&mut self, now: Instant, allowance: Allowance, entries: usize) -> bool {
+        self.expire(now, allowance);
+        let own = allowance.ratio * self.requests.len() as f64;
+        let shared = allowance.extra / entries.max(1) as f64;
+        if self.repeats.len() as f64 + 1.0 > WINDOW_MARGIN * (own + shared) {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    fn expire(&mut self, now: Instant, allowance: Allowance) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|&time| now.since(time) >= allowance.window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/answer.rs
@@ -0,0 +1,177 @@
+//! Answers to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body_util::Full;
+use hyper::body::{Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use crate::metrics::End;
+
+/// Why an answer that has begun is not completed.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("answer given up: {0}")]
+pub struct Abort(pub End);
+
+/// Body of an answer.
+pub enum Body {
+    /// All bytes at once.
+    Whole(Full<Bytes>),
+    /// Bytes as they arrive.
+    Stream(Pin<Box<dyn Stream<Item = Result<Bytes, Abort>>>>),
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Abort;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
+        match self.get_mut() {
+            Body::Whole(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map(|frame| frame.map(|result| result.map_err(|never| match never {})))
+            }
+            Body::Stream(stream) => {
+                let item = stream.as_mut().poll_next(context);
+                item.map(|item| item.map(|result| result.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Body::Whole(body) => body.is_end_stream(),
+            Body::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(body) => body.size_hint(),
+            Body::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer of a server, read whole.
+#[derive(Clone, Debug)]
+pub struct Whole {
+    /// Status of the server.
+    pub status: StatusCode,
+    /// Headers without those of one connection.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Whole {
+    /// The answer as a response to the caller.
+    pub fn into_response(self) -> Response<Body> {
+        respond(self.status, self.headers, Body::Whole(Full::new(self.body)))
+    }
+}
+
+/// Makes a response from its parts.
+pub fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// A final answer of the entry's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the request ends.
+    pub end: End,
+    /// Time after which the client may come back, if it may.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal without a time to come back.
+    pub fn new(end: End) -> Self {
+        Refusal {
+            end,
+            retry_after: None,
+        }
+    }
+
+    /// The same refusal with a time to come back.
+    pub fn with_retry_after(mut self, time: Duration) -> Self {
+        self.retry_after = Some(time);
+        self
+    }
+
+    /// Status that tells the client whether the request has run.
+    ///
+    /// 503 states that it has not run and never will; 502 and 504 state
+    /// nothing.
+    pub fn status(&self) -> StatusCode {
+        match self.end {
+            End::NoRoute => StatusCode::NOT_FOUND,
+            End::Unauthenticated => StatusCode::UNAUTHORIZED,
+            End::Malformed => StatusCode::BAD_REQUEST,
+            End::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            End::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            End::AnswerLost | End::BrokenOff | End::Answered | End::ClientLeft => {
+                StatusCode::BAD_GATEWAY
+            }
+            End::NoConfiguration
+            | End::NoPlace
+            | End::GroupClosed
+            | End::NoServer
+            | End::ServersRefused
+            | End::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// The refusal as a response to the caller.
+    pub fn into_response(self) -> Response<Body> {
+        let body = serde_json::json!({ "error": { "reason": self.end.to_string() } });
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(time) = self.retry_after {
+            let seconds = format!("{:.3}", time.as_secs_f64());
+            match HeaderValue::from_str(&seconds) {
+                Ok(value) => drop(headers.insert(RETRY_AFTER, value)),
+                Err(error) => tracing::error!(%error, seconds, "time to come back not sent"),
+            }
+        }
+        let body = Body::Whole(Full::new(body.to_string().into()));
+        respond(self.status(), headers, body)
+    }
+}
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    hyper::header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    hyper::header::PROXY_AUTHENTICATE,
+    hyper::header::PROXY_AUTHORIZATION,
+    hyper::header::TE,
+    hyper::header::TRAILER,
+    hyper::header::TRANSFER_ENCODING,
+    hyper::header::UPGRADE,
+];
+
+/// Removes the headers that concern one connection, and the length, which the
+/// next connection sets itself.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let listed = headers.get_all(hyper::header::CONNECTION).iter();
+    let listed = listed.filter_map(|value| value.to_str().ok());
+    let names = listed.flat_map(|value| value.split(','));
+    let names: Vec<HeaderName> = names.filter_map(|name| name.trim().parse().ok()).collect();
+    for name in names.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+    headers.remove(hyper::header::CONTENT_LENGTH);
+}
--- /dev/null
+++ b/crates/direct/src/attempt.rs
@@ -0,0 +1,305 @@
+//! Sending a request to one server after another until one answers.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+
+use crate::answer::{Refusal, Whole, strip_connection_headers};
+use crate::call::Call;
+use crate::config::Kind;
+use crate::event::Splitter;
+use crate::gateway::{Gateway, Lease};
+use crate::metrics::{End, Retry};
+use crate::record::Record;
+use crate::send::{self, Exchange, Failure};
+
+/// Servers that one request may be tried at, those without a connection
+/// included.
+const TRIES: usize = 5;
+
+/// Times the aim that one server has to answer an idempotent request while
+/// another may be asked.
+const PATIENCE_AIMS: u32 = 3;
+
+/// Time to come back where no server may get the request.
+const NO_SERVER_COMEBACK: Duration = Duration::from_millis(300);
+
+/// A stream whose first events have arrived.
+#[derive(Debug)]
+pub struct Opened {
+    /// Status of the first server.
+    pub status: StatusCode,
+    /// Headers of the first server.
+    pub headers: HeaderMap,
+    /// Bytes to send first.
+    pub first: Bytes,
+    /// Cuts the rest of the body into events.
+    pub splitter: Splitter,
+    /// The answer that goes on.
+    pub exchange: Exchange,
+    /// The server that sends it.
+    pub lease: Lease,
+}
+
+/// An answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// Read whole.
+    Whole(Whole),
+    /// A stream that has begun.
+    Stream(Box<Opened>),
+}
+
+/// The servers that a request was sent to.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    /// Ids of servers that are not asked again.
+    pub tried: Vec<Arc<str>>,
+    /// Requests that reached a server.
+    pub arrivals: u32,
+    /// Whether a server may have run the request.
+    pub may_have_run: bool,
+}
+
+enum Outcome {
+    Answer(Answer),
+    Failed(Whole),
+    NotRun { group_broken: bool },
+    Unreachable,
+    Lost(End),
+}
+
+impl Attempts {
+    /// Sends the request until a server answers it, `last_event` is where a
+    /// stream continues.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the answer to the caller if no server answers.
+    pub async fn run(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &Call,
+        record: &mut Record,
+        last_event: Option<&str>,
+    ) -> Result<Answer, Refusal> {
+        let mut failed = None;
+        let mut end = None;
+        while let Some(lease) = self.next_server(gateway, call) {
+            record.sent(&lease.server);
+            self.tried.push(lease.server.id.clone());
+            let spare = self.arrivals + 1 < call.route.attempts;
+            let outcome = attempt(gateway, call, lease, last_event, spare).await;
+            if !matches!(outcome, Outcome::Unreachable) {
+                self.arrivals += 1;
+            }
+            match outcome {
+                Outcome::Answer(answer) => return Ok(answer),
+                Outcome::Failed(whole) => {
+                    self.may_have_run = true;
+                    failed = Some(whole);
+                    if !call.kind().repeatable() {
+                        break;
+                    }
+                    record.retried(Retry::Failed);
+                }
+                Outcome::NotRun { group_broken } => {
+                    if group_broken {
+                        gateway.with(|state, now| state.suspect_group(now, call.service));
+                        end = Some(End::GroupClosed);
+                        break;
+                    }
+                    record.retried(Retry::NotRun);
+                }
+                Outcome::Unreachable => record.retried(Retry::Unreachable),
+                Outcome::Lost(reason) => {
+                    self.may_have_run = true;
+                    end = Some(reason);
+                    if !call.kind().repeatable() || reason == End::Timeout {
+                        break;
+                    }
+                    record.retried(Retry::AnswerLost);
+                }
+            }
+        }
+        if let Some(whole) = failed {
+            return Ok(Answer::Whole(whole));
+        }
+        Err(self.refusal(gateway, call, end))
+    }
+
+    fn next_server(&self, gateway: &Rc<Gateway>, call: &Call) -> Option<Lease> {
+        if self.tried.len() >= TRIES || self.arrivals >= call.route.attempts {
+            return None;
+        }
+        if call.time_left(gateway).is_zero() {
+            return None;
+        }
+        let lease = Lease::choose(gateway, call.service, &self.tried)?;
+        let repeat = self.arrivals > 0;
+        if repeat && !gateway.with(|state, now| state.take_repeat(now, call.service)) {
+            return None;
+        }
+        Some(lease)
+    }
+
+    fn refusal(&self, gateway: &Gateway, call: &Call, end: Option<End>) -> Refusal {
+        if self.may_have_run {
+            return Refusal::new(end.unwrap_or(End::AnswerLost));
+        }
+        let time = gateway.with(|state, now| state.comeback(now, call.service));
+        let end = match end {
+            Some(end) => end,
+            None if self.arrivals > 0 => End::ServersRefused,
+            None => End::NoServer,
+        };
+        Refusal::new(end).with_retry_after(time.max(NO_SERVER_COMEBACK))
+    }
+}
+
+async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    lease: Lease,
+    last_event: Option<&str>,
+    spare: bool,
+) -> Outcome {
+    let left = call.time_left(gateway);
+    let patience = call.route.aim * PATIENCE_AIMS;
+    let limit = match call.kind() {
+        Kind::Idempotent if spare => left.min(patience.min(left / 2)),
+        _ => left,
+    };
+    let request = call.request(gateway, &lease.server.id, last_event);
+    let exchange = async {
+        let exchange = match send::send(lease.server.address, request).await {
+            Ok(exchange) => exchange,
+            Err(Failure::Unreachable(error)) => {
+                lease.report(|health, now| health.unreachable(now));
+                tracing::info!(server = %lease.server.id, %error, "server unreachable");
+                return Outcome::Unreachable;
+            }
+            Err(Failure::Broken(error)) => {
+                lease.report(|health, now| health.failed(now));
+                tracing::info!(server = %lease.server.id, %error, "answer lost");
+                return Outcome::Lost(End::AnswerLost);
+            }
+        };
+        read(gateway, call, lease, exchange).await
+    };
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_) if limit < left => Outcome::Lost(End::AnswerLost),
+        Err(_) => Outcome::Lost(End::Timeout),
+    }
+}
+
+async fn read(gateway: &Rc<Gateway>, call: &Call, lease: Lease, exchange: Exchange) -> Outcome {
+    let response = &exchange.response;
+    let names = &gateway.names;
+    let status = response.status();
+    let header = |name| response.headers().get(name);
+    if header(&names.not_run).is_some() || status == StatusCode::MISDIRECTED_REQUEST {
+        let group_broken = header(&names.failed_server).is_some();
+        lease.report(|health, now| health.failed(now));
+        return Outcome::NotRun { group_broken };
+    }
+    let other = header(&names.request).is_some_and(|id| *id != call.id);
+    let unsigned = status.is_success() && header(&names.signature).is_none();
+    if other || unsigned {
+        tracing::warn!(server = %lease.server.id, other, unsigned, "answer of another request");
+        lease.report(|health, now| health.failed(now));
+        return Outcome::Lost(End::AnswerLost);
+    }
+    if call.kind().streams() && status.is_success() {
+        return open_stream(exchange, lease).await;
+    }
+    match read_whole(exchange).await {
+        Ok(whole) if whole.status.is_server_error() => {
+            lease.report(|health, now| health.failed(now));
+            // Only the entry's own refusals may promise that nothing has run.
+            if whole.status == StatusCode::SERVICE_UNAVAILABLE && !call.kind().repeatable() {
+                return Outcome::Lost(End::AnswerLost);
+            }
+            Outcome::Failed(whole)
+        }
+        Ok(whole) => {
+            lease.report(|health, _| health.succeeded());
+            Outcome::Answer(Answer::Whole(whole))
+        }
+        Err(error) => {
+            lease.report(|health, now| health.failed(now));
+            tracing::info!(server = %lease.server.id, %error, "answer cut off");
+            Outcome::Lost(End::AnswerLost)
+        }
+    }
+}
+
+async fn read_whole(exchange: Exchange) -> Result<Whole, hyper::Error> {
+    let Exchange { response, .. } = &exchange;
+    let status = response.status();
+    let mut headers = response.headers().clone();
+    strip_connection_headers(&mut headers);
+    let mut exchange = exchange;
+    let body = exchange.response.body_mut().collect().await?.to_bytes();
+    Ok(Whole {
+        status,
+        headers,
+        body,
+    })
+}
+
+async fn open_stream(mut exchange: Exchange, lease: Lease) -> Outcome {
+    let mut splitter = Splitter::default();
+    match next_events(&mut exchange.response, &mut splitter).await {
+        Ok(Some(first)) => {
+            lease.report(|health, _| health.succeeded());
+            let status = exchange.response.status();
+            let mut headers = exchange.response.headers().clone();
+            strip_connection_headers(&mut headers);
+            Outcome::Answer(Answer::Stream(Box::new(Opened {
+                status,
+                headers,
+                first,
+
+                splitter,
+                exchange,
+                lease,
+            })))
+        }
+        Ok(None) => Outcome::Lost(End::AnswerLost),
+        Err(error) => {
+            lease.report(|health, now| health.failed(now));
+            tracing::info!(server = %lease.server.id, %error, "stream broken off at its start");
+            Outcome::Lost(End::AnswerLost)
+        }
+    }
+}
+
+/// Reads the next whole events of a stream, `None` at its end.
+///
+/// # Errors
+///
+/// Fails if the stream breaks off.
+pub async fn next_events(
+    response: &mut Response<Incoming>,
+    splitter: &mut Splitter,
+) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = response.body_mut().frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if let Some(events) = splitter.push(&data) {
+            return Ok(Some(events));
+        }
+    }
+    let rest = splitter.rest();
+    Ok(Some(rest).filter(|rest| !rest.is_empty()))
+}
+
--- /dev/null
+++ b/crates/direct/src/beat.rs
@@ -0,0 +1,179 @@
+//! Datagrams by which entries tell each other of their load and view.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_wire::direct::Beat;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+
+use crate::entry::Status;
+use crate::gateway::Gateway;
+use crate::peer;
+use crate::view::Revisions;
+
+/// Time between two datagrams of an idle entry; a sixth of the silence after
+/// which it counts as gone.
+const INTERVAL: Duration = Duration::from_millis(400);
+
+/// Largest datagram that is read, in bytes.
+const DATAGRAM_BYTES: usize = 16 << 10;
+
+/// What the tasks of this module share.
+pub struct Exchange {
+    /// The traffic side of the entry.
+    pub gateway: Rc<Gateway>,
+    /// Bound to the address for other entries.
+    pub socket: UdpSocket,
+    /// Number of this process.
+    pub incarnation: u64,
+    /// Addresses of entries that may not have been heard yet.
+    pub members: watch::Receiver<Arc<[SocketAddr]>>,
+    /// What callers are told of the entries.
+    pub status: watch::Sender<Arc<Status>>,
+    /// Entries whose view is newer.
+    pub ahead: mpsc::Sender<SocketAddr>,
+}
+
+impl Exchange {
+    /// Receives datagrams for ever.
+    pub async fn receive(&self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let (length, address) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    tracing::debug!(%error, "no datagram received");
+                    tokio::time::sleep(INTERVAL).await;
+                    continue;
+                }
+            };
+            match Beat::decode(&buffer[..length]) {
+                Ok(beat) => self.hear(address, beat),
+                Err(error) => tracing::warn!(%address, %error, "datagram not read"),
+            }
+        }
+    }
+
+    fn hear(&self, address: SocketAddr, beat: Beat) {
+        if *beat.name == *self.gateway.settings.name {
+            return;
+        }
+        self.gateway.with(|state, now| {
+            if state.peers.hear(now, address, beat) {
+                state.grant(now);
+            }
+        });
+    }
+
+    /// Sends datagrams for ever: to entries heard lately when the load changes,
+    /// and to all in fixed intervals.
+    pub async fn send(&self) {
+        let mut sequence = 0;
+        let mut lagging = None;
+        let mut due = tokio::time::Instant::now();
+        loop {
+            let changed = self.gateway.load_changed.notified();
+            let periodic = tokio::time::timeout_at(due, changed).await.is_err();
+            sequence += 1;
+            self.send_beat(sequence, periodic).await;
+            if periodic {
+                due = tokio::time::Instant::now() + INTERVAL;
+                lagging = self.compare(lagging);
+                self.publish();
+            }
+            let spacing = self.gateway.with(|state, now| state.beat_spacing(now));
+            tokio::time::sleep(spacing).await;
+        }
+    }
+
+    async fn send_beat(&self, sequence: u64, to_all: bool) {
+        let settings = &self.gateway.settings;
+        let (loads, bounds, revisions, live) = self.gateway.with(|state, now| {
+            let (loads, bounds) = state.loads();
+            let live: Vec<SocketAddr> = state.peers.live(now).map(|peer| peer.address).collect();
+            (loads, bounds, state.view.revisions(), live)
+        });
+        let beat = Beat {
+            name: settings.name.to_string(),
+            incarnation: self.incarnation,
+            sequence,
+            callers: settings.listen.callers.to_string(),
+            domain: settings.domain.to_string(),
+            leaving: self.gateway.leaving_since().is_some(),
+            configuration: revisions.configuration,
+            servers: revisions.servers,
+            evacuations: revisions.evacuations,
+            loads,
+            suspects: Vec::new(),
+            bounds,
+        };
+        let bytes = beat.encode_to_vec();
+        let mut targets = live;
+        if to_all {
+            targets.extend(self.members.borrow().iter());
+            targets.sort_unstable();
+            targets.dedup();
+        }
+        for target in targets {
+            if target == settings.listen.peers {
+                continue;
+            }
+            if let Err(error) = self.socket.send_to(&bytes, target).await {
+                tracing::debug!(%target, %error, "datagram not sent");
+            }
+        }
+    }
+
+    /// Asks for the view of an entry that was ahead at the last interval too.
+    ///
+    /// Normally the store tells both within milliseconds.
+    fn compare(&self, lagging: Option<Revisions>) -> Option<Revisions> {
+        let (own, ahead) = self.gateway.with(|state, now| {
+            let own = state.view.revisions();
+            let ahead = state
+                .peers
+                .live(now)
+                .find(|peer| own.behind(peer.revisions));
+            (own, ahead.map(|peer| peer.address))
+        });
+        let ahead = ahead?;
+        if lagging == Some(own) && self.ahead.try_send(ahead).is_err() {
+            tracing::debug!("a view is being asked for already");
+        }
+        Some(own)
+    }
+
+    /// Tells the directory which entries callers may use.
+    pub fn publish(&self) {
+        let gateway = &self.gateway;
+        let settings = &gateway.settings;
+        let mut status = Status {
+            ready: gateway.with(|state, _| state.view.is_ready()),
+            leaving: gateway.leaving_since().is_some(),
+            entries: Vec::new(),
+        };
+        if !status.leaving {
+            let own = (settings.domain.clone(), settings.listen.callers);
+            status.entries.push(own);
+        }
+        let live = gateway.with(|state, now| {
+            state.grant(now);
+            let live = state.peers.live(now).filter(|peer| !peer.leaving);
+            let live = live.map(|peer| (peer.domain.clone(), peer.callers));
+            live.collect::<Vec<_>>()
+        });
+        gateway.metrics.peers.set(live.len() as i64);
+        status.entries.extend(live);
+        status.entries.sort_unstable();
+        if **self.status.borrow() != status {
+            let entries = status.entries.len();
+            tracing::info!(entries, ready = status.ready, silence = ?peer::SILENCE, "directory changed");
+            self.status.send_replace(Arc::new(status));
+        }
+        gateway.with(|state, now| state.export(now, &gateway.metrics));
+    }
+}
--- /dev/null
+++ b/crates/direct/src/call.rs
@@ -0,0 +1,220 @@
+//! A request of a caller, read and identified.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{AUTHORIZATION, EXPECT, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Uri};
+
+use crate::answer::{Refusal, strip_connection_headers};
+use crate::config::{Configuration, Kind, Limits, Route};
+use crate::gateway::{BodyBytes, Gateway};
+use crate::metrics::End;
+use crate::state::ServiceKey;
+
+/// Time before the end of the client's patience at which it is answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// Time to come back while no configuration is known; the store answers within
+/// milliseconds when it is there.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
+
+/// A request of a caller.
+#[derive(Debug)]
+pub struct Call {
+    /// Identity of this sending.
+    pub id: HeaderValue,
+    /// When its head was read.
+    pub started: Instant,
+    /// When the entry answers at the latest.
+    pub deadline: Instant,
+    /// Time that the client waits, from the head.
+    pub patience: Duration,
+    /// The route of its host and path.
+    pub route: Route,
+    /// Client account that is charged, empty for anonymous requests.
+    pub account: Arc<str>,
+    /// Rank, 0 is the highest.
+    pub priority: u32,
+    /// Service that it goes to.
+    pub service: ServiceKey,
+    /// Name of that service.
+    pub service_name: Arc<str>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    _body_bytes: BodyBytes,
+}
+
+impl Call {
+    /// Reads a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the answer to the caller if the request is not proper or
+    /// cannot be routed.
+    pub async fn read(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Result<Self, Refusal> {
+        let started = gateway.clock.now();
+        let view = gateway.with(|state, _| state.view.clone());
+        if !view.is_ready() {
+            return Err(Refusal::new(End::NoConfiguration).with_retry_after(CONFIGURATION_WAIT));
+        }
+        let configuration = &*view.configuration.value;
+        let names = &gateway.names;
+        let (parts, body) = request.into_parts();
+        let headers = parts.headers;
+        let malformed = Refusal::new(End::Malformed);
+        let id = headers.get(&names.request).ok_or(malformed)?.clone();
+        let host = text(&headers, &HOST).ok_or(malformed)?;
+        let route = configuration.route(host, parts.uri.path());
+        let route = route.ok_or(Refusal::new(End::NoRoute))?.clone();
+        let (account, priority) = identify(configuration, &headers, &route)?;
+        let patience = match headers.get(&names.deadline) {
+            Some(value) => milliseconds(value).ok_or(malformed)?,
+            None => route.timeout,
+        };
+        let draw = gateway.with(|_, _| rand::random());
+        let target = route.target(draw).ok_or(Refusal::new(End::NoServer))?;
+        let service_name = target.service.clone();
+        let service = gateway.with(|state, _| state.pool(&service_name));
+        let time = route.timeout.min(patience.saturating_sub(ANSWER_MARGIN));
+        let deadline = started + time;
+        let reading = read_body(gateway, body, &configuration.limits);
+        let left = gateway.clock.until(deadline);
+        let read = tokio::time::timeout(left, reading).await;
+        let (body, body_bytes) = read.map_err(|_| Refusal::new(End::Timeout))??;
+        Ok(Call {
+            id,
+            started,
+            deadline,
+            patience,
+            route,
+            account,
+            priority,
+            service,
+            service_name,
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            body,
+            _body_bytes: body_bytes,
+        })
+    }
+
+    /// What may be sent again.
+    pub fn kind(&self) -> Kind {
+        self.route.kind
+    }
+
+    /// Time left until the answer is due.
+    pub fn time_left(&self, gateway: &Gateway) -> Duration {
+        gateway.clock.until(self.deadline)
+    }
+
+    /// The request as it is sent to a server, after `last_event` if it
+    /// continues a stream.
+    pub fn request(
+        &self,
+        gateway: &Gateway,
+        server: &str,
+        last_event: Option<&str>,
+    ) -> Request<http_body_util::Full<Bytes>> {
+        let names = &gateway.names;
+        let mut headers = self.headers.clone();
+        strip_connection_headers(&mut headers);
+        headers.remove(EXPECT);
+        headers.remove(AUTHORIZATION);
+        let left = self.time_left(gateway).as_millis();
+        let account = Some(&*self.account).filter(|account| !account.is_empty());
+        let left = left.to_string();
+        let set = [
+            (&names.account, account),
+            (&names.expected_server, Some(server)),
+            (&names.deadline, Some(&*left)),
+        ];
+        for (name, value) in set {
+            headers.remove(name);
+            insert(&mut headers, name, value);
+        }
+        if last_event.is_some() {
+            insert(&mut headers, &names.last_event, last_event);
+        }
+        let body = http_body_util::Full::new(self.body.clone());
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        // Only path and query go on the wire to a server.
+        *request.uri_mut() = match self.uri.path_and_query() {
+            Some(path) => Uri::from(path.clone()),
+            None => self.uri.clone(),
+        };
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+fn insert(headers: &mut HeaderMap, name: &hyper::header::HeaderName, value: Option<&str>) {
+    let Some(value) = value else { return };
+    match HeaderValue::from_str(value) {
+        Ok(value) => drop(headers.insert(name, value)),
+        Err(error) => tracing::error!(%name, %error, "header left out"),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn milliseconds(value: &HeaderValue) -> Option<Duration> {
+    let millis = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
+fn identify(
+    configuration: &Configuration,
+    headers: &HeaderMap,
+    route: &Route,
+) -> Result<(Arc<str>, u32), Refusal> {
+    let nobody = (Arc::from(""), route.priority);
+    if configuration.keys.is_none() {
+        return Ok(nobody);
+    }
+    let bearer = text(headers, &AUTHORIZATION);
+    let key = bearer.and_then(|value| value.split_once(' '));
+    let key = key.filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"));
+    let account = key.and_then(|(_, key)| configuration.account(key.trim()));
+    match account {
+        Some(key) => Ok((key.account.clone(), key.priority.unwrap_or(route.priority))),
+        None if route.anonymous => Ok(nobody),
+        None => Err(Refusal::new(End::Unauthenticated)),
+    }
+}
+
+async fn read_body(
+    gateway: &Rc<Gateway>,
+    body: Incoming,
+    limits: &Limits,
+) -> Result<(Bytes, BodyBytes), Refusal> {
+    let hint = body.size_hint();
+    // A body without a length may become as large as allowed.
+    let most = hint.upper().map_or(limits.body_bytes, |bytes| bytes as usize);
+    if most > limits.body_bytes && hint.upper().is_some() {
+        return Err(Refusal::new(End::TooLarge));
+    }
+    let reserved = gateway.reserve_body(most).ok_or_else(|| {
+        // Bodies are held until their answers end, some seconds at most.
+        Refusal::new(End::NoPlace).with_retry_after(CONFIGURATION_WAIT)
+    })?;
+    match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(body) => Ok((body.to_bytes(), reserved)),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(End::TooLarge))
+        }
+        Err(_) => Err(Refusal::new(End::Malformed)),
+    }
+}
--- /dev/null
+++ b/crates/direct/src/entry.rs
@@ -0,0 +1,282 @@
+//! The process: a traffic thread, and a control thread that the caller owns.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_runtime::clock::Clock;
+use berylgw_runtime::{log, metrics as endpoint};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+use crate::beat::Exchange;
+use crate::gateway::Gateway;
+use crate::header::Names;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::view::Publisher;
+use crate::{pull, serve};
+
+/// Time after the signal to stop at which idle connections are closed. Callers
+/// have asked for addresses again by then.
+const CLOSE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Time after the signal to stop before which the process does not end, so
+/// that callers that hold an old directory answer are still answered.
+const LINGER: Duration = Duration::from_millis(4_000);
+
+/// Time kept free before the process is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time between two looks at whether the last request has ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+
+/// Views asked for at once.
+const PULLS: usize = 1;
+
+/// What callers are told of the entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Status {
+    /// Whether requests can be routed.
+    pub ready: bool,
+    /// Whether this entry stops.
+    pub leaving: bool,
+    /// Failure domain and address of entries that callers may use, sorted.
+    pub entries: Vec<(Arc<str>, SocketAddr)>,
+}
+
+/// Error of an entry.
+#[derive(Debug, thiserror::Error)]
+#[error("{place}: {message}")]
+pub struct Error {
+    place: &'static str,
+    message: String,
+}
+
+impl Error {
+    /// An error at `place`.
+    pub fn new(place: &'static str, message: impl ToString) -> Self {
+        Error {
+            place,
+            message: message.to_string(),
+        }
+    }
+}
+
+/// An entry whose listeners are bound.
+#[derive(Debug)]
+pub struct Entry {
+    settings: Settings,
+    names: Names,
+    metrics: Metrics,
+    callers: std::net::TcpListener,
+    datagrams: UdpSocket,
+    peers: TcpListener,
+    views: Publisher,
+    members: watch::Sender<Arc<[SocketAddr]>>,
+    status: watch::Sender<Arc<Status>>,
+}
+
+impl Entry {
+    /// Binds the listeners.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn bind(mut settings: Settings, names: Names) -> Result<Self, Error> {
+        let at = |place| move |error: io::Error| Error::new(place, error);
+        let callers = std::net::TcpListener::bind(settings.listen.callers).map_err(at("callers"))?;
+        callers.set_nonblocking(true).map_err(at("callers"))?;
+        settings.listen.callers = callers.local_addr().map_err(at("callers"))?;
+        let peers = TcpListener::bind(settings.listen.peers).await.map_err(at("peers"))?;
+        settings.listen.peers = peers.local_addr().map_err(at("peers"))?;
+        let datagrams = UdpSocket::bind(settings.listen.peers).map_err(at("peers"))?;
+        datagrams.set_nonblocking(true).map_err(at("peers"))?;
+        let metrics = Metrics::new().map_err(|error| Error::new("metrics", error))?;
+        Ok(Entry {
+            settings,
+            names,
+            metrics,
+            callers,
+            datagrams,
+            peers,
+            views: Publisher::default(),
+            members: watch::Sender::new(Arc::from([])),
+            status: watch::Sender::new(Arc::default()),
+        })
+    }
+
+    /// Settings with the addresses that were bound.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Where the configuration, servers and evacuations are reported.
+    pub fn views(&self) -> Publisher {
+        self.views.clone()
+    }
+
+    /// Where the addresses of other entries are reported.
+    pub fn members(&self) -> watch::Sender<Arc<[SocketAddr]>> {
+        self.members.clone()
+    }
+
+    /// What callers are told of the entries.
+    pub fn status(&self) -> watch::Receiver<Arc<Status>> {
+        self.status.subscribe()
+    }
+
+    /// Serves callers until `stop` resolves and the last answer has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a thread cannot be started or a listener fails.
+    pub async fn run(self, stop: impl Future<Output = ()>) -> Result<(), Error> {
+        log::listening("callers", self.settings.listen.callers);
+        log::listening("peers", self.settings.listen.peers);
+        let (leave, leaving) = watch::channel(false);
+        let (ahead, asked) = mpsc::channel(PULLS);
+        let (ended, end) = oneshot::channel();
+        let metrics_address = self.settings.listen.metrics;
+        let registry = self.metrics.registry();
+        let traffic = Traffic {
+            settings: self.settings,
+            names: self.names,
+            metrics: self.metrics,
+            callers: self.callers,
+            datagrams: self.datagrams,
+            views: self.views.clone(),
+            members: self.members.subscribe(),
+            status: self.status,
+            leaving,
+            ahead,
+        };
+        std::thread::Builder::new()
+            .name("traffic".to_owned())
+            .spawn(move || {
+                let result = traffic.run();
+                // The control thread is gone only when the process ends.
+                drop(ended.send(result));
+            })
+            .map_err(|error| Error::new("traffic thread", error))?;
+        let control = async {
+            tokio::join!(
+                pull::follow(asked, self.views.clone()),
+                log_failure("peers", pull::serve(self.peers, self.views.clone())),
+                log_failure(
+                    "metrics",
+                    endpoint::serve(metrics_address, registry, std::future::pending())
+                ),
+            )
+        };
+        let stopped = async {
+            stop.await;
+            tracing::info!("stop requested");
+            leave.send_replace(true);
+            std::future::pending::<()>().await
+        };
+        tokio::select! {
+            result = end => result.map_err(|error| Error::new("traffic thread", error))?,
+            _ = control => Err(Error::new("control thread", "ended")),
+            () = stopped => Ok(()),
+        }
+    }
+}
+
+/// Waits for a server that has no end; its failure does not end the process,
+/// which can still serve callers.
+async fn log_failure<E: std::fmt::Display>(
+    interface: &str,
+    serving: impl Future<Output = Result<(), E>>,
+) {
+    if let Err(error) = serving.await {
+        tracing::error!(interface, %error, "interface failed");
+    }
+    std::future::pending().await
+}
+
+/// What moves to the traffic thread.
+struct Traffic {
+    settings: Settings,
+    names: Names,
+    metrics: Metrics,
+    callers: std::net::TcpListener,
+    datagrams: UdpSocket,
+    views: Publisher,
+    members: watch::Receiver<Arc<[SocketAddr]>>,
+    status: watch::Sender<Arc<Status>>,
+    leaving: watch::Receiver<bool>,
+    ahead: mpsc::Sender<SocketAddr>,
+}
+
+impl Traffic {
+    fn run(self) -> Result<(), Error> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|error| Error::new("traffic runtime", error))?;
+        LocalSet::new().block_on(&runtime, self.serve())
+    }
+
+    async fn serve(self) -> Result<(), Error> {
+        let at = |place| move |error: io::Error| Error::new(place, error);
+        let listener = TcpListener::from_std(self.callers).map_err(at("callers"))?;
+        let socket = tokio::net::UdpSocket::from_std(self.datagrams).map_err(at("peers"))?;
+        let gateway = Gateway::new(self.settings, self.names, self.metrics, Clock::start());
+        let gateway = Rc::new(gateway);
+        let exchange = Rc::new(Exchange {
+            gateway: gateway.clone(),
+            socket,
+            incarnation: rand::random(),
+            members: self.members,
+            status: self.status,
+            ahead: self.ahead,
+        });
+        let (close, closing) = watch::channel(false);
+        tokio::task::spawn_local(follow_view(gateway.clone(), self.views.subscribe()));
+        tokio::task::spawn_local(serve::accept(gateway.clone(), listener, closing));
+        let receiving = exchange.clone();
+        tokio::task::spawn_local(async move { receiving.receive().await });
+        let sending = exchange.clone();
+        tokio::task::spawn_local(async move { sending.send().await });
+        let mut leaving = self.leaving;
+        if leaving.wait_for(|leaving| *leaving).await.is_err() {
+            return Err(Error::new("traffic thread", "control thread ended"));
+        }
+        leave(&gateway, &exchange, &close).await;
+        Ok(())
+    }
+}
+
+async fn follow_view(gateway: Rc<Gateway>, mut views: watch::Receiver<Arc<crate::view::View>>) {
+    loop {
+        let view = views.borrow_and_update().clone();
+        let version = view.configuration.value.version;
+        gateway.metrics.configuration.set(version as i64);
+        gateway.with(|state, now| {
+            state.update(view);
+            state.grant(now);
+        });
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn leave(gateway: &Gateway, exchange: &Exchange, close: &watch::Sender<bool>) {
+    gateway.leave();
+    exchange.publish();
+    let started = tokio::time::Instant::now();
+    let kill = Duration::from_secs_f64(gateway.settings.stop_s);
+    let end = started + kill.saturating_sub(STOP_MARGIN);
+    tokio::time::sleep_until(end.min(started + CLOSE_AFTER)).await;
+    close.send_replace(true);
+    tokio::time::sleep_until(end.min(started + LINGER)).await;
+    while gateway.in_progress() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+    tracing::info!(in_progress = gateway.in_progress(), "stopped");
+}
--- /dev/null
+++ b/crates/direct/src/gateway.rs
@@ -0,0 +1,189 @@
+//! What all requests of an entry share, on the traffic thread.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::group::health;
+use berylgw_runtime::clock::Clock;
+use tokio::sync::Notify;
+
+use crate::backend::Server;
+use crate::header::Names;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::state::{ServerKey, ServiceKey, State};
+
+/// The traffic side of an entry.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Header names of the deployment.
+    pub names: Names,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The clock of all decisions.
+    pub clock: Clock,
+    /// Told when the load changes, so that other entries learn of it.
+    pub load_changed: Notify,
+    state: RefCell<State>,
+    leaving_since: Cell<Option<Instant>>,
+    bodies: Cell<usize>,
+    in_progress: Cell<usize>,
+}
+
+/// Bytes of request bodies that an entry holds at once, below the memory of
+/// the smallest hosts.
+const BODY_BYTES: usize = 48 << 20;
+
+impl Gateway {
+    /// A gateway that knows no configuration yet.
+    pub fn new(settings: Settings, names: Names, metrics: Metrics, clock: Clock) -> Self {
+        Gateway {
+            state: RefCell::new(State::new(settings.clone())),
+            settings,
+            names,
+            metrics,
+            clock,
+            load_changed: Notify::new(),
+            leaving_since: Cell::new(None),
+            bodies: Cell::new(0),
+            in_progress: Cell::new(0),
+        }
+    }
+
+    /// Runs `decide` on the state at the current time.
+    pub fn with<T>(&self, decide: impl FnOnce(&mut State, Instant) -> T) -> T {
+        let now = self.clock.now();
+        decide(&mut self.state.borrow_mut(), now)
+    }
+
+    /// Begins to leave: no caller is sent here any more.
+    pub fn leave(&self) {
+        if self.leaving_since.get().is_none() {
+            self.leaving_since.set(Some(self.clock.now()));
+        }
+        self.load_changed.notify_one();
+    }
+
+    /// When the entry began to leave.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        self.leaving_since.get()
+    }
+
+    /// Counts a request that begins.
+    pub fn begin(&self) {
+        self.in_progress.set(self.in_progress.get() + 1);
+    }
+
+    /// Counts a request that ends.
+    pub fn finish(&self) {
+        self.in_progress.set(self.in_progress.get().saturating_sub(1));
+    }
+
+    /// Requests whose answers have not ended.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.get()
+    }
+
+    /// Grants free places to waiting requests.
+    pub fn grant_places(&self) {
+        self.with(State::grant);
+    }
+
+    /// Reserves memory for a request body of `bytes`.
+    pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyBytes> {
+        let held = self.bodies.get() + bytes;
+        if held > BODY_BYTES {
+            return None;
+        }
+        self.bodies.set(held);
+        Some(BodyBytes {
+            gateway: self.clone(),
+            bytes,
+        })
+    }
+}
+
+/// Memory reserved for a request body, given back on drop.
+#[derive(Debug)]
+pub struct BodyBytes {
+    gateway: Rc<Gateway>,
+    bytes: usize,
+}
+
+impl Drop for BodyBytes {
+    fn drop(&mut self) {
+        let held = self.gateway.bodies.get();
+        self.gateway.bodies.set(held - self.bytes);
+    }
+}
+
+/// A place in a group, given back on drop.
+#[derive(Debug)]
+pub struct Permit {
+    gateway: Rc<Gateway>,
+    service: ServiceKey,
+    account: Arc<str>,
+}
+
+impl Permit {
+    /// Takes charge of a place that the state has counted.
+    pub fn new(gateway: &Rc<Gateway>, service: ServiceKey, account: &Arc<str>) -> Self {
+        Permit {
+            gateway: gateway.clone(),
+            service,
+            account: account.clone(),
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gateway.with(|state, now| {
+            state.release(now, self.service, &self.account);
+            state.grant(now);
+        });
+    }
+}
+
+/// A server that a request was sent to, until the end of its answer.
+#[derive(Debug)]
+pub struct Lease {
+    gateway: Rc<Gateway>,
+    key: ServerKey,
+    /// The server as the view named it.
+    pub server: Arc<Server>,
+}
+
+impl Lease {
+    /// Chooses a server that is not in `tried`.
+    pub fn choose(gateway: &Rc<Gateway>, service: ServiceKey, tried: &[Arc<str>]) -> Option<Self> {
+        let chosen = gateway.with(|state, now| state.choose(now, service, tried));
+        let (key, server) = chosen?;
+        gateway.load_changed.notify_one();
+        Some(Lease {
+            gateway: gateway.clone(),
+            key,
+            server,
+        })
+    }
+
+    /// Records an outcome of the server.
+    pub fn report(&self, record: impl FnOnce(&mut health::Record, Instant)) {
+        self.gateway.with(|state, now| {
+            if let Some(health) = state.health(self.key) {
+                record(health, now);
+            }
+        });
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.gateway.with(|state, _| state.done(self.key));
+        self.gateway.load_changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/direct/src/metrics.rs
@@ -0,0 +1,204 @@
+//! Counters and histograms of an entry.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
+
+/// Upper bounds of the latency histograms, in seconds, around the times to the
+/// first event and between events that callers accept.
+const BUCKETS: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.08, 0.1, 0.12, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// How a request ended, as a label.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer of a server was sent.
+    #[display("answered")]
+    Answered,
+    /// The host and path belong to no route.
+    #[display("no_route")]
+    NoRoute,
+    /// The key belongs to no client account.
+    #[display("unauthenticated")]
+    Unauthenticated,
+    /// The request is not well formed.
+    #[display("malformed")]
+    Malformed,
+    /// The body is larger than allowed.
+    #[display("too_large")]
+    TooLarge,
+    /// No configuration is known yet.
+    #[display("no_configuration")]
+    NoConfiguration,
+    /// The group has no place.
+    #[display("no_place")]
+    NoPlace,
+    /// The group does not run.
+    #[display("group_closed")]
+    GroupClosed,
+    /// No server may get the request.
+    #[display("no_server")]
+    NoServer,
+    /// All servers that were asked refused it.
+    #[display("servers_refused")]
+    ServersRefused,
+    /// The entry stops.
+    #[display("leaving")]
+    Leaving,
+    /// A server may have run it, and its answer is lost.
+    #[display("answer_lost")]
+    AnswerLost,
+    /// The time is up.
+    #[display("timeout")]
+    Timeout,
+    /// The stream broke off and could not be continued.
+    #[display("broken_off")]
+    BrokenOff,
+    /// The client left.
+    #[display("client_left")]
+    ClientLeft,
+}
+
+/// Why a request was sent to a further server, as a label.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Retry {
+    /// No connection was made.
+    #[display("unreachable")]
+    Unreachable,
+    /// The server did not run it.
+    #[display("not_run")]
+    NotRun,
+    /// The server's answer is lost or of another request.
+    #[display("answer_lost")]
+    AnswerLost,
+    /// The server answered with a failure.
+    #[display("failed")]
+    Failed,
+    /// The stream broke off.
+    #[display("broken_off")]
+    BrokenOff,
+}
+
+/// The metrics of one entry.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    retries: IntCounterVec,
+    latency: HistogramVec,
+    /// Places in force by service.
+    pub places: IntGaugeVec,
+    /// Requests of all entries in flight by service.
+    pub in_flight: IntGaugeVec,
+    /// Version of the configuration in force.
+    pub configuration: IntGauge,
+    /// Seconds since the store last answered, by part of the view.
+    pub age: IntGaugeVec,
+    /// Entries heard lately.
+    pub peers: IntGauge,
+}
+
+/// Phases of a request with a histogram.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Phase {
+    /// From the request to a place.
+    #[display("wait")]
+    Wait,
+    /// From the request to the first event or the head of the answer.
+    #[display("first_event")]
+    FirstEvent,
+    /// Between two events.
+    #[display("pause")]
+    Pause,
+    /// From the request to the end of the answer.
+    #[display("whole")]
+    Whole,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have one name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels)
+        };
+        let gauges = |name: &str, help: &str, label: &str| {
+            IntGaugeVec::new(Opts::new(name, help), &[label])
+        };
+        let options = HistogramOpts::new(
+            "berylgw_direct_seconds",
+            "Latency of requests by phase, kind of request and failure domain of the server",
+        );
+        let metrics = Metrics {
+            requests: counter(
+                "berylgw_direct_requests_total",
+                "Requests by how they ended",
+                &["end"],
+            )?,
+            retries: counter(
+                "berylgw_direct_retries_total",
+                "Sendings to a further server by reason",
+                &["reason"],
+            )?,
+            latency: HistogramVec::new(
+                options.buckets(BUCKETS.to_vec()),
+                &["phase", "kind", "domain"],
+            )?,
+            places: gauges("berylgw_direct_places", "Bound in force", "service")?,
+            in_flight: gauges("berylgw_direct_in_flight", "Requests in flight", "service")?,
+            configuration: IntGauge::new(
+                "berylgw_direct_configuration_version",
+                "Version of the configuration in force",
+            )?,
+            age: gauges(
+                "berylgw_direct_view_age_seconds",
+                "Seconds since the store last answered",
+                "part",
+            )?,
+            peers: IntGauge::new("berylgw_direct_peers", "Entries heard lately")?,
+            registry,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.latency.clone()))?;
+        registry.register(Box::new(metrics.places.clone()))?;
+        registry.register(Box::new(metrics.in_flight.clone()))?;
+        registry.register(Box::new(metrics.configuration.clone()))?;
+        registry.register(Box::new(metrics.age.clone()))?;
+        registry.register(Box::new(metrics.peers.clone()))?;
+        Ok(metrics)
+    }
+
+    /// The registry to serve.
+    pub fn registry(&self) -> Registry {
+        self.registry.clone()
+    }
+
+    /// Counts the end of a request.
+    pub fn count_end(&self, end: End) {
+        self.requests.with_label_values(&[&end.to_string()]).inc();
+    }
+
+    /// Counts a sending to a further server.
+    pub fn count_retry(&self, reason: Retry) {
+        let reason = reason.to_string();
+        self.retries.with_label_values(&[&reason]).inc();
+    }
+
+    /// Records the time that a phase took.
+    pub fn record(&self, phase: Phase, kind: &str, domain: &str, time: Duration) {
+        let phase = phase.to_string();
+        self.latency
+            .with_label_values(&[&*phase, kind, domain])
+            .observe(time.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/direct/src/pull.rs
@@ -0,0 +1,115 @@
+//! Taking the view over from another entry.
+//!
+//! An entry that the store turns away still learns what the others know.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_wire::direct as wire;
+use berylgw_wire::direct::peer_client::PeerClient;
+use berylgw_wire::direct::peer_server::{Peer, PeerServer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status};
+
+use crate::view::{Part, Publisher, Source};
+
+/// Longest time for a view to arrive, far below the time in which changes have
+/// to be in force.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest view that is taken, in bytes; larger than the store's largest value
+/// for each part.
+const VIEW_BYTES: usize = 8 << 20;
+
+struct Service(Publisher);
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn pull(
+        &self,
+        _request: Request<wire::PullRequest>,
+    ) -> Result<Response<wire::PullReply>, Status> {
+        let view = self.0.view();
+        Ok(Response::new(wire::PullReply {
+            configuration: encode(&view.configuration)?,
+            servers: encode(&view.servers)?,
+            evacuations: encode(&view.evacuations)?,
+        }))
+    }
+}
+
+fn encode<T: Serialize>(part: &Part<T>) -> Result<Option<wire::Part>, Status> {
+    if part.revision == 0 {
+        return Ok(None);
+    }
+    let value = serde_json::to_vec(&*part.value);
+    let value = value.map_err(|error| Status::internal(error.to_string()))?;
+    Ok(Some(wire::Part {
+        revision: part.revision,
+        value: value.into(),
+    }))
+}
+
+/// Answers other entries for ever.
+///
+/// # Errors
+///
+/// Fails if the listener fails.
+pub async fn serve(listener: TcpListener, views: Publisher) -> Result<(), tonic::transport::Error> {
+    let service = PeerServer::new(Service(views));
+    Server::builder()
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await
+}
+
+/// Takes over the view of each entry that `ahead` names.
+pub async fn follow(mut ahead: mpsc::Receiver<SocketAddr>, views: Publisher) {
+    while let Some(address) = ahead.recv().await {
+        match tokio::time::timeout(TIMEOUT, pull(address)).await {
+            Ok(Ok(reply)) => merge(&views, reply),
+            Ok(Err(error)) => tracing::warn!(peer = %address, %error, "view not taken over"),
+            Err(_) => tracing::warn!(peer = %address, "view not taken over in time"),
+        }
+    }
+}
+
+async fn pull(address: SocketAddr) -> Result<wire::PullReply, Box<dyn std::error::Error>> {
+    let endpoint: Endpoint = Channel::from_shared(format!("http://{address}"))?;
+    let channel = endpoint.connect().await?;
+    let mut client = PeerClient::new(channel).max_decoding_message_size(VIEW_BYTES);
+    let reply = client.pull(wire::PullRequest {}).await?;
+    Ok(reply.into_inner())
+}
+
+fn merge(views: &Publisher, reply: wire::PullReply) {
+    if let Some(part) = decode(reply.configuration) {
+        views.set_configuration(part, Source::Peer);
+    }
+    if let Some(part) = decode(reply.servers) {
+        views.set_servers(part, Source::Peer);
+    }
+    if let Some(part) = decode(reply.evacuations) {
+        views.set_evacuations(part, Source::Peer);
+    }
+}
+
+fn decode<T: DeserializeOwned>(part: Option<wire::Part>) -> Option<Part<T>> {
+    let part = part?;
+    match serde_json::from_slice(&part.value) {
+        Ok(value) => Some(Part {
+            revision: part.revision,
+            value: Arc::new(value),
+        }),
+        Err(error) => {
+            tracing::error!(%error, "part of a view not read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/record.rs
@@ -0,0 +1,176 @@
+//! The log line and the metrics of one request.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+
+use crate::call::Call;
+use crate::config::Kind;
+use crate::gateway::Gateway;
+use crate::metrics::{End, Phase, Retry};
+use crate::state::State;
+
+/// What happens to one request; written out on drop.
+#[derive(Debug)]
+pub struct Record {
+    gateway: Rc<Gateway>,
+    id: String,
+    started: Instant,
+    service: Arc<str>,
+    account: Arc<str>,
+    kind: &'static str,
+    waited: Option<Duration>,
+    places: usize,
+    in_flight: usize,
+    servers: Vec<Arc<str>>,
+    domain: Arc<str>,
+    retries: Vec<Retry>,
+    first: Option<Duration>,
+    last_event: Option<Instant>,
+    longest_pause: Duration,
+    events: u32,
+    retry_after: Option<Duration>,
+    status: u16,
+    end: Option<End>,
+}
+
+impl Record {
+    /// A record of a request whose head has arrived.
+    pub fn new(gateway: &Rc<Gateway>, id: String) -> Self {
+        gateway.begin();
+        Record {
+            gateway: gateway.clone(),
+            id,
+            started: gateway.clock.now(),
+            service: Arc::from(""),
+            account: Arc::from(""),
+            kind: "unknown",
+            waited: None,
+            places: 0,
+            in_flight: 0,
+            servers: Vec::new(),
+            domain: Arc::from(""),
+            retries: Vec::new(),
+            first: None,
+            last_event: None,
+            longest_pause: Duration::ZERO,
+            events: 0,
+            retry_after: None,
+            status: 0,
+            end: None,
+        }
+    }
+
+    /// Notes what the request is.
+    pub fn identified(&mut self, call: &Call) {
+        self.service = call.service_name.clone();
+        self.account = call.account.clone();
+        self.kind = match call.kind() {
+            Kind::Idempotent => "idempotent",
+            Kind::Once => "once",
+            Kind::Stream => "stream",
+            Kind::ResumableStream => "resumable_stream",
+        };
+        let inputs = |state: &mut State, now| {
+            let places = state.places(now, call.service);
+            (places, state.in_flight(now, call.service))
+        };
+        (self.places, self.in_flight) = self.gateway.with(inputs);
+    }
+
+    /// Notes that the request got a place.
+    pub fn placed(&mut self) {
+        let waited = self.age();
+        self.waited = Some(waited);
+        self.phase(Phase::Wait, waited);
+    }
+
+    /// Notes that the request is sent to a server.
+    pub fn sent(&mut self, server: &crate::backend::Server) {
+        self.servers.push(server.id.clone());
+        self.domain = server.domain.clone();
+    }
+
+    /// Notes that the server did not answer it.
+    pub fn retried(&mut self, reason: Retry) {
+        self.gateway.metrics.count_retry(reason);
+        self.retries.push(reason);
+    }
+
+    /// Notes the head of an answer or an event; returns the pause before it.
+    pub fn event(&mut self) -> Option<Duration> {
+        let now = self.gateway.clock.now();
+        self.events += 1;
+        let pause = self.last_event.map(|last| now.since(last));
+        self.last_event = Some(now);
+        match pause {
+            Some(pause) => {
+                self.longest_pause = self.longest_pause.max(pause);
+                self.phase(Phase::Pause, pause);
+            }
+            None => {
+                let first = self.age();
+                self.first = Some(first);
+                self.phase(Phase::FirstEvent, first);
+            }
+        }
+        pause
+    }
+
+    /// Notes how the request ends.
+    pub fn end(&mut self, end: End, status: u16, retry_after: Option<Duration>) {
+        self.end = Some(end);
+        self.status = status;
+        self.retry_after = retry_after;
+    }
+
+    fn age(&self) -> Duration {
+        self.gateway.clock.now().since(self.started)
+    }
+
+    fn phase(&self, phase: Phase, time: Duration) {
+        let metrics = &self.gateway.metrics;
+        metrics.record(phase, self.kind, &self.domain, time);
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.gateway.finish();
+        let end = self.end.unwrap_or(End::ClientLeft);
+        let whole = self.age();
+        self.gateway.metrics.count_end(end);
+        if end == End::Answered {
+            self.phase(Phase::Whole, whole);
+        }
+        let revisions = self.gateway.with(|state, _| state.view.revisions());
+        let millis = |time: Duration| time.as_millis() as u64;
+        let labels = |retries: &[Retry]| {
+            let labels: Vec<String> = retries.iter().map(Retry::to_string).collect();
+            labels.join(",")
+        };
+        tracing::info!(
+            request = self.id,
+            %end,
+            status = self.status,
+            retry_after_ms = self.retry_after.map(millis),
+            service = %self.service,
+            account = %self.account,
+            kind = self.kind,
+            places = self.places,
+            in_flight = self.in_flight,
+            waited_ms = self.waited.map(millis),
+            servers = self.servers.join(","),
+            retries = labels(&self.retries),
+            first_ms = self.first.map(millis),
+            longest_pause_ms = millis(self.longest_pause),
+            events = self.events,
+            whole_ms = millis(whole),
+            configuration = revisions.configuration,
+            server_list = revisions.servers,
+            "request"
+        );
+    }
+}
--- /dev/null
+++ b/crates/direct/src/relay.rs
@@ -0,0 +1,136 @@
+//! Passing a stream on, event by event.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use hyper::Response;
+
+use crate::answer::{Abort, Body, respond};
+use crate::attempt::{Answer, Attempts, Opened, next_events};
+use crate::call::Call;
+use crate::config::Kind;
+use crate::event::Splitter;
+use crate::gateway::{Gateway, Lease, Permit};
+use crate::metrics::{End, Retry};
+use crate::record::Record;
+use crate::send::Exchange;
+
+/// A stream in progress. Dropping it stops the server's work.
+struct Relay {
+    gateway: Rc<Gateway>,
+    call: Call,
+    attempts: Attempts,
+    record: Record,
+    first: Option<Bytes>,
+    splitter: Splitter,
+    exchange: Exchange,
+    lease: Lease,
+    _permit: Option<Permit>,
+}
+
+/// Makes the response that passes `opened` on.
+pub fn relay(
+    gateway: &Rc<Gateway>,
+    call: Call,
+    attempts: Attempts,
+    record: Record,
+    opened: Opened,
+    permit: Option<Permit>,
+) -> Response<Body> {
+    let relay = Relay {
+        gateway: gateway.clone(),
+        call,
+        attempts,
+        record,
+        first: Some(opened.first),
+        splitter: opened.splitter,
+        exchange: opened.exchange,
+        lease: opened.lease,
+        _permit: permit,
+    };
+    let body = stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+            Ok(None) => None,
+            Err(abort) => Some((Err(abort), None)),
+        }
+    });
+    respond(opened.status, opened.headers, Body::Stream(Box::pin(body)))
+}
+
+impl Relay {
+    async fn next(&mut self) -> Result<Option<Bytes>, Abort> {
+        if let Some(first) = self.first.take() {
+            self.record.event();
+            return Ok(Some(first));
+        }
+        loop {
+            let left = self.call.time_left(&self.gateway);
+            let reading = next_events(&mut self.exchange.response, &mut self.splitter);
+            let read = match tokio::time::timeout(left, reading).await {
+                Ok(read) => read,
+                Err(_) => return Err(self.abort(End::Timeout)),
+            };
+            match read {
+                Ok(Some(events)) => {
+                    self.observe_event();
+                    return Ok(Some(events));
+                }
+                Ok(None) => {
+                    let status = self.exchange.response.status();
+                    self.record.end(End::Answered, status.as_u16(), None);
+                    return Ok(None);
+                }
+                Err(error) => {
+                    let server = &self.lease.server.id;
+                    tracing::info!(%server, %error, "stream broken off");
+                    self.lease.report(|health, now| health.failed(now));
+                    if let Some(events) = self.resume().await? {
+                        return Ok(Some(events));
+                    }
+                }
+            }
+        }
+    }
+
+    fn observe_event(&mut self) {
+        let Some(pause) = self.record.event() else {
+            return;
+        };
+        let Some(aim) = self.call.route.pause_aim else {
+            return;
+        };
+        let service = self.call.service;
+        self.gateway
+            .with(|state, now| state.observe(now, service, pause, aim));
+    }
+
+    /// Continues the stream at another server.
+    async fn resume(&mut self) -> Result<Option<Bytes>, Abort> {
+        let last = self.splitter.last_id().map(str::to_owned);
+        let (Kind::ResumableStream, Some(last)) = (self.call.kind(), last) else {
+            return Err(self.abort(End::BrokenOff));
+        };
+        self.record.retried(Retry::BrokenOff);
+        let resumed = self
+            .attempts
+            .run(&self.gateway, &self.call, &mut self.record, Some(&last));
+        let opened = match resumed.await {
+            Ok(Answer::Stream(opened)) => *opened,
+            Ok(Answer::Whole(_)) | Err(_) => return Err(self.abort(End::BrokenOff)),
+        };
+        self.splitter = opened.splitter;
+        self.exchange = opened.exchange;
+        self.lease = opened.lease;
+        self.record.event();
+        Ok(Some(opened.first))
+    }
+
+    fn abort(&mut self, end: End) -> Abort {
+        let status = self.exchange.response.status();
+        self.record.end(end, status.as_u16(), None);
+        Abort(end)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/send.rs
@@ -0,0 +1,87 @@
+//! One request to one backend server.
+//!
+//! Each request has a connection of its own. A connection that cannot be made
+//! then proves that the request has not run, and bytes that follow an answer
+//! belong to no later one.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Longest time until a connection is made. Far above a round trip, and short
+/// enough to try another server before the answer is late.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time without an acknowledgement after which a connection is given up.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// An answer whose body is still to be read.
+///
+/// The connection is closed when it is dropped, which stops the server's work.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Head and body of the answer.
+    pub response: Response<Incoming>,
+    _connection: Connection,
+}
+
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// No connection was made; the request has not run.
+    #[error("cannot connect: {0}")]
+    Unreachable(io::Error),
+    /// The connection failed after the request was sent; it may have run.
+    #[error("connection failed: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+/// The task that drives a connection, ended on drop.
+#[derive(Debug)]
+struct Connection(AbortHandle);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Sends a request to `address` over a new connection.
+///
+/// # Errors
+///
+/// Fails if no connection can be made or it ends before the answer's head.
+pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Exchange, Failure> {
+    let stream = connect(address).await.map_err(Failure::Unreachable)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            // The exchange reports the failure with its request.
+            tracing::debug!(%address, %error, "connection to a server failed");
+        }
+    });
+    let connection = Connection(task.abort_handle());
+    let response = sender.send_request(request).await?;
+    Ok(Exchange {
+        response,
+        _connection: connection,
+    })
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE))?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/direct/src/serve.rs
@@ -0,0 +1,125 @@
+//! Connections of callers.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::admit::admit;
+use crate::answer::{Body, Refusal};
+use crate::attempt::{Answer, Attempts};
+use crate::call::Call;
+use crate::gateway::Gateway;
+use crate::record::Record;
+use crate::relay::relay;
+
+/// Smallest buffer that the HTTP library takes, in bytes.
+const SMALLEST_BUFFER: usize = 8 << 10;
+
+/// Pause after a failed accept, for example without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections until `closing` is true; connections then end after the
+/// answer in progress.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, closing: watch::Receiver<bool>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = connect(gateway.clone(), stream, closing.clone());
+                tokio::task::spawn_local(connection);
+            }
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connect(gateway: Rc<Gateway>, stream: TcpStream, closing: watch::Receiver<bool>) {
+    if let Err(error) = serve(gateway, stream, closing).await {
+        tracing::debug!(%error, "connection of a caller ended");
+    }
+}
+
+async fn serve(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) -> Result<(), Box<dyn std::error::Error>> {
+    stream.set_nodelay(true)?;
+    let limits = gateway.with(|state, _| state.view.configuration.value.limits);
+    let service = service_fn(|request| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, io::Error>(answer(gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // Also ends connections without a request: the timer runs from the end
+        // of the request before.
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_bytes.max(SMALLEST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let closes = closing.wait_for(|closing| *closing);
+    tokio::select! {
+        ended = connection.as_mut() => return Ok(ended?),
+        _ = closes => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    Ok(connection.await?)
+}
+
+async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let id = request.headers().get(&gateway.names.request);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
+    let mut record = Record::new(&gateway, id.to_owned());
+    let leaving = gateway.leaving_since().is_some();
+    let mut response = match Call::read(&gateway, request).await {
+        Ok(call) => process(&gateway, call, record).await,
+        Err(refusal) => refuse(&mut record, refusal),
+    };
+    if leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn process(gateway: &Rc<Gateway>, call: Call, mut record: Record) -> Response<Body> {
+    record.identified(&call);
+    gateway.with(|state, now| state.count_request(now, call.service));
+    let permit = match admit(gateway, &call).await {
+        Ok(permit) => permit,
+        Err(refusal) => return refuse(&mut record, refusal),
+    };
+    record.placed();
+    let mut attempts = Attempts::default();
+    let answer = attempts.run(gateway, &call, &mut record, None).await;
+    match answer {
+        Ok(Answer::Stream(opened)) => {
+            relay(gateway, call, attempts, record, *opened, permit)
+        }
+        Ok(Answer::Whole(whole)) => {
+            record.event();
+            let end = crate::metrics::End::Answered;
+            record.end(end, whole.status.as_u16(), None);
+            whole.into_response()
+        }
+        Err(refusal) => refuse(&mut record, refusal),
+    }
+}
+
+fn refuse(record: &mut Record, refusal: Refusal) -> Response<Body> {
+    let status = refusal.status().as_u16();
+    record.end(refusal.end, status, refusal.retry_after);
+    refusal.into_response()
+}
--- /dev/null
+++ b/crates/direct/src/settings.rs
@@ -0,0 +1,151 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::group::bound::Tuning;
+use berylgw_core::retry::Allowance;
+use berylgw_runtime::settings::Finding;
+use serde::Deserialize;
+
+/// Settings of an entry, as a section of a settings file in YAML.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Failure domain of the host.
+    pub domain: Arc<str>,
+    /// Where the entry accepts connections.
+    pub listen: Listen,
+    /// Bound on repeated attempts.
+    pub retry: Retry,
+    /// Bound on the arrivals at servers in cold start.
+    pub cold: Cold,
+    /// Seconds between the signal to stop and the one that kills the process.
+    pub stop_s: f64,
+    /// Bound on the requests that run at once in a model group.
+    #[serde(default)]
+    pub group: Group,
+}
+
+/// Listener addresses.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For requests of callers.
+    pub callers: SocketAddr,
+    /// For other entries, over TCP and UDP.
+    pub peers: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Bound on repeated attempts, of all entries together.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retry {
+    /// Window in which attempts are counted.
+    pub window_s: u64,
+    /// Repeated attempts for each request.
+    pub ratio: f64,
+    /// Further repeated attempts in a window.
+    pub extra: f64,
+}
+
+impl Retry {
+    /// The bound in the types of the decision core.
+    pub fn allowance(self) -> Allowance {
+        Allowance {
+            window: Duration::from_secs(self.window_s),
+            ratio: self.ratio,
+            extra: self.extra,
+        }
+    }
+}
+
+/// Bound on the arrivals at a server in cold start, of all entries together.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Factor on the rate that the service declares.
+    pub overshoot: f64,
+    /// Further arrivals in a second.
+    pub slack: f64,
+}
+
+/// Reaction of the bound of a model group.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Group {
+    /// Share of the accepted pause that observed pauses may take up. The rest
+    /// covers passes that are longer than the recent ones.
+    pub pause_share: f64,
+    /// Quantile of the pauses that is compared.
+    pub quantile: f64,
+    /// Part of the distance to the predicted bound covered in one adjustment.
+    pub gain: f64,
+    /// Share of a pass that grows with the number of requests.
+    pub load_share: f64,
+    /// Longest wait for a place, as a share of the time to the first event.
+    pub wait_share: f64,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        // From the comparison of settings in docs/MEASUREMENTS.md.
+        Group {
+            pause_share: 0.9,
+            quantile: 0.9,
+            gain: 0.2,
+            load_share: 0.6,
+            wait_share: 0.125,
+        }
+    }
+}
+
+/// Places that a group always has, so that it can be measured.
+const FLOOR_PLACES: f64 = 8.0;
+
+impl Group {
+    /// The reaction in the types of the decision core.
+    pub fn tuning(self) -> Tuning {
+        Tuning {
+            pause_share: self.pause_share,
+            quantile: self.quantile,
+            gain: self.gain,
+            load_share: self.load_share,
+            floor: FLOOR_PLACES,
+        }
+    }
+}
+
+impl Settings {
+    /// Findings about values that are well formed but not allowed.
+    pub fn check(&self) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        let mut require = |field: &str, allowed: bool, expected: &str| {
+            if !allowed {
+                findings.push(Finding::new(field, expected));
+            }
+        };
+        require("name", !self.name.is_empty(), "must not be empty");
+        require("domain", !self.domain.is_empty(), "must not be empty");
+        require("stop_s", self.stop_s >= 1.0, "must be at least 1");
+        require("retry.window_s", self.retry.window_s > 0, "must be above 0");
+        require("retry.ratio", self.retry.ratio >= 0.0, "must not be negative");
+        require("retry.extra", self.retry.extra >= 0.0, "must not be negative");
+        require("cold.overshoot", self.cold.overshoot > 0.0, "must be above 0");
+        require("cold.slack", self.cold.slack >= 0.0, "must not be negative");
+        let group = self.group;
+        let share = |value: f64| value > 0.0 && value <= 1.0;
+        let expected = "must be above 0 and at most 1";
+        require("group.pause_share", share(group.pause_share), expected);
+        require("group.quantile", share(group.quantile), expected);
+        require("group.gain", share(group.gain), expected);
+        require("group.load_share", share(group.load_share), expected);
+        require("group.wait_share", share(group.wait_share), expected);
+        findings
+    }
+}
--- /dev/null
+++ b/crates/direct/src/state.rs
@@ -0,0 +1,442 @@
+//! State of the traffic thread: servers, services and what runs on them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::group::bound::Bound;
+use berylgw_core::group::place::{self, Candidate};
+use berylgw_core::group::wait::{Claim, Id, Queue};
+use berylgw_core::group::{arrival, comeback, health};
+use berylgw_core::retry::Window;
+use berylgw_wire::direct as wire;
+use tokio::sync::oneshot;
+
+use crate::backend::{self, Server};
+use crate::metrics::Metrics;
+use crate::peer::Table;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// Requests that may wait for a place at one entry and service. At the rate of
+/// a full group, more would be refused after their wait anyway.
+const WAITING: usize = 32;
+
+/// Shortest time between two datagrams of an entry, for each entry heard, so
+/// that an entry of any fleet receives at most a few hundred a second.
+const BEAT_SPACING: Duration = Duration::from_millis(3);
+
+/// Time after which a group that did not run is tried again.
+const GROUP_RETRY: Duration = Duration::from_millis(300);
+
+/// Index of a server in the arena.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerKey(usize);
+
+/// Index of a service in the arena.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceKey(usize);
+
+/// A server and what this entry knows of it.
+#[derive(Clone, Debug)]
+struct Slot {
+    server: Arc<Server>,
+    digest: u32,
+    /// Whether the view lets it get new work.
+    open: bool,
+    own: u32,
+    health: health::Record,
+    arrivals: arrival::Window,
+}
+
+/// A service and the requests of this entry for it.
+#[derive(Debug)]
+struct Pool {
+    name: Arc<str>,
+    digest: u32,
+    bound: Bound,
+    queue: Queue,
+    waiting: Vec<Waiter>,
+    /// Requests that hold a place, by client account.
+    running: Vec<(Arc<str>, usize)>,
+    places: usize,
+    retries: Window,
+    comebacks: comeback::Schedule,
+    /// When a broken group is expected to run again.
+    opens: Instant,
+    /// Ends of requests lately, for the rate at which places become free.
+    ended: arrival::Window,
+}
+
+/// A waiting request.
+#[derive(Debug)]
+struct Waiter {
+    id: Id,
+    account: Arc<str>,
+    granted: oneshot::Sender<()>,
+}
+
+/// How a request for a place ended.
+#[derive(Debug)]
+pub enum Turn {
+    /// It has a place.
+    Granted,
+    /// It waits; the receiver is told when it has one.
+    Queued(Id, oneshot::Receiver<()>),
+    /// There is no place soon.
+    Full,
+    /// The group does not run until this time.
+    Closed(Instant),
+}
+
+/// The state of the traffic thread.
+#[derive(Debug)]
+pub struct State {
+    settings: Settings,
+    /// The view that decisions are made on.
+    pub view: Arc<View>,
+    /// Other entries.
+    pub peers: Table,
+    slots: Vec<Option<Slot>>,
+    pools: Vec<Pool>,
+    next: u64,
+}
+
+impl State {
+    /// State before anything is known.
+    pub fn new(settings: Settings) -> Self {
+        State {
+            settings,
+            view: Arc::default(),
+            peers: Table::default(),
+            slots: Vec::new(),
+            pools: Vec::new(),
+            next: rand::random(),
+        }
+    }
+
+    /// Takes in a new view.
+    pub fn update(&mut self, view: Arc<View>) {
+        self.view = view.clone();
+        let servers = &*view.servers.value;
+        let evacuated = &*view.evacuations.value;
+        for slot in self.slots.iter_mut() {
+            let Some(known) = slot else { continue };
+            let listed = servers.iter().find(|server| {
+                server.id == known.server.id && server.born == known.server.born
+            });
+            known.open = listed.is_some_and(|server| is_open(server, evacuated));
+            if listed.is_none() && known.own == 0 {
+                *slot = None;
+            }
+        }
+        for server in servers {
+            let same = |slot: &Slot| slot.server.id == server.id && slot.server.born == server.born;
+            if self.slots.iter().flatten().any(same) {
+                continue;
+            }
+            let slot = Slot {
+                server: Arc::new(server.clone()),
+                digest: backend::digest(&server.id),
+                open: is_open(server, evacuated),
+                own: 0,
+                health: health::Record::default(),
+                arrivals: arrival::Window::default(),
+            };
+            match self.slots.iter_mut().find(|slot| slot.is_none()) {
+                Some(free) => *free = Some(slot),
+                None => self.slots.push(Some(slot)),
+            }
+        }
+        for index in 0..view.configuration.value.services.len() {
+            let name = view.configuration.value.services[index].name.clone();
+            let key = self.pool(&name);
+            let slots = self.slots_of(&name);
+            self.pools[key.0].bound.set_ceiling(slots.max(1.0));
+        }
+    }
+
+    fn slots_of(&self, service: &str) -> f64 {
+        let of_service = self.slots.iter().flatten();
+        let open = of_service.filter(|slot| slot.open && *slot.server.service == *service);
+        open.map(|slot| f64::from(slot.server.slots)).sum()
+    }
+
+    /// The pool of a service, made if it is new.
+    pub fn pool(&mut self, service: &Arc<str>) -> ServiceKey {
+        let found = self.pools.iter().position(|pool| pool.name == *service);
+        let index = found.unwrap_or_else(|| {
+            let bound = Bound::new(self.settings.group.tuning(), self.slots_of(service));
+            self.pools.push(Pool {
+                name: service.clone(),
+                digest: backend::digest(service),
+                bound,
+                queue: Queue::new(WAITING),
+                waiting: Vec::new(),
+                running: Vec::new(),
+                places: 0,
+                retries: Window::default(),
+                comebacks: comeback::Schedule::default(),
+                opens: Instant::ORIGIN,
+                ended: arrival::Window::default(),
+            });
+            self.pools.len() - 1
+        });
+        ServiceKey(index)
+    }
+
+    /// Requests of all entries in flight at a service.
+    pub fn in_flight(&self, now: Instant, service: ServiceKey) -> usize {
+        let pool = &self.pools[service.0];
+        let of_service = self.slots.iter().flatten();
+        let of_service = of_service.filter(|slot| slot.server.service == pool.name);
+        let others: u32 = of_service.map(|slot| self.peers.load(now, slot.digest)).sum();
+        pool.places + others as usize
+    }
+
+    /// Places in force for a service: the mean of what the entries found.
+    pub fn places(&self, now: Instant, service: ServiceKey) -> usize {
+        let pool = &self.pools[service.0];
+        let mut sum = pool.bound.places();
+        let mut count = 1;
+        for peer in self.peers.live(now) {
+            for &(digest, places) in &peer.bounds {
+                if digest == pool.digest {
+                    sum += places as usize;
+                    count += 1;
+                }
+            }
+        }
+        sum / count
+    }
+
+    /// Asks for a place for a request.
+    pub fn request_place(&mut self, now: Instant, service: ServiceKey, claim: Claim) -> Turn {
+        let full = self.in_flight(now, service) >= self.places(now, service);
+        let pool = &mut self.pools[service.0];
+        if now < pool.opens {
+            return Turn::Closed(pool.opens);
+        }
+        if !full && pool.queue.is_empty() {
+            pool.occupy(&claim.account);
+            return Turn::Granted;
+        }
+        let id = self.next;
+        self.next = self.next.wrapping_add(1);
+        let account = claim.account.clone();
+        if claim.until <= now || !pool.queue.push(id, claim) {
+            return Turn::Full;
+        }
+        let (granted, receiver) = oneshot::channel();
+        pool.waiting.push(Waiter {
+            id,
+            account,
+            granted,
+        });
+        Turn::Queued(id, receiver)
+    }
+
+    /// Ends a wait.
+    pub fn forget(&mut self, service: ServiceKey, id: Id) {
+        let pool = &mut self.pools[service.0];
+        pool.queue.remove(id);
+        pool.waiting.retain(|waiter| waiter.id != id);
+    }
+
+    /// Frees a place.
+    pub fn release(&mut self, now: Instant, service: ServiceKey, account: &Arc<str>) {
+        let pool = &mut self.pools[service.0];
+        pool.vacate(account);
+        pool.ended.take(now, usize::MAX);
+    }
+
+    /// Grants free places to waiting requests.
+    pub fn grant(&mut self, now: Instant) {
+        for index in 0..self.pools.len() {
+            let key = ServiceKey(index);
+            if self.pools[index].queue.is_empty() {
+                continue;
+            }
+            let mut free = self
+                .places(now, key)
+                .saturating_sub(self.in_flight(now, key));
+            while free > 0 {
+                let pool = &mut self.pools[index];
+                let running = &pool.running;
+                let Some(id) = pool.queue.pop(|account| count(running, account)) else {
+                    break;
+                };
+                let Some(at) = pool.waiting.iter().position(|waiter| waiter.id == id) else {
+                    continue;
+                };
+                let waiter = pool.waiting.swap_remove(at);
+                pool.occupy(&waiter.account);
+                // A receiver that is gone belongs to a client that left.
+                if waiter.granted.send(()).is_err() {
+                    pool.vacate(&waiter.account);
+                    continue;
+                }
+                free -= 1;
+            }
+        }
+    }
+
+    /// Time after which a refused client may come back.
+    pub fn comeback(&mut self, now: Instant, service: ServiceKey) -> Duration {
+        let pool = &mut self.pools[service.0];
+        let ended = pool.ended.count(now).max(1);
+        let interval = arrival::LENGTH / ended as u32;
+        let opens = pool.opens;
+        pool.comebacks.promise(now, interval, opens)
+    }
+
+    /// Records a pause between two events of an answer.
+    pub fn observe(&mut self, now: Instant, service: ServiceKey, pause: Duration, aim: Duration) {
+        self.pools[service.0].bound.observe(pause);
+        let in_flight = self.in_flight(now, service);
+        self.pools[service.0].bound.adjust(now, in_flight, aim);
+    }
+
+    /// Records that a rank of a group does not run, which stops all of them.
+    pub fn suspect_group(&mut self, now: Instant, service: ServiceKey) {
+        let pool = &mut self.pools[service.0];
+        if now >= pool.opens {
+            tracing::warn!(service = %pool.name, "group does not run");
+        }
+        pool.opens = now + GROUP_RETRY;
+    }
+
+    /// Counts a request of a client for a service.
+    pub fn count_request(&mut self, now: Instant, service: ServiceKey) {
+        let allowance = self.settings.retry.allowance();
+        self.pools[service.0].retries.request(now, allowance);
+    }
+
+    /// Takes one repeated attempt from the budget.
+    pub fn take_repeat(&mut self, now: Instant, service: ServiceKey) -> bool {
+        let entries = self.peers.sharing(now);
+        let allowance = self.settings.retry.allowance();
+        self.pools[service.0].retries.repeat(now, allowance, entries)
+    }
+
+    /// Chooses a server of a service and counts the request as sent.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        tried: &[Arc<str>],
+    ) -> Option<(ServerKey, Arc<Server>)> {
+        let name = self.pools[service.0].name.clone();
+        let limit = self.arrival_limit(now, &name);
+        let mut keys = Vec::new();
+        let mut candidates = Vec::new();
+        for index in 0..self.slots.len() {
+            let Some(slot) = &mut self.slots[index] else {
+                continue;
+            };
+            if !slot.open || slot.server.service != name || tried.contains(&slot.server.id) {
+                continue;
+            }
+            let cold = limit.is_some_and(|limit| !slot.arrivals.allows(now, limit));
+            if cold || !slot.health.usable(now) {
+                continue;
+            }
+            keys.push(index);
+            candidates.push(Candidate {
+                in_flight: slot.own + self.peers.load(now, slot.digest),
+                slots: slot.server.slots,
+                near: slot.server.domain == self.settings.domain,
+                doubtful: slot.health.doubtful(),
+            });
+        }
+        self.next = self.next.wrapping_add(1);
+        let turn = (self.next % candidates.len().max(1) as u64) as usize;
+        let chosen = keys[place::choose(&candidates, turn)?];
+        let slot = self.slots[chosen].as_mut()?;
+        slot.own += 1;
+        slot.arrivals.take(now, usize::MAX);
+        Some((ServerKey(chosen), slot.server.clone()))
+    }
+
+    /// Requests that this entry may send to one server in a second.
+    fn arrival_limit(&self, now: Instant, service: &str) -> Option<usize> {
+        let service = self.view.configuration.value.service(service)?;
+        if service.cold_rate <= 0.0 {
+            return None;
+        }
+        let cold = self.settings.cold;
+        let allowed = service.cold_rate * cold.overshoot + cold.slack;
+        Some(arrival::share(allowed, self.peers.sharing(now)))
+    }
+
+    /// Ends the use of a server by one request.
+    pub fn done(&mut self, key: ServerKey) {
+        if let Some(slot) = &mut self.slots[key.0] {
+            slot.own = slot.own.saturating_sub(1);
+        }
+    }
+
+    /// Outcomes of a server's requests.
+    pub fn health(&mut self, key: ServerKey) -> Option<&mut health::Record> {
+        self.slots[key.0].as_mut().map(|slot| &mut slot.health)
+    }
+
+    /// Requests in flight by server, and bounds, for other entries.
+    pub fn loads(&self) -> (Vec<wire::Load>, Vec<wire::Bound>) {
+        let busy = self.slots.iter().flatten().filter(|slot| slot.own > 0);
+        let loads = busy.map(|slot| wire::Load {
+            server: slot.digest,
+            in_flight: slot.own,
+        });
+        let bounds = self.pools.iter().filter(|pool| pool.places > 0);
+        let bounds = bounds.map(|pool| wire::Bound {
+            service: pool.digest,
+            places: pool.bound.places() as u32,
+        });
+        (loads.collect(), bounds.collect())
+    }
+
+    /// Sets the gauges.
+    pub fn export(&self, now: Instant, metrics: &Metrics) {
+        for index in 0..self.pools.len() {
+            let key = ServiceKey(index);
+            let labels = [&*self.pools[index].name];
+            let places = self.places(now, key) as i64;
+            let in_flight = self.in_flight(now, key) as i64;
+            metrics.places.with_label_values(&labels).set(places);
+            metrics.in_flight.with_label_values(&labels).set(in_flight);
+        }
+    }
+
+    /// Shortest time between two datagrams.
+    pub fn beat_spacing(&self, now: Instant) -> Duration {
+        BEAT_SPACING * self.peers.sharing(now) as u32
+    }
+}
+
+impl Pool {
+    fn occupy(&mut self, account: &Arc<str>) {
+        self.places += 1;
+        match self.running.iter_mut().find(|entry| entry.0 == *account) {
+            Some(running) => running.1 += 1,
+            None => self.running.push((account.clone(), 1)),
+        }
+    }
+
+    fn vacate(&mut self, account: &Arc<str>) {
+        self.places = self.places.saturating_sub(1);
+        if let Some(running) = self.running.iter_mut().find(|entry| entry.0 == *account) {
+            running.1 = running.1.saturating_sub(1);
+        }
+        self.running.retain(|entry| entry.1 > 0);
+    }
+}
+
+fn count(running: &[(Arc<str>, usize)], account: &str) -> usize {
+    let found = running.iter().find(|entry| *entry.0 == *account);
+    found.map_or(0, |entry| entry.1)
+}
+
+fn is_open(server: &Server, evacuated: &[Arc<str>]) -> bool {
+    !server.draining && evacuated.binary_search(&server.domain).is_err()
+}
--- /dev/null
+++ b/crates/direct/src/view.rs
@@ -0,0 +1,169 @@
+//! What an entry believes about the system, by part.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::backend::Server;
+use crate::config::Configuration;
+
+/// A part of the view and the store revision of its newest change.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Part<T> {
+    /// Revision, 0 if nothing is known yet.
+    pub revision: u64,
+    /// The value as of this revision.
+    pub value: Arc<T>,
+}
+
+/// A consistent copy of all parts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct View {
+    /// Routes, services, keys and limits.
+    pub configuration: Part<Configuration>,
+    /// Backend servers, sorted by id.
+    pub servers: Part<Vec<Server>>,
+    /// Failure domains that get no new work, sorted.
+    pub evacuations: Part<Vec<Arc<str>>>,
+}
+
+/// Revisions of the parts, as entries tell each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Revisions {
+    /// Of the configuration.
+    pub configuration: u64,
+    /// Of the backend servers.
+    pub servers: u64,
+    /// Of the evacuations.
+    pub evacuations: u64,
+}
+
+impl Revisions {
+    /// Whether any part of `other` is newer.
+    pub fn behind(self, other: Revisions) -> bool {
+        self.configuration < other.configuration
+            || self.servers < other.servers
+            || self.evacuations < other.evacuations
+    }
+}
+
+impl View {
+    /// Revisions of the parts.
+    pub fn revisions(&self) -> Revisions {
+        Revisions {
+            configuration: self.configuration.revision,
+            servers: self.servers.revision,
+            evacuations: self.evacuations.revision,
+        }
+    }
+
+    /// Whether requests can be routed.
+    pub fn is_ready(&self) -> bool {
+        self.configuration.revision > 0
+    }
+}
+
+/// Where a change of the view came from, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Source {
+    /// The store itself.
+    #[display("store")]
+    Store,
+    /// Another entry.
+    #[display("peer")]
+    Peer,
+}
+
+/// The one place where the view changes.
+///
+/// No part goes back to an older revision, whoever reports it.
+///
+/// ```
+/// use berylgw_direct::view::{Part, Publisher, Source};
+/// use std::sync::Arc;
+///
+/// let views = Publisher::default();
+/// let newer = Part { revision: 7, value: Arc::new(vec!["dock".into()]) };
+/// let older = Part { revision: 6, value: Arc::new(vec![]) };
+/// assert!(views.set_evacuations(newer, Source::Store));
+/// assert!(!views.set_evacuations(older, Source::Peer));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Publisher {
+    sender: Arc<watch::Sender<Arc<View>>>,
+    writing: Arc<Mutex<()>>,
+}
+
+impl Default for Publisher {
+    fn default() -> Self {
+        Publisher {
+            sender: Arc::new(watch::Sender::new(Arc::default())),
+            writing: Arc::default(),
+        }
+    }
+}
+
+impl Publisher {
+    /// The current view.
+    pub fn view(&self) -> Arc<View> {
+        self.sender.borrow().clone()
+    }
+
+    /// Receives each later view.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<View>> {
+        self.sender.subscribe()
+    }
+
+    /// Replaces the configuration; returns whether it was newer.
+    pub fn set_configuration(&self, part: Part<Configuration>, source: Source) -> bool {
+        let version = part.value.version;
+        let set = self.change(|view| {
+            let known = &view.configuration;
+            let newer = part.revision > known.revision && version >= known.value.version;
+            newer.then(|| view.configuration = part.clone())
+        });
+        if set {
+            let (revision, routes) = (part.revision, part.value.routes.len());
+            tracing::info!(%source, revision, version, routes, "configuration in force");
+        }
+        set
+    }
+
+    /// Replaces the backend servers; returns whether they were newer.
+    pub fn set_servers(&self, part: Part<Vec<Server>>, source: Source) -> bool {
+        let set = self.change(|view| {
+            let newer = part.revision > view.servers.revision;
+            newer.then(|| view.servers = part.clone())
+        });
+        if set {
+            let draining = part.value.iter().filter(|server| server.draining).count();
+            let (revision, servers) = (part.revision, part.value.len());
+            tracing::info!(%source, revision, servers, draining, "servers changed");
+        }
+        set
+    }
+
+    /// Replaces the evacuated failure domains; returns whether they were newer.
+    pub fn set_evacuations(&self, part: Part<Vec<Arc<str>>>, source: Source) -> bool {
+        let set = self.change(|view| {
+            let newer = part.revision > view.evacuations.revision;
+            newer.then(|| view.evacuations = part.clone())
+        });
+        if set {
+            let domains = part.value.join(",");
+            tracing::info!(%source, revision = part.revision, domains, "evacuations changed");
+        }
+        set
+    }
+
+    fn change(&self, apply: impl FnOnce(&mut View) -> Option<()>) -> bool {
+        let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut view = View::clone(&self.view());
+        let changed = apply(&mut view).is_some();
+        if changed {
+            self.sender.send_replace(Arc::new(view));
+        }
+        changed
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -18,6 +18,13 @@
 use crate::object::{Host, List, Object};
 use crate::watch::Watch;
 
+/// Time without traffic after which a connection is probed, so that one that
+/// went silent does not hold a watch until its end.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is given up.
+const PROBES: u32 = 2;
+
 /// How a conditional update ended.
 #[derive(Clone, Debug)]
 pub enum Update {
@@ -54,7 +61,13 @@
 impl Client {
     /// Makes a client that waits at most `timeout` for each answer.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let http = HttpClient::builder(TokioExecutor::new()).build_http();
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout));
+        connector.set_keepalive(Some(PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBES));
+        let http = HttpClient::builder(TokioExecutor::new()).build(connector);
         Client {
             address,
             timeout,
@@ -137,6 +150,26 @@
         decode::<Hosts>("/v1/hosts", status, &body).map(|list| list.hosts)
     }
 
+    /// Makes one call of another form of the object API and returns its status
+    /// and body, waiting `extra` longer than the timeout.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses the call or does not answer in time.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        extra: Duration,
+    ) -> Result<(StatusCode, Bytes)> {
+        let client = Client {
+            timeout: self.timeout + extra,
+            ..self.clone()
+        };
+        client.call(method, path, None, body).await
+    }
+
     async fn update(&self, method: Method, path: &str, expected: u64, body: Bytes) -> Update {
         let (status, body) = match self.call(method, path, Some(expected), body).await {
             Ok(answer) => answer,
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -45,7 +45,8 @@
 }
 
 impl Error {
-    pub(crate) fn new(kind: Kind, call: impl Into<String>, message: impl ToString) -> Self {
+    /// An error of this kind in `call`.
+    pub fn new(kind: Kind, call: impl Into<String>, message: impl ToString) -> Self {
         Error {
             kind,
             call: call.into(),
--- a/crates/runtime/src/log.rs
+++ b/crates/runtime/src/log.rs
@@ -1,10 +1,11 @@
 //! Logs as JSON lines on standard output.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use berylgw_core::outcome::Reason;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
@@ -31,6 +32,37 @@
     let _ = writer.try_init();
 }
 
+/// Lines that may wait for standard output, some seconds of a full host.
+const QUEUED_LINES: usize = 8_192;
+
+/// The writer of bounded logs; lines that wait are written when it is dropped.
+#[derive(Debug)]
+pub struct Writer {
+    _guard: WorkerGuard,
+}
+
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Lines that were dropped since the start because too many waited.
+pub fn dropped_lines() -> usize {
+    DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
+}
+
+/// Installs a log writer that never blocks.
+///
+/// Lines beyond a bounded queue are dropped and counted, see
+/// [`dropped_lines`].
+pub fn install_bounded() -> Writer {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(QUEUED_LINES)
+        .finish(std::io::stdout());
+    // A second installation keeps the first counter, as it keeps the writer.
+    let _ = DROPPED.set(writer.error_counter());
+    install_to(writer);
+    Writer { _guard: guard }
+}
+
 /// Reports that an interface accepts connections.
 ///
 /// Launchers wait for this line and read the address from it, so that a
--- a/crates/runtime/src/program.rs
+++ b/crates/runtime/src/program.rs
@@ -1,9 +1,12 @@
 //! The main function that all servers share.
 
 use std::fmt::Display;
+use std::io;
 use std::path::Path;
 use std::process::ExitCode;
 
+use tokio::runtime::{Builder, Runtime};
+
 use crate::args::{self, Command, FAILED_CODE, USAGE_CODE};
 use crate::log;
 use crate::settings::Error;
@@ -29,6 +32,31 @@
         &self,
         load: impl Fn(&Path) -> Result<S, Error>,
         serve: impl AsyncFnOnce(S, Stop) -> Result<(), E>,
+    ) -> ExitCode {
+        self.start(load, |settings| {
+            log::install();
+            run(Runtime::new(), settings, serve)
+        })
+    }
+
+    /// Like [`main`](Program::main) with all control on one thread, and with
+    /// logs that are dropped and counted rather than waited for.
+    pub fn main_on_one_thread<S, E: Display>(
+        &self,
+        load: impl Fn(&Path) -> Result<S, Error>,
+        serve: impl AsyncFnOnce(S, Stop) -> Result<(), E>,
+    ) -> ExitCode {
+        self.start(load, |settings| {
+            let _writer = log::install_bounded();
+            let runtime = Builder::new_current_thread().enable_all().build();
+            run(runtime, settings, serve)
+        })
+    }
+
+    fn start<S>(
+        &self,
+        load: impl Fn(&Path) -> Result<S, Error>,
+        run: impl FnOnce(S) -> Result<(), String>,
     ) -> ExitCode {
         let command = match args::parse(pico_args::Arguments::from_env()) {
             Ok(command) => command,
@@ -50,8 +78,7 @@
         if check {
             return print(&format!("{}: settings are valid", path.display()));
         }
-        log::install();
-        match run(settings, serve) {
+        match run(settings) {
             Ok(()) => ExitCode::SUCCESS,
             Err(message) => fail(FAILED_CODE, &message),
         }
@@ -59,10 +86,11 @@
 }
 
 fn run<S, E: Display>(
+    runtime: io::Result<Runtime>,
     settings: S,
     serve: impl AsyncFnOnce(S, Stop) -> Result<(), E>,
 ) -> Result<(), String> {
-    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let runtime = runtime.map_err(|error| error.to_string())?;
     runtime.block_on(async {
         let stop = Stop::install().map_err(|error| error.to_string())?;
         let served = serve(settings, stop).await;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,11 @@
 #[path = "generated/berylgw.v1.rs"]
 pub mod generated;
 
+/// Messages between entries that send requests to servers themselves.
+#[allow(missing_docs, clippy::all, rustdoc::all)]
+#[path = "generated/berylgw.direct.v1.rs"]
+pub mod direct;
+
 mod codec;
 mod outcome;
 
