--- a/crates/runtime/src/signal.rs
+++ b/crates/runtime/src/signal.rs
@@ -4,7 +4,7 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Installed handlers of SIGTERM and SIGINT.
+/// Installed handlers of SIGTERM, SIGINT and SIGHUP.
 ///
 /// Install them before the first `listening` line is logged: a signal that
 /// comes earlier ends the process without a graceful shutdown.
@@ -12,6 +12,7 @@
 pub struct Stop {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl Stop {
@@ -23,17 +24,27 @@
     pub fn install() -> io::Result<Self> {
         let terminate = signal(SignalKind::terminate())?;
         let interrupt = signal(SignalKind::interrupt())?;
+        let hangup = signal(SignalKind::hangup())?;
         Ok(Stop {
             terminate,
             interrupt,
+            hangup,
         })
     }
 
     /// Waits for SIGTERM or SIGINT.
+    ///
+    /// SIGHUP says that a settings file changed. Settings are read at the start
+    /// only, so that it is logged and the process goes on.
     pub async fn requested(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    tracing::info!("settings changed; they take effect at the next start");
+                }
+            }
         }
     }
 }
