--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`bound`]: how many requests run at once, found from the pauses observed.
 //! - [`wait`]: which request takes the next free place, and how long one waits.
+//! - [`pace`]: how fast requests begin.
 //! - [`place`]: the backend server that a request goes to.
 //! - [`arrival`]: how many requests a server in cold start receives.
 //! - [`health`]: which servers are left out for the outcomes of their requests.
@@ -15,5 +16,6 @@
 pub mod bound;
 pub mod comeback;
 pub mod health;
+pub mod pace;
 pub mod place;
 pub mod wait;
--- a/crates/core/src/group/wait.rs
+++ b/crates/core/src/group/wait.rs
@@ -20,6 +20,8 @@
     pub in_time: bool,
     /// Client account that is charged.
     pub account: Arc<str>,
+    /// Tokens of the prompt.
+    pub tokens: u32,
     /// When the wait ends with a refusal.
     pub until: Instant,
 }
@@ -41,7 +43,7 @@
 /// use std::time::Duration;
 ///
 /// let until = Instant::ORIGIN + Duration::from_millis(50);
-/// let late = Claim { priority: 1, in_time: false, account: "a".into(), until };
+/// let late = Claim { priority: 1, in_time: false, account: "a".into(), tokens: 1, until };
 /// let fresh = Claim { in_time: true, ..late.clone() };
 /// let mut queue = Queue::new(8);
 /// assert!(queue.push(1, late));
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylgw_core::clock::Instant;
 use berylgw_core::group::wait::{Claim, Id};
 use tokio::sync::oneshot;
 
@@ -39,6 +40,7 @@
         priority: call.priority,
         in_time: true,
         account: call.account.clone(),
+        tokens: call.prompt_tokens,
         until: call.started + wait.min(call.time_left(gateway)),
     };
     let until = claim.until;
@@ -55,15 +57,11 @@
         id,
         granted,
     };
-    let left = gateway.clock.until(until);
-    let granted = tokio::time::timeout(left, &mut waiting.granted).await;
-    match granted {
-        Ok(Ok(())) => Ok(Some(Permit::new(gateway, call.service, &call.account))),
-        Ok(Err(_)) | Err(_) => {
-            drop(waiting);
-            Err(refuse(gateway, call, End::NoPlace))
-        }
+    if waiting.turn_comes(until).await {
+        return Ok(Some(Permit::new(gateway, call.service, &call.account)));
     }
+    drop(waiting);
+    Err(refuse(gateway, call, End::NoPlace))
 }
 
 fn refuse(gateway: &Gateway, call: &Call, end: End) -> Refusal {
@@ -79,6 +77,25 @@
     granted: oneshot::Receiver<()>,
 }
 
+impl Waiting<'_> {
+    /// Waits for the turn; returns whether it came before `until`.
+    async fn turn_comes(&mut self, until: Instant) -> bool {
+        loop {
+            let service = self.call.service;
+            let next = self.gateway.with(|state, _| state.next_begin(service));
+            let now = self.gateway.clock.now();
+            // Places become free by events; only the pace needs a timer.
+            let wake = if next > now { next.min(until) } else { until };
+            let left = self.gateway.clock.until(wake);
+            match tokio::time::timeout(left, &mut self.granted).await {
+                Ok(granted) => return granted.is_ok(),
+                Err(_) if self.gateway.clock.now() >= until => return false,
+                Err(_) => self.gateway.grant_places(),
+            }
+        }
+    }
+}
+
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let service: ServiceKey = self.call.service;
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -41,6 +41,8 @@
     pub account: Arc<str>,
     /// Rank, 0 is the highest.
     pub priority: u32,
+    /// Tokens of its prompt, 0 if it has none.
+    pub prompt_tokens: u32,
     /// Service that it goes to.
     pub service: ServiceKey,
     /// Name of that service.
@@ -79,6 +81,8 @@
             Some(value) => milliseconds(value).ok_or(malformed)?,
             None => route.timeout,
         };
+        let prompt_tokens = text(&headers, &names.tokens).map_or(Some(0), prompt_tokens);
+        let prompt_tokens = prompt_tokens.ok_or(malformed)?;
         let draw = gateway.with(|_, _| rand::random());
         let target = route.target(draw).ok_or(Refusal::new(End::NoServer))?;
         let service_name = target.service.clone();
@@ -97,6 +101,7 @@
             route,
             account,
             priority,
+            prompt_tokens,
             service,
             service_name,
             method: parts.method,
@@ -175,6 +180,11 @@
     Some(Duration::from_millis(millis))
 }
 
+/// The first of the numbers, which are separated by commas.
+fn prompt_tokens(value: &str) -> Option<u32> {
+    value.split(',').next()?.trim().parse().ok()
+}
+
 fn identify(
     configuration: &Configuration,
     headers: &HeaderMap,
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -5,6 +5,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::bound::Bound;
+use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::place::{self, Candidate};
 use berylgw_core::group::wait::{Claim, Id, Queue};
 use berylgw_core::group::{arrival, comeback, health};
@@ -60,6 +61,7 @@
     /// Requests that hold a place, by client account.
     running: Vec<(Arc<str>, usize)>,
     places: usize,
+    pacer: Pacer,
     retries: Window,
     comebacks: comeback::Schedule,
     /// When a broken group is expected to run again.
@@ -73,6 +75,7 @@
 struct Waiter {
     id: Id,
     account: Arc<str>,
+    tokens: u32,
     granted: oneshot::Sender<()>,
 }
 
@@ -175,6 +178,7 @@
                 waiting: Vec::new(),
                 running: Vec::new(),
                 places: 0,
+                pacer: Pacer::new(self.settings.group.pace_headroom),
                 retries: Window::default(),
                 comebacks: comeback::Schedule::default(),
                 opens: Instant::ORIGIN,
@@ -212,18 +216,22 @@
 
     /// Asks for a place for a request.
     pub fn request_place(&mut self, now: Instant, service: ServiceKey, claim: Claim) -> Turn {
-        let full = self.in_flight(now, service) >= self.places(now, service);
+        let in_flight = self.in_flight(now, service);
+        let places = self.places(now, service);
+        let full = in_flight >= places;
+        let idle = is_idle(in_flight, places);
         let pool = &mut self.pools[service.0];
         if now < pool.opens {
             return Turn::Closed(pool.opens);
         }
-        if !full && pool.queue.is_empty() {
-            pool.occupy(&claim.account);
+        let ready = idle || pool.pacer.ready(now);
+        if !full && ready && pool.queue.is_empty() {
+            pool.begin(now, &claim.account, claim.tokens);
             return Turn::Granted;
         }
         let id = self.next;
         self.next = self.next.wrapping_add(1);
-        let account = claim.account.clone();
+        let (account, tokens) = (claim.account.clone(), claim.tokens);
         if claim.until <= now || !pool.queue.push(id, claim) {
             return Turn::Full;
         }
@@ -231,11 +239,17 @@
         pool.waiting.push(Waiter {
             id,
             account,
+            tokens,
             granted,
         });
         Turn::Queued(id, receiver)
     }
 
+    /// When the next waiting request may begin at the earliest.
+    pub fn next_begin(&self, service: ServiceKey) -> Instant {
+        self.pools[service.0].pacer.next()
+    }
+
     /// Ends a wait.
     pub fn forget(&mut self, service: ServiceKey, id: Id) {
         let pool = &mut self.pools[service.0];
@@ -257,11 +271,15 @@
             if self.pools[index].queue.is_empty() {
                 continue;
             }
-            let mut free = self
-                .places(now, key)
-                .saturating_sub(self.in_flight(now, key));
+            let places = self.places(now, key);
+            let in_flight = self.in_flight(now, key);
+            let idle = is_idle(in_flight, places);
+            let mut free = places.saturating_sub(in_flight);
             while free > 0 {
                 let pool = &mut self.pools[index];
+                if !idle && !pool.pacer.ready(now) {
+                    break;
+                }
                 let running = &pool.running;
                 let Some(id) = pool.queue.pop(|account| count(running, account)) else {
                     break;
@@ -270,7 +288,7 @@
                     continue;
                 };
                 let waiter = pool.waiting.swap_remove(at);
-                pool.occupy(&waiter.account);
+                pool.begin(now, &waiter.account, waiter.tokens);
                 // A receiver that is gone belongs to a client that left.
                 if waiter.granted.send(()).is_err() {
                     pool.vacate(&waiter.account);
@@ -414,7 +432,19 @@
     }
 }
 
+/// Share of the places below which requests begin as they come.
+const PACED_SHARE: f64 = 0.6;
+
+fn is_idle(in_flight: usize, places: usize) -> bool {
+    (in_flight as f64) < PACED_SHARE * places as f64
+}
+
 impl Pool {
+    fn begin(&mut self, now: Instant, account: &Arc<str>, tokens: u32) {
+        self.pacer.begin(now, f64::from(tokens));
+        self.occupy(account);
+    }
+
     fn occupy(&mut self, account: &Arc<str>) {
         self.places += 1;
         match self.running.iter_mut().find(|entry| entry.0 == *account) {
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -17,6 +17,31 @@
     pub value: Arc<T>,
 }
 
+/// What replacing a part changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Change {
+    None,
+    Revision,
+    Value,
+}
+
+impl<T: PartialEq> Part<T> {
+    /// Takes over `newer` if its revision is higher.
+    fn replace(&mut self, newer: &Part<T>) -> Change {
+        if newer.revision <= self.revision {
+            return Change::None;
+        }
+        let change = if self.revision > 0 && self.value == newer.value {
+            Change::Revision
+        } else {
+            Change::Value
+        };
+        self.revision = newer.revision;
+        self.value = newer.value.clone();
+        change
+    }
+}
+
 /// A consistent copy of all parts.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct View {
@@ -119,9 +144,10 @@
     pub fn set_configuration(&self, part: Part<Configuration>, source: Source) -> bool {
         let version = part.value.version;
         let set = self.change(|view| {
-            let known = &view.configuration;
-            let newer = part.revision > known.revision && version >= known.value.version;
-            newer.then(|| view.configuration = part.clone())
+            if version < view.configuration.value.version {
+                return Change::None;
+            }
+            view.configuration.replace(&part)
         });
         if set {
             let (revision, routes) = (part.revision, part.value.routes.len());
@@ -132,10 +158,7 @@
 
     /// Replaces the backend servers; returns whether they were newer.
     pub fn set_servers(&self, part: Part<Vec<Server>>, source: Source) -> bool {
-        let set = self.change(|view| {
-            let newer = part.revision > view.servers.revision;
-            newer.then(|| view.servers = part.clone())
-        });
+        let set = self.change(|view| view.servers.replace(&part));
         if set {
             let draining = part.value.iter().filter(|server| server.draining).count();
             let (revision, servers) = (part.revision, part.value.len());
@@ -146,10 +169,7 @@
 
     /// Replaces the evacuated failure domains; returns whether they were newer.
     pub fn set_evacuations(&self, part: Part<Vec<Arc<str>>>, source: Source) -> bool {
-        let set = self.change(|view| {
-            let newer = part.revision > view.evacuations.revision;
-            newer.then(|| view.evacuations = part.clone())
-        });
+        let set = self.change(|view| view.evacuations.replace(&part));
         if set {
             let domains = part.value.join(",");
             tracing::info!(%source, revision = part.revision, domains, "evacuations changed");
@@ -157,13 +177,13 @@
         set
     }
 
-    fn change(&self, apply: impl FnOnce(&mut View) -> Option<()>) -> bool {
+    fn change(&self, apply: impl FnOnce(&mut View) -> Change) -> bool {
         let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
         let mut view = View::clone(&self.view());
-        let changed = apply(&mut view).is_some();
-        if changed {
+        let change = apply(&mut view);
+        if change != Change::None {
             self.sender.send_replace(Arc::new(view));
         }
-        changed
+        change == Change::Value
     }
 }
