Prefer requests that can be on time to those that come back late

Cause: under sustained overload half of the places went to clients that had been refused before; their answers are late, and new clients were refused for them. Conclusion: kept with nine tenths of the places open to late requests.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -7,6 +7,7 @@
 //! - [`bound`]: how many requests run at once, found from the pauses observed.
 //! - [`wait`]: which request takes the next free place, and how long one waits.
 //! - [`pace`]: how fast requests begin.
+//! - [`patience`]: which requests are late already.
 //! - [`place`]: the backend server that a request goes to.
 //! - [`arrival`]: how many requests a server in cold start receives.
 //! - [`health`]: which servers are left out for the outcomes of their requests.
@@ -17,5 +18,6 @@
 pub mod comeback;
 pub mod health;
 pub mod pace;
+pub mod patience;
 pub mod place;
 pub mod wait;
--- a/crates/core/src/group/bound.rs
+++ b/crates/core/src/group/bound.rs
@@ -11,6 +11,10 @@
 /// Time between two adjustments of the bound; several passes long.
 pub const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Share of the most places at which a bound begins. After a restart of all
+/// entries every client comes back at once.
+const FIRST_SHARE: f64 = 0.7;
+
 /// Pauses kept between two adjustments; the oldest is dropped first.
 const SAMPLES: usize = 256;
 
@@ -52,11 +56,11 @@
 }
 
 impl Bound {
-    /// A bound that begins at `ceiling` places.
+    /// A bound below `ceiling` places that grows once pauses are observed.
     pub fn new(tuning: Tuning, ceiling: f64) -> Self {
         Bound {
             tuning,
-            places: ceiling,
+            places: (ceiling * FIRST_SHARE).max(tuning.floor),
             ceiling,
             pauses: Vec::new(),
             adjusted: Instant::ORIGIN,
@@ -72,7 +76,7 @@
     /// Sets the most places there can be, from the slots of the servers.
     pub fn set_ceiling(&mut self, ceiling: f64) {
         if ceiling > self.ceiling {
-            self.places += ceiling - self.ceiling;
+            self.places += (ceiling - self.ceiling) * FIRST_SHARE;
         }
         self.ceiling = ceiling;
         self.places = self.places.min(ceiling).max(self.tuning.floor);
--- a/crates/core/src/group/wait.rs
+++ b/crates/core/src/group/wait.rs
@@ -48,7 +48,7 @@
 /// let mut queue = Queue::new(8);
 /// assert!(queue.push(1, late));
 /// assert!(queue.push(2, fresh));
-/// assert_eq!(queue.pop(|_| 0), Some(2));
+/// assert_eq!(queue.pop(true, |_| 0), Some(2));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Queue {
@@ -84,17 +84,19 @@
         true
     }
 
-    /// Takes the request whose turn it is.
+    /// Takes the request whose turn it is, one that is late already only if
+    /// there is a place for `late` ones.
     ///
     /// `running` gives the number of requests that an account has in flight.
-    pub fn pop(&mut self, running: impl Fn(&str) -> usize) -> Option<Id> {
+    pub fn pop(&mut self, late: bool, running: impl Fn(&str) -> usize) -> Option<Id> {
         let turn = |index: &usize| {
             let claim = &self.items[*index].claim;
             let behind = !claim.in_time;
             (claim.priority, behind, running(&claim.account))
         };
         // The first of equal keys, so that arrival decides.
-        let index = (0..self.items.len()).min_by_key(turn)?;
+        let open = |index: &usize| late || self.items[*index].claim.in_time;
+        let index = (0..self.items.len()).filter(open).min_by_key(turn)?;
         Some(self.items.remove(index).id)
     }
 
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -38,7 +38,7 @@
     let wait = call.route.aim.mul_f64(gateway.settings.group.wait_share);
     let claim = Claim {
         priority: call.priority,
-        in_time: true,
+        in_time: call.in_time,
         account: call.account.clone(),
         tokens: call.prompt_tokens,
         until: call.started + wait.min(call.time_left(gateway)),
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -35,6 +35,9 @@
     pub deadline: Instant,
     /// Time that the client waits, from the head.
     pub patience: Duration,
+    /// Whether the answer can still be on time, counted from the client's first
+    /// sending of the request.
+    pub in_time: bool,
     /// The route of its host and path.
     pub route: Route,
     /// Client account that is charged, empty for anonymous requests.
@@ -87,6 +90,7 @@
         let target = route.target(draw).ok_or(Refusal::new(End::NoServer))?;
         let service_name = target.service.clone();
         let service = gateway.with(|state, _| state.pool(&service_name));
+        let in_time = gateway.with(|state, _| state.note_patience(&route, patience));
         let time = route.timeout.min(patience.saturating_sub(ANSWER_MARGIN));
         let deadline = started + time;
         let reading = read_body(gateway, body, &configuration.limits);
@@ -98,6 +102,7 @@
             started,
             deadline,
             patience,
+            in_time,
             route,
             account,
             priority,
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -21,6 +21,8 @@
     service: Arc<str>,
     account: Arc<str>,
     kind: &'static str,
+    patience: Duration,
+    in_time: bool,
     waited: Option<Duration>,
     places: usize,
     in_flight: usize,
@@ -47,6 +49,8 @@
             service: Arc::from(""),
             account: Arc::from(""),
             kind: "unknown",
+            patience: Duration::ZERO,
+            in_time: true,
             waited: None,
             places: 0,
             in_flight: 0,
@@ -67,6 +71,8 @@
     pub fn identified(&mut self, call: &Call) {
         self.service = call.service_name.clone();
         self.account = call.account.clone();
+        self.patience = call.patience;
+        self.in_time = call.in_time;
         self.kind = match call.kind() {
             Kind::Idempotent => "idempotent",
             Kind::Once => "once",
@@ -161,6 +167,8 @@
             kind = self.kind,
             places = self.places,
             in_flight = self.in_flight,
+            patience_ms = millis(self.patience),
+            in_time = self.in_time,
             waited_ms = self.waited.map(millis),
             servers = self.servers.join(","),
             retries = labels(&self.retries),
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -90,6 +90,9 @@
     pub load_share: f64,
     /// Longest wait for a place, as a share of the time to the first event.
     pub wait_share: f64,
+    /// Share of the places open to requests whose answer is late already, so
+    /// that they do not displace those that can be on time.
+    pub late_share: f64,
     /// Factor by which an entry may exceed its own recent rate of begins.
     pub pace_headroom: f64,
 }
@@ -98,11 +101,12 @@
     fn default() -> Self {
         // From the comparison of settings in docs/MEASUREMENTS.md.
         Group {
-            pause_share: 0.8,
+            pause_share: 0.85,
             quantile: 0.9,
             gain: 0.2,
             load_share: 0.6,
             wait_share: 0.125,
+            late_share: 0.9,
             pace_headroom: 1.2,
         }
     }
@@ -149,6 +153,7 @@
         require("group.gain", share(group.gain), expected);
         require("group.load_share", share(group.load_share), expected);
         require("group.wait_share", share(group.wait_share), expected);
+        require("group.late_share", share(group.late_share), expected);
         let headroom = group.pace_headroom;
         require("group.pace_headroom", headroom >= 1.0, "must be at least 1");
         findings
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -8,12 +8,13 @@
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::place::{self, Candidate};
 use berylgw_core::group::wait::{Claim, Id, Queue};
-use berylgw_core::group::{arrival, comeback, health};
+use berylgw_core::group::{arrival, comeback, health, patience};
 use berylgw_core::retry::Window;
 use berylgw_wire::direct as wire;
 use tokio::sync::oneshot;
 
 use crate::backend::{self, Server};
+use crate::config::Route;
 use crate::metrics::Metrics;
 use crate::peer::Table;
 use crate::settings::Settings;
@@ -101,6 +102,7 @@
     /// Other entries.
     pub peers: Table,
     slots: Vec<Option<Slot>>,
+    patience: patience::Table,
     pools: Vec<Pool>,
     next: u64,
 }
@@ -113,6 +115,7 @@
             view: Arc::default(),
             peers: Table::default(),
             slots: Vec::new(),
+            patience: patience::Table::default(),
             pools: Vec::new(),
             next: rand::random(),
         }
@@ -214,11 +217,21 @@
         sum / count
     }
 
+    /// Whether a request whose client waits `patience` can be answered on time.
+    pub fn note_patience(&mut self, route: &Route, patience: Duration) -> bool {
+        !self.patience.is_late(&route.host, &route.prefix, patience)
+    }
+
     /// Asks for a place for a request.
     pub fn request_place(&mut self, now: Instant, service: ServiceKey, claim: Claim) -> Turn {
         let in_flight = self.in_flight(now, service);
         let places = self.places(now, service);
-        let full = in_flight >= places;
+        let open = if claim.in_time {
+            places
+        } else {
+            (places as f64 * self.settings.group.late_share) as usize
+        };
+        let full = in_flight >= open;
         let idle = is_idle(in_flight, places);
         let pool = &mut self.pools[service.0];
         if now < pool.opens {
@@ -275,13 +288,16 @@
             let in_flight = self.in_flight(now, key);
             let idle = is_idle(in_flight, places);
             let mut free = places.saturating_sub(in_flight);
+            let late_free = (places as f64 * self.settings.group.late_share) as usize;
+            let mut late_free = late_free.saturating_sub(in_flight);
             while free > 0 {
                 let pool = &mut self.pools[index];
                 if !idle && !pool.pacer.ready(now) {
                     break;
                 }
                 let running = &pool.running;
-                let Some(id) = pool.queue.pop(|account| count(running, account)) else {
+                let turn = |account: &str| count(running, account);
+                let Some(id) = pool.queue.pop(late_free > 0, turn) else {
                     break;
                 };
                 let Some(at) = pool.waiting.iter().position(|waiter| waiter.id == id) else {
@@ -295,6 +311,7 @@
                     continue;
                 }
                 free -= 1;
+                late_free = late_free.saturating_sub(1);
             }
         }
     }
