Let three entries follow the store and tell the others

Cause: each change of a server's entry woke a watch of each entry; store calls were the largest price of the grown sites. Ruled out: pausing between watches, which delays every change by the pause.

--- a/crates/core/src/group/patience.rs
+++ b/crates/core/src/group/patience.rs
@@ -45,7 +45,8 @@
                 left < longest.mul_f64(1.0 - SPREAD)
             }
             Err(index) if self.longest.len() < ROUTES => {
-                self.longest.insert(index, (host.into(), prefix.into(), left));
+                self.longest
+                    .insert(index, (host.into(), prefix.into(), left));
                 false
             }
             Err(_) => {
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -135,7 +135,10 @@
 
     fn expire(&mut self, now: Instant, allowance: Allowance) {
         for times in [&mut self.requests, &mut self.repeats] {
-            while times.front().is_some_and(|&time| now.since(time) >= allowance.window) {
+            while times
+                .front()
+                .is_some_and(|&time| now.since(time) >= allowance.window)
+            {
                 times.pop_front();
             }
         }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -302,4 +302,3 @@
     let rest = splitter.rest();
     Ok(Some(rest).filter(|rest| !rest.is_empty()))
 }
-
--- a/crates/direct/src/beat.rs
+++ b/crates/direct/src/beat.rs
@@ -13,7 +13,7 @@
 use crate::entry::Status;
 use crate::gateway::Gateway;
 use crate::peer;
-use crate::view::Revisions;
+use crate::view::Publisher;
 
 /// Time between two datagrams of an idle entry; a sixth of the silence after
 /// which it counts as gone.
@@ -34,6 +34,10 @@
     pub members: watch::Receiver<Arc<[SocketAddr]>>,
     /// What callers are told of the entries.
     pub status: watch::Sender<Arc<Status>>,
+    /// The view, and whether the store answers.
+    pub views: Publisher,
+    /// Whether this entry follows the store itself.
+    pub observing: watch::Sender<bool>,
     /// Entries whose view is newer.
     pub ahead: mpsc::Sender<SocketAddr>,
 }
@@ -67,13 +71,13 @@
                 state.grant(now);
             }
         });
+        self.catch_up(true);
     }
 
     /// Sends datagrams for ever: to entries heard lately when the load changes,
     /// and to all in fixed intervals.
     pub async fn send(&self) {
         let mut sequence = 0;
-        let mut lagging = None;
         let mut due = tokio::time::Instant::now();
         loop {
             let changed = self.gateway.load_changed.notified();
@@ -82,7 +86,8 @@
             self.send_beat(sequence, periodic).await;
             if periodic {
                 due = tokio::time::Instant::now() + INTERVAL;
-                lagging = self.compare(lagging);
+                self.catch_up(false);
+                self.observe();
                 self.publish();
             }
             let spacing = self.gateway.with(|state, now| state.beat_spacing(now));
@@ -108,8 +113,8 @@
             servers: revisions.servers,
             evacuations: revisions.evacuations,
             loads,
-            suspects: Vec::new(),
             bounds,
+            store_lost: !self.views.store_answers(),
         };
         let bytes = beat.encode_to_vec();
         let mut targets = live;
@@ -128,23 +133,35 @@
         }
     }
 
-    /// Asks for the view of an entry that was ahead at the last interval too.
-    ///
-    /// Normally the store tells both within milliseconds.
-    fn compare(&self, lagging: Option<Revisions>) -> Option<Revisions> {
-        let (own, ahead) = self.gateway.with(|state, now| {
+    /// Asks an entry whose view is newer for it, one that is near first.
+    fn catch_up(&self, near_only: bool) {
+        let domain = &self.gateway.settings.domain;
+        let ahead = self.gateway.with(|state, now| {
             let own = state.view.revisions();
-            let ahead = state
-                .peers
-                .live(now)
-                .find(|peer| own.behind(peer.revisions));
-            (own, ahead.map(|peer| peer.address))
+            let ahead = state.peers.live(now);
+            let ahead = ahead.filter(|peer| own.behind(peer.revisions));
+            let ahead = ahead.map(|peer| (peer.domain != *domain, peer.address));
+            ahead.min()
         });
-        let ahead = ahead?;
-        if lagging == Some(own) && self.ahead.try_send(ahead).is_err() {
+        let Some((far, address)) = ahead else { return };
+        if far && near_only {
+            return;
+        }
+        if self.ahead.try_send(address).is_err() {
             tracing::debug!("a view is being asked for already");
         }
-        Some(own)
+    }
+
+    /// Decides whether this entry follows the store itself.
+    fn observe(&self) {
+        let name = &self.gateway.settings.name;
+        let observing = self
+            .gateway
+            .with(|state, now| state.peers.observes(now, name));
+        if *self.observing.borrow() != observing {
+            tracing::info!(observing, "following the store changed");
+            self.observing.send_replace(observing);
+        }
     }
 
     /// Tells the directory which entries callers may use.
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -217,7 +217,9 @@
 ) -> Result<(Bytes, BodyBytes), Refusal> {
     let hint = body.size_hint();
     // A body without a length may become as large as allowed.
-    let most = hint.upper().map_or(limits.body_bytes, |bytes| bytes as usize);
+    let most = hint
+        .upper()
+        .map_or(limits.body_bytes, |bytes| bytes as usize);
     if most > limits.body_bytes && hint.upper().is_some() {
         return Err(Refusal::new(End::TooLarge));
     }
--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -162,7 +162,9 @@
 
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let found = self.services.binary_search_by(|service| (*service.name).cmp(name));
+        let found = self
+            .services
+            .binary_search_by(|service| (*service.name).cmp(name));
         found.ok().map(|index| &self.services[index])
     }
 
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -78,6 +78,7 @@
     views: Publisher,
     members: watch::Sender<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
+    observing: watch::Sender<bool>,
 }
 
 impl Entry {
@@ -88,10 +89,13 @@
     /// Fails if an address cannot be bound.
     pub async fn bind(mut settings: Settings, names: Names) -> Result<Self, Error> {
         let at = |place| move |error: io::Error| Error::new(place, error);
-        let callers = std::net::TcpListener::bind(settings.listen.callers).map_err(at("callers"))?;
+        let callers =
+            std::net::TcpListener::bind(settings.listen.callers).map_err(at("callers"))?;
         callers.set_nonblocking(true).map_err(at("callers"))?;
         settings.listen.callers = callers.local_addr().map_err(at("callers"))?;
-        let peers = TcpListener::bind(settings.listen.peers).await.map_err(at("peers"))?;
+        let peers = TcpListener::bind(settings.listen.peers)
+            .await
+            .map_err(at("peers"))?;
         settings.listen.peers = peers.local_addr().map_err(at("peers"))?;
         let datagrams = UdpSocket::bind(settings.listen.peers).map_err(at("peers"))?;
         datagrams.set_nonblocking(true).map_err(at("peers"))?;
@@ -106,6 +110,8 @@
             views: Publisher::default(),
             members: watch::Sender::new(Arc::from([])),
             status: watch::Sender::new(Arc::default()),
+            // Until others are heard.
+            observing: watch::Sender::new(true),
         })
     }
 
@@ -124,6 +130,11 @@
         self.members.clone()
     }
 
+    /// Whether this entry follows the store itself; others tell it otherwise.
+    pub fn observing(&self) -> watch::Receiver<bool> {
+        self.observing.subscribe()
+    }
+
     /// What callers are told of the entries.
     pub fn status(&self) -> watch::Receiver<Arc<Status>> {
         self.status.subscribe()
@@ -151,6 +162,7 @@
             views: self.views.clone(),
             members: self.members.subscribe(),
             status: self.status,
+            observing: self.observing,
             leaving,
             ahead,
         };
@@ -208,6 +220,7 @@
     views: Publisher,
     members: watch::Receiver<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
+    observing: watch::Sender<bool>,
     leaving: watch::Receiver<bool>,
     ahead: mpsc::Sender<SocketAddr>,
 }
@@ -233,6 +246,8 @@
             incarnation: rand::random(),
             members: self.members,
             status: self.status,
+            views: self.views.clone(),
+            observing: self.observing,
             ahead: self.ahead,
         });
         let (close, closing) = watch::channel(false);
@@ -260,6 +275,8 @@
             state.update(view);
             state.grant(now);
         });
+        // Tells the other entries of the new revisions.
+        gateway.load_changed.notify_one();
         if views.changed().await.is_err() {
             return;
         }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -80,7 +80,8 @@
 
     /// Counts a request that ends.
     pub fn finish(&self) {
-        self.in_progress.set(self.in_progress.get().saturating_sub(1));
+        self.in_progress
+            .set(self.in_progress.get().saturating_sub(1));
     }
 
     /// Requests whose answers have not ended.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -130,9 +130,8 @@
         let counter = |name: &str, help: &str, labels: &[&str]| {
             IntCounterVec::new(Opts::new(name, help), labels)
         };
-        let gauges = |name: &str, help: &str, label: &str| {
-            IntGaugeVec::new(Opts::new(name, help), &[label])
-        };
+        let gauges =
+            |name: &str, help: &str, label: &str| IntGaugeVec::new(Opts::new(name, help), &[label]);
         let options = HistogramOpts::new(
             "berylgw_direct_seconds",
             "Latency of requests by phase, kind of request and failure domain of the server",
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -18,6 +18,11 @@
 /// may go on without being heard.
 const SHARING: Duration = Duration::from_secs(30);
 
+/// Entries that follow the store themselves and tell the others, so that the
+/// calls of the store do not grow with the fleet. One may be dead and another
+/// cut off without its changes being late.
+const OBSERVERS: usize = 3;
+
 /// An entry that was heard.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -40,6 +45,8 @@
     pub loads: Vec<(u32, u32)>,
     /// Bound in force by service digest.
     pub bounds: Vec<(u32, u32)>,
+    /// Whether the store does not answer it.
+    pub store_lost: bool,
     /// When it was heard last.
     pub heard: Instant,
 }
@@ -57,7 +64,9 @@
             tracing::warn!(peer = %address, callers = beat.callers, "beat without an address");
             return false;
         };
-        let found = self.peers.binary_search_by(|peer| (*peer.name).cmp(&beat.name));
+        let found = self
+            .peers
+            .binary_search_by(|peer| (*peer.name).cmp(&beat.name));
         if let Ok(index) = found {
             let known = &self.peers[index];
             let same = known.incarnation == beat.incarnation;
@@ -71,7 +80,10 @@
             .map(|load| (load.server, load.in_flight))
             .collect();
         loads.sort_unstable();
-        let bounds = beat.bounds.iter().map(|bound| (bound.service, bound.places));
+        let bounds = beat
+            .bounds
+            .iter()
+            .map(|bound| (bound.service, bound.places));
         let peer = Peer {
             name: beat.name.into(),
             incarnation: beat.incarnation,
@@ -87,6 +99,7 @@
             },
             loads,
             bounds: bounds.collect(),
+            store_lost: beat.store_lost,
             heard: now,
         };
         match found {
@@ -106,6 +119,16 @@
             .filter(move |peer| now.since(peer.heard) < SILENCE)
     }
 
+    /// Whether the entry `name` follows the store itself.
+    ///
+    /// The first few do by name, of those that the store answers. An entry that
+    /// hears no other does so too.
+    pub fn observes(&self, now: Instant, name: &str) -> bool {
+        let before = self.live(now).filter(|peer| *peer.name < *name);
+        let able = before.filter(|peer| !peer.store_lost && !peer.leaving);
+        able.count() < OBSERVERS
+    }
+
     /// Entries that may be running, this one included.
     pub fn sharing(&self, now: Instant) -> usize {
         let others = self
--- a/crates/direct/src/pull.rs
+++ b/crates/direct/src/pull.rs
@@ -17,7 +17,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
-use crate::view::{Part, Publisher, Source};
+use crate::view::{Part, Publisher, Revisions, Source};
 
 /// Longest time for a view to arrive, far below the time in which changes have
 /// to be in force.
@@ -33,19 +33,20 @@
 impl Peer for Service {
     async fn pull(
         &self,
-        _request: Request<wire::PullRequest>,
+        request: Request<wire::PullRequest>,
     ) -> Result<Response<wire::PullReply>, Status> {
+        let known = request.into_inner();
         let view = self.0.view();
         Ok(Response::new(wire::PullReply {
-            configuration: encode(&view.configuration)?,
-            servers: encode(&view.servers)?,
-            evacuations: encode(&view.evacuations)?,
+            configuration: encode(&view.configuration, known.configuration)?,
+            servers: encode(&view.servers, known.servers)?,
+            evacuations: encode(&view.evacuations, known.evacuations)?,
         }))
     }
 }
 
-fn encode<T: Serialize>(part: &Part<T>) -> Result<Option<wire::Part>, Status> {
-    if part.revision == 0 {
+fn encode<T: Serialize>(part: &Part<T>, known: u64) -> Result<Option<wire::Part>, Status> {
+    if part.revision <= known {
         return Ok(None);
     }
     let value = serde_json::to_vec(&*part.value);
@@ -72,7 +73,7 @@
 /// Takes over the view of each entry that `ahead` names.
 pub async fn follow(mut ahead: mpsc::Receiver<SocketAddr>, views: Publisher) {
     while let Some(address) = ahead.recv().await {
-        match tokio::time::timeout(TIMEOUT, pull(address)).await {
+        match tokio::time::timeout(TIMEOUT, pull(address, views.view().revisions())).await {
             Ok(Ok(reply)) => merge(&views, reply),
             Ok(Err(error)) => tracing::warn!(peer = %address, %error, "view not taken over"),
             Err(_) => tracing::warn!(peer = %address, "view not taken over in time"),
@@ -80,11 +81,19 @@
     }
 }
 
-async fn pull(address: SocketAddr) -> Result<wire::PullReply, Box<dyn std::error::Error>> {
+async fn pull(
+    address: SocketAddr,
+    known: Revisions,
+) -> Result<wire::PullReply, Box<dyn std::error::Error>> {
     let endpoint: Endpoint = Channel::from_shared(format!("http://{address}"))?;
     let channel = endpoint.connect().await?;
     let mut client = PeerClient::new(channel).max_decoding_message_size(VIEW_BYTES);
-    let reply = client.pull(wire::PullRequest {}).await?;
+    let request = wire::PullRequest {
+        configuration: known.configuration,
+        servers: known.servers,
+        evacuations: known.evacuations,
+    };
+    let reply = client.pull(request).await?;
     Ok(reply.into_inner())
 }
 
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -105,9 +105,7 @@
     let mut attempts = Attempts::default();
     let answer = attempts.run(gateway, &call, &mut record, None).await;
     match answer {
-        Ok(Answer::Stream(opened)) => {
-            relay(gateway, call, attempts, record, *opened, permit)
-        }
+        Ok(Answer::Stream(opened)) => relay(gateway, call, attempts, record, *opened, permit),
         Ok(Answer::Whole(whole)) => {
             record.event();
             let end = crate::metrics::End::Answered;
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -141,9 +141,21 @@
         require("domain", !self.domain.is_empty(), "must not be empty");
         require("stop_s", self.stop_s >= 1.0, "must be at least 1");
         require("retry.window_s", self.retry.window_s > 0, "must be above 0");
-        require("retry.ratio", self.retry.ratio >= 0.0, "must not be negative");
-        require("retry.extra", self.retry.extra >= 0.0, "must not be negative");
-        require("cold.overshoot", self.cold.overshoot > 0.0, "must be above 0");
+        require(
+            "retry.ratio",
+            self.retry.ratio >= 0.0,
+            "must not be negative",
+        );
+        require(
+            "retry.extra",
+            self.retry.extra >= 0.0,
+            "must not be negative",
+        );
+        require(
+            "cold.overshoot",
+            self.cold.overshoot > 0.0,
+            "must be above 0",
+        );
         require("cold.slack", self.cold.slack >= 0.0, "must not be negative");
         let group = self.group;
         let share = |value: f64| value > 0.0 && value <= 1.0;
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -128,9 +128,9 @@
         let evacuated = &*view.evacuations.value;
         for slot in self.slots.iter_mut() {
             let Some(known) = slot else { continue };
-            let listed = servers.iter().find(|server| {
-                server.id == known.server.id && server.born == known.server.born
-            });
+            let listed = servers
+                .iter()
+                .find(|server| server.id == known.server.id && server.born == known.server.born);
             known.open = listed.is_some_and(|server| is_open(server, evacuated));
             if listed.is_none() && known.own == 0 {
                 *slot = None;
@@ -197,7 +197,9 @@
         let pool = &self.pools[service.0];
         let of_service = self.slots.iter().flatten();
         let of_service = of_service.filter(|slot| slot.server.service == pool.name);
-        let others: u32 = of_service.map(|slot| self.peers.load(now, slot.digest)).sum();
+        let others: u32 = of_service
+            .map(|slot| self.peers.load(now, slot.digest))
+            .sum();
         pool.places + others as usize
     }
 
@@ -351,7 +353,9 @@
     pub fn take_repeat(&mut self, now: Instant, service: ServiceKey) -> bool {
         let entries = self.peers.sharing(now);
         let allowance = self.settings.retry.allowance();
-        self.pools[service.0].retries.repeat(now, allowance, entries)
+        self.pools[service.0]
+            .retries
+            .repeat(now, allowance, entries)
     }
 
     /// Chooses a server of a service and counts the request as sent.
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -118,6 +118,7 @@
 pub struct Publisher {
     sender: Arc<watch::Sender<Arc<View>>>,
     writing: Arc<Mutex<()>>,
+    lost: Arc<Mutex<Vec<&'static str>>>,
 }
 
 impl Default for Publisher {
@@ -125,6 +126,7 @@
         Publisher {
             sender: Arc::new(watch::Sender::new(Arc::default())),
             writing: Arc::default(),
+            lost: Arc::default(),
         }
     }
 }
@@ -135,6 +137,21 @@
         self.sender.borrow().clone()
     }
 
+    /// Notes whether the store answers calls about `kind`.
+    pub fn note_store(&self, kind: &'static str, answers: bool) {
+        let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
+        lost.retain(|known| *known != kind);
+        if !answers {
+            lost.push(kind);
+        }
+    }
+
+    /// Whether the store answers all calls.
+    pub fn store_answers(&self) -> bool {
+        let lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
+        lost.is_empty()
+    }
+
     /// Receives each later view.
     pub fn subscribe(&self) -> watch::Receiver<Arc<View>> {
         self.sender.subscribe()
