--- a/crates/direct/src/beat.rs
+++ b/crates/direct/src/beat.rs
@@ -192,5 +192,6 @@
             self.status.send_replace(Arc::new(status));
         }
         gateway.with(|state, now| state.export(now, &gateway.metrics));
+        gateway.metrics.export_ages(&self.views.store_ages());
     }
 }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -271,10 +271,20 @@
         let view = views.borrow_and_update().clone();
         let version = view.configuration.value.version;
         gateway.metrics.configuration.set(version as i64);
+        let servers = &view.servers.value;
+        let draining = servers.iter().filter(|server| server.draining).count();
+        let (servers, domains) = (servers.len(), view.evacuations.value.join(","));
         gateway.with(|state, now| {
             state.update(view);
             state.grant(now);
         });
+        tracing::info!(
+            configuration = version,
+            servers,
+            draining,
+            domains,
+            "view in force"
+        );
         // Tells the other entries of the new revisions.
         gateway.load_changed.notify_one();
         if views.changed().await.is_err() {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use berylgw_runtime::log;
 use derive_more::Display;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -96,8 +97,8 @@
     pub in_flight: IntGaugeVec,
     /// Version of the configuration in force.
     pub configuration: IntGauge,
-    /// Seconds since the store last answered, by part of the view.
-    pub age: IntGaugeVec,
+    age: IntGaugeVec,
+    dropped_lines: IntGauge,
     /// Entries heard lately.
     pub peers: IntGauge,
 }
@@ -159,8 +160,12 @@
             )?,
             age: gauges(
                 "berylgw_direct_view_age_seconds",
-                "Seconds since the store last answered",
-                "part",
+                "Seconds since the store last answered this entry",
+                "kind",
+            )?,
+            dropped_lines: IntGauge::new(
+                "berylgw_direct_log_lines_dropped",
+                "Log lines dropped since the start",
             )?,
             peers: IntGauge::new("berylgw_direct_peers", "Entries heard lately")?,
             registry,
@@ -173,6 +178,7 @@
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.configuration.clone()))?;
         registry.register(Box::new(metrics.age.clone()))?;
+        registry.register(Box::new(metrics.dropped_lines.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
         Ok(metrics)
     }
@@ -182,6 +188,15 @@
         self.registry.clone()
     }
 
+    /// Sets the gauges of the view's age and of dropped log lines.
+    pub fn export_ages(&self, ages: &[(&'static str, Duration)]) {
+        for &(kind, age) in ages {
+            let seconds = age.as_secs() as i64;
+            self.age.with_label_values(&[kind]).set(seconds);
+        }
+        self.dropped_lines.set(log::dropped_lines() as i64);
+    }
+
     /// Counts the end of a request.
     pub fn count_end(&self, end: End) {
         self.requests.with_label_values(&[&end.to_string()]).inc();
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,6 +1,7 @@
 //! What an entry believes about the system, by part.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -100,6 +101,14 @@
     Peer,
 }
 
+/// The last call of the store about a kind of object.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    kind: &'static str,
+    answers: bool,
+    last: Instant,
+}
+
 /// The one place where the view changes.
 ///
 /// No part goes back to an older revision, whoever reports it.
@@ -118,7 +127,7 @@
 pub struct Publisher {
     sender: Arc<watch::Sender<Arc<View>>>,
     writing: Arc<Mutex<()>>,
-    lost: Arc<Mutex<Vec<&'static str>>>,
+    store: Arc<Mutex<Vec<Contact>>>,
 }
 
 impl Default for Publisher {
@@ -126,7 +135,7 @@
         Publisher {
             sender: Arc::new(watch::Sender::new(Arc::default())),
             writing: Arc::default(),
-            lost: Arc::default(),
+            store: Arc::default(),
         }
     }
 }
@@ -139,17 +148,35 @@
 
     /// Notes whether the store answers calls about `kind`.
     pub fn note_store(&self, kind: &'static str, answers: bool) {
-        let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
-        lost.retain(|known| *known != kind);
-        if !answers {
-            lost.push(kind);
+        let mut store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        match store.iter_mut().find(|contact| contact.kind == kind) {
+            Some(contact) if answers => {
+                contact.answers = true;
+                contact.last = now;
+            }
+            Some(contact) => contact.answers = false,
+            None => store.push(Contact {
+                kind,
+                answers,
+                last: now,
+            }),
         }
     }
 
     /// Whether the store answers all calls.
     pub fn store_answers(&self) -> bool {
-        let lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
-        lost.is_empty()
+        let store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        store.iter().all(|contact| contact.answers)
+    }
+
+    /// Time since the store last answered, by kind of object.
+    pub fn store_ages(&self) -> Vec<(&'static str, Duration)> {
+        let store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        let ages = store
+            .iter()
+            .map(|contact| (contact.kind, contact.last.elapsed()));
+        ages.collect()
     }
 
     /// Receives each later view.
--- /dev/null
+++ b/crates/testkit/src/direct/backend.rs
@@ -0,0 +1,279 @@
+//! Backend servers that answer as a script says.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Time after which an event that does not come is reported as missing.
+const WAIT: Duration = Duration::from_secs(30);
+
+/// How a server answers one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A whole answer.
+    Whole,
+    /// Refuses without running the request.
+    NotRun,
+    /// Runs the request and fails with 503 that promises nothing.
+    Unavailable,
+    /// Runs the request and resets the connection.
+    Reset,
+    /// An answer with the id of another request.
+    OtherId,
+    /// A success without a signature.
+    Unsigned,
+    /// A stream of so many events with a pause before each.
+    Events(u32, Duration),
+    /// A stream that breaks off in the middle of the event after so many.
+    Broken(u32),
+    /// Never answers.
+    Silent,
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Request line and headers in lower case.
+    pub head: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Arrival {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        lines.find(|line| line.0 == name).map(|line| line.1)
+    }
+}
+
+/// A backend server on loopback.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its identity.
+    pub id: String,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    script: Arc<Mutex<Script>>,
+    changed: Arc<watch::Sender<usize>>,
+}
+
+#[derive(Debug)]
+struct Script {
+    next: VecDeque<Reply>,
+    usual: Reply,
+    arrivals: Vec<Arrival>,
+    hung_up: usize,
+}
+
+impl Server {
+    /// Starts a server that answers with `usual`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start(id: &str, usual: Reply) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Server {
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            script: Arc::new(Mutex::new(Script {
+                next: VecDeque::new(),
+                usual,
+                arrivals: Vec::new(),
+                hung_up: 0,
+            })),
+            changed: Arc::default(),
+        };
+        let accepting = server.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let server = accepting.clone();
+                tokio::spawn(async move {
+                    if let Err(error) = server.answer(stream).await {
+                        tracing::debug!(%error, "connection ended");
+                    }
+                });
+            }
+        });
+        Ok(server)
+    }
+
+    /// Sets how the next request is answered.
+    pub fn expect(&self, reply: Reply) {
+        self.lock().next.push_back(reply);
+    }
+
+    /// The requests so far.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Connections that the entry closed before the answer was complete.
+    pub fn hung_up(&self) -> usize {
+        self.lock().hung_up
+    }
+
+    /// Waits until `reached` holds for the server.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not within half a minute.
+    pub async fn until(&self, reached: impl Fn(&Server) -> bool) -> io::Result<()> {
+        let mut changed = self.changed.subscribe();
+        let end = tokio::time::Instant::now() + WAIT;
+        while !reached(self) {
+            let change = tokio::time::timeout_at(end, changed.changed()).await?;
+            change.map_err(io::Error::other)?;
+        }
+        Ok(())
+    }
+
+    /// Its entry in the store.
+    pub fn entry(&self, service: &str, domain: &str, state: &str) -> Value {
+        json!({
+            "Service": service, "Address": self.address, "Zone": domain,
+            "Version": "v1", "Slots": 12, "State": state, "ColdRemainingMs": 0,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Script> {
+        self.script.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, mut stream: TcpStream) -> io::Result<()> {
+        let arrival = read(&mut stream).await?;
+        let id = arrival
+            .header("berylgw-attempt-id")
+            .unwrap_or("")
+            .to_owned();
+        let from = arrival.header("last-event-id").map(str::to_owned);
+        let reply = {
+            let mut script = self.lock();
+            script.arrivals.push(arrival);
+            let usual = script.usual;
+            script.next.pop_front().unwrap_or(usual)
+        };
+        self.changed.send_modify(|count| *count += 1);
+        let from = from.and_then(|from| from.parse().ok()).unwrap_or(0);
+        let sent = self.reply(&mut stream, reply, &id, from).await;
+        if sent.is_err() {
+            self.lock().hung_up += 1;
+            self.changed.send_modify(|count| *count += 1);
+        }
+        sent
+    }
+
+    async fn reply(
+        &self,
+        stream: &mut TcpStream,
+        reply: Reply,
+        id: &str,
+        from: u32,
+    ) -> io::Result<()> {
+        let signature = format!("Berylgw-Server-Seal: {}.{id}\r\n", self.id);
+        match reply {
+            Reply::Whole => whole(stream, "200 OK", id, &signature).await,
+            Reply::NotRun => {
+                let header = "Berylgw-Not-Executed: 1\r\n";
+                whole(stream, "503 Service Unavailable", id, header).await
+            }
+            Reply::Unavailable => whole(stream, "503 Service Unavailable", id, &signature).await,
+            Reply::OtherId => whole(stream, "200 OK", "another", &signature).await,
+            Reply::Unsigned => whole(stream, "200 OK", id, "").await,
+            Reply::Reset => {
+                stream.set_zero_linger()?;
+                Ok(())
+            }
+            Reply::Silent => closed(stream).await,
+            Reply::Events(count, pause) => {
+                start_stream(stream, id, &signature).await?;
+                for event in from + 1..=count {
+                    tokio::select! {
+                        () = tokio::time::sleep(pause) => {}
+                        result = closed(stream) => return result,
+                    }
+                    chunk(stream, &format!("id: {event}\ndata: e{event}\n\n")).await?;
+                }
+                stream.write_all(b"0\r\n\r\n").await
+            }
+            Reply::Broken(count) => {
+                start_stream(stream, id, &signature).await?;
+                for event in from + 1..=count {
+                    chunk(stream, &format!("id: {event}\ndata: e{event}\n\n")).await?;
+                }
+                chunk(stream, &format!("id: {}\nda", count + 1)).await
+            }
+        }
+    }
+}
+
+/// Waits until the other end closes the connection.
+async fn closed(stream: &mut TcpStream) -> io::Result<()> {
+    let read = stream.read(&mut [0; 64]).await?;
+    Err(io::Error::other(format!(
+        "{read} bytes instead of an answer"
+    )))
+}
+
+async fn start_stream(stream: &mut TcpStream, id: &str, signature: &str) -> io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBerylgw-Attempt-Id: {id}\r\n\
+         {signature}Transfer-Encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await
+}
+
+async fn chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(chunk.as_bytes()).await
+}
+
+async fn whole(stream: &mut TcpStream, status: &str, id: &str, header: &str) -> io::Result<()> {
+    let body = "the whole answer";
+    let answer = format!(
+        "HTTP/1.1 {status}\r\nBerylgw-Attempt-Id: {id}\r\n{header}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(answer.as_bytes()).await
+}
+
+async fn read(stream: &mut TcpStream) -> io::Result<Arrival> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(at) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let mut lines: Vec<String> = Vec::new();
+    for line in head.lines() {
+        let lower = line.split_once(": ").map(|(name, value)| {
+            let name = name.to_ascii_lowercase();
+            format!("{name}: {value}")
+        });
+        lines.push(lower.unwrap_or_else(|| line.to_owned()));
+    }
+    let mut arrival = Arrival {
+        head: lines.join("\n"),
+        body: bytes.split_off(head_end),
+    };
+    let length = arrival.header("content-length");
+    let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+    while arrival.body.len() < length {
+        if stream.read_buf(&mut arrival.body).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(arrival)
+}
--- /dev/null
+++ b/crates/testkit/src/direct/site.rs
@@ -0,0 +1,144 @@
+//! Direct entries with a store, as processes.
+
+use std::error::Error;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::direct::backend::Server;
+use crate::direct::store::{Door, Store};
+use crate::launch::{self, Process};
+
+/// Key of the client account of [`configuration`].
+pub const KEY: &str = "key-of-growers";
+
+/// An error of a test.
+pub type Failure = Box<dyn Error + Send + Sync>;
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// The process.
+    pub process: Process,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Its metrics.
+    pub metrics: SocketAddr,
+    /// How the store treats it.
+    pub door: watch::Sender<Door>,
+}
+
+/// A configuration with a route of each kind.
+///
+/// `/notes/` is a resumable stream of service `model`, `/pickup/` a request
+/// that runs once and `/stock/` an idempotent one of service `yard`.
+pub fn configuration(version: u64, keys: &[&str]) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str, timeout: u64| {
+        json!({
+            "Name": prefix, "Host": "desk.example", "PathPrefix": prefix, "RouteType": kind,
+            "TimeoutMs": timeout, "TargetLatencyMs": 400, "TargetGapMs": 120, "Priority": 1,
+            "Service": service, "MaxAttempts": 2, "Anonymous": false,
+            "Resumable": kind == "streaming",
+        })
+    };
+    json!({
+        "Version": version,
+        "Routes": [
+            route("/notes/", "streaming", "model", 8_000),
+            route("/brief/", "streaming", "model", 600),
+            route("/pickup/", "non_idempotent", "yard", 2_000),
+            route("/stock/", "idempotent", "yard", 2_000),
+        ],
+        "Services": [
+            { "Name": "model", "ColdPerS": 0.0, "Engine": { "Experts": 64 } },
+            { "Name": "yard", "ColdPerS": 0.0 },
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
+            "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [{ "Name": "growers", "ApiKeys": keys, "Priority": 1 }],
+    })
+}
+
+/// Writes a settings file and returns its path.
+///
+/// # Errors
+///
+/// Fails if the file cannot be written.
+pub fn settings(name: &str, domain: &str, store: SocketAddr) -> Result<PathBuf, Failure> {
+    let text = format!(
+        "entry:\n  name: {name}\n  domain: {domain}\n  listen:\n    callers: 127.0.0.1:0\n    \
+         peers: 127.0.0.1:0\n    metrics: 127.0.0.1:0\n  retry: {{window_s: 10, ratio: 0.2, \
+         extra: 90}}\n  cold: {{overshoot: 1.5, slack: 5}}\n  stop_s: 8\nplatform:\n  \
+         store: {store}\n  directory: 127.0.0.1:0\n  ready: 127.0.0.1:0\n  seeds: []\n  \
+         lifetime_s: 5\n"
+    );
+    let unique = format!(
+        "berylgw-{}-{}-{name}.yaml",
+        std::process::id(),
+        store.port()
+    );
+    let path = std::env::temp_dir().join(unique);
+    std::fs::File::create(&path)?.write_all(text.as_bytes())?;
+    Ok(path)
+}
+
+impl Entry {
+    /// Starts an entry and waits until it is ready to route.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub async fn start(store: &Store, name: &str, domain: &str) -> Result<Self, Failure> {
+        let (address, door) = store.listen().await?;
+        let settings = settings(name, domain, address)?;
+        let process = launch::start("berylgw-direct", [Path::new("--settings"), &*settings])?;
+        Ok(Entry {
+            callers: process.address("callers").await?,
+            directory: process.address("directory").await?,
+            ready: process.address("ready").await?,
+            metrics: process.address("metrics").await?,
+            process,
+            door,
+        })
+    }
+
+    /// Waits for a line of the log with this message and these fields.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process ends or the line does not come.
+    pub async fn line(&self, message: &str, fields: &[(&str, Value)]) -> Result<Value, Failure> {
+        let wanted = |line: &Value| {
+            let matches = fields.iter().all(|(name, value)| line[*name] == *value);
+            line["message"] == message && matches
+        };
+        Ok(self.process.line(wanted).await?)
+    }
+
+    /// Waits until requests are decided on a view with these fields.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process ends or does not log it.
+    pub async fn acts_on(&self, fields: &[(&str, Value)]) -> Result<(), Failure> {
+        self.line("view in force", fields).await?;
+        Ok(())
+    }
+}
+
+/// Writes the entries of servers into the store.
+pub fn register(store: &Store, service: &str, servers: &[&Server]) {
+    for server in servers {
+        let entry = server.entry(service, "shed", "ready");
+        store.put("servers", &server.id, entry);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/direct/store.rs
@@ -0,0 +1,295 @@
+//! The platform's store of versioned objects.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::extract::{Path, Query, State};
+use axum::http::{Method, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::any;
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// How the store treats the calls at one of its addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// Answers.
+    Open,
+    /// Refuses with 503.
+    Refusing,
+    /// Accepts calls and never answers.
+    Silent,
+}
+
+/// A store with one address for each process that uses it.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    inner: Arc<Mutex<Inner>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+    history: Vec<Change>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    /// Whether watches hear nothing and are cut, while reads work.
+    deaf: bool,
+    calls: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    kind: String,
+    object: Value,
+    deleted: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Question {
+    watch: Option<u64>,
+    wait_ms: u64,
+}
+
+#[derive(Clone)]
+struct Access {
+    store: Store,
+    door: watch::Receiver<Door>,
+}
+
+impl Store {
+    /// Listens on loopback; the sender changes how its callers are treated.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn listen(&self) -> io::Result<(SocketAddr, watch::Sender<Door>)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (sender, door) = watch::channel(Door::Open);
+        let access = Access {
+            store: self.clone(),
+            door,
+        };
+        let router = Router::new()
+            .route("/v1/objects/{kind}", any(kind))
+            .route("/v1/objects/{kind}/{name}", any(object))
+            .with_state(access);
+        tokio::spawn(async move {
+            if let Err(error) = axum::serve(listener, router).await {
+                tracing::error!(%error, "store failed");
+            }
+        });
+        Ok((address, sender))
+    }
+
+    /// Writes an object as the operator or a backend server would.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        let mut inner = self.lock();
+        inner.write(kind, name, spec);
+        let revision = inner.revision;
+        drop(inner);
+        self.changed.send_replace(revision);
+        revision
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut inner = self.lock();
+        inner.delete(kind, name);
+        let revision = inner.revision;
+        drop(inner);
+        self.changed.send_replace(revision);
+    }
+
+    /// Makes watches hear nothing; when it ends, the changes meanwhile are
+    /// forgotten and the watches are cut.
+    pub fn set_deaf(&self, deaf: bool) {
+        let mut inner = self.lock();
+        inner.deaf = deaf;
+        if !deaf {
+            inner.forgotten = inner.revision;
+        }
+        let revision = inner.revision;
+        drop(inner);
+        self.changed.send_replace(revision);
+    }
+
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let inner = self.lock();
+        let keys = inner.objects.keys().filter(|key| key.0 == kind);
+        keys.map(|key| key.1.clone()).collect()
+    }
+
+    /// Calls answered since the start.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response {
+        let mut changed = self.changed.subscribe();
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            let deaf = {
+                let inner = self.lock();
+                if !inner.deaf && after < inner.forgotten {
+                    return StatusCode::GONE.into_response();
+                }
+                let events = inner.events(kind, after);
+                if !inner.deaf && !events.is_empty() {
+                    let at = inner.revision;
+                    return Json(json!({ "events": events, "At": at })).into_response();
+                }
+                inner.deaf
+            };
+            if tokio::time::timeout_at(end, changed.changed())
+                .await
+                .is_err()
+                && !deaf
+            {
+                let at = self.lock().revision;
+                return Json(json!({ "events": [], "At": at })).into_response();
+            }
+        }
+    }
+}
+
+impl Inner {
+    fn write(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+        self.revision += 1;
+        let metadata = json!({ "Name": name, "Revision": self.revision });
+        let object = json!({ "Metadata": metadata, "Spec": spec });
+        let place = (kind.to_owned(), name.to_owned());
+        self.objects.insert(place, object.clone());
+        self.note(kind, object.clone(), false);
+        object
+    }
+
+    fn delete(&mut self, kind: &str, name: &str) -> Option<Value> {
+        let place = (kind.to_owned(), name.to_owned());
+        let object = self.objects.remove(&place)?;
+        self.revision += 1;
+        self.note(kind, object.clone(), true);
+        Some(object)
+    }
+
+    fn note(&mut self, kind: &str, object: Value, deleted: bool) {
+        self.history.push(Change {
+            revision: self.revision,
+            kind: kind.to_owned(),
+            object,
+            deleted,
+        });
+    }
+
+    fn events(&self, kind: &str, after: u64) -> Vec<Value> {
+        let newer = self.history.iter().filter(|change| change.revision > after);
+        let newer = newer.filter(|change| change.kind == kind);
+        newer
+            .map(|change| json!({ "Object": change.object, "Deleted": change.deleted }))
+            .collect()
+    }
+}
+
+async fn pass(access: &Access) -> Option<Response> {
+    let door = *access.door.borrow();
+    match door {
+        Door::Open => {
+            access.store.lock().calls += 1;
+            None
+        }
+        Door::Refusing => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+        Door::Silent => std::future::pending().await,
+    }
+}
+
+async fn kind(
+    State(access): State<Access>,
+    Path(kind): Path<String>,
+    Query(question): Query<Question>,
+    method: Method,
+    body: String,
+) -> Response {
+    if let Some(refusal) = pass(&access).await {
+        return refusal;
+    }
+    if method == Method::POST {
+        return create(&access.store, &kind, &body);
+    }
+    if let Some(after) = question.watch {
+        let wait = Duration::from_millis(question.wait_ms);
+        let mut door = access.door.clone();
+        return tokio::select! {
+            answer = access.store.watch(&kind, after, wait) => answer,
+            _ = door.wait_for(|door| *door != Door::Open) => {
+                StatusCode::SERVICE_UNAVAILABLE.into_response()
+            }
+        };
+    }
+    let inner = access.store.lock();
+    let objects = inner.objects.iter().filter(|object| object.0.0 == kind);
+    let items: Vec<&Value> = objects.map(|object| object.1).collect();
+    Json(json!({ "Items": items, "More": false, "At": inner.revision })).into_response()
+}
+
+fn create(store: &Store, kind: &str, body: &str) -> Response {
+    let Ok(object) = serde_json::from_str::<Value>(body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let name = object["Metadata"]["Name"].as_str().unwrap_or_default();
+    let place = (kind.to_owned(), name.to_owned());
+    if let Some(known) = store.lock().objects.get(&place) {
+        return (StatusCode::CONFLICT, Json(known.clone())).into_response();
+    }
+    store.put(kind, name, object["Spec"].clone());
+    Json(object).into_response()
+}
+
+async fn object(
+    State(access): State<Access>,
+    Path((kind, name)): Path<(String, String)>,
+    method: Method,
+    body: String,
+) -> Response {
+    if let Some(refusal) = pass(&access).await {
+        return refusal;
+    }
+    let store = &access.store;
+    let known = store
+        .lock()
+        .objects
+        .get(&(kind.clone(), name.clone()))
+        .cloned();
+    let Some(known) = known else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    match method {
+        Method::PUT => match serde_json::from_str::<Value>(&body) {
+            Ok(object) => {
+                store.put(&kind, &name, object["Spec"].clone());
+                Json(object).into_response()
+            }
+            Err(_) => StatusCode::BAD_REQUEST.into_response(),
+        },
+        Method::DELETE => {
+            store.remove(&kind, &name);
+            Json(known).into_response()
+        }
+        _ => Json(known).into_response(),
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //!   connections.
 //! - [`launch`] starts processes, [`cluster`] a whole system of them; [`control`]
 //!   drives the control listeners and [`client`] makes calls as a caller would.
+//! - [`direct`] plays the platform of direct entries.
 //! - [`version`] watches the configuration versions of processes.
 //! - [`load`] measures a cluster under load.
 //! - [`serve`] and [`bucket`] are shared by the fakes.
@@ -15,6 +16,7 @@
 pub mod client;
 pub mod cluster;
 pub mod control;
+pub mod direct;
 pub mod engine;
 pub mod launch;
 pub mod load;
