--- a/crates/direct/src/header.rs
+++ b/crates/direct/src/header.rs
@@ -25,6 +25,4 @@
     pub last_event: HeaderName,
     /// Tokens of the prompt and most tokens of the answer.
     pub tokens: HeaderName,
-    /// The client's estimate of the tokens of the answer.
-    pub length_hint: HeaderName,
 }
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -138,11 +138,6 @@
         1 + others.count()
     }
 
-    /// All entries that were ever heard.
-    pub fn all(&self) -> &[Peer] {
-        &self.peers
-    }
-
     /// Requests in flight at a server from entries heard lately.
     pub fn load(&self, now: Instant, server: u32) -> u32 {
         let of_peer = |peer: &Peer| {
