--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -144,7 +144,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         self.gateway.with(|state, now| {
-            state.release(now, self.service, &self.account);
+            state.release(self.service, &self.account);
             state.grant(now);
         });
     }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -67,16 +67,16 @@
     comebacks: comeback::Schedule,
     /// When a broken group is expected to run again.
     opens: Instant,
-    /// Ends of requests lately, for the rate at which places become free.
-    ended: arrival::Window,
+    /// Late requests that began lately, for the rate at which clients that come
+    /// back get a place.
+    late_begun: arrival::Window,
 }
 
 /// A waiting request.
 #[derive(Debug)]
 struct Waiter {
     id: Id,
-    account: Arc<str>,
-    tokens: u32,
+    claim: Claim,
     granted: oneshot::Sender<()>,
 }
 
@@ -185,7 +185,7 @@
                 retries: Window::default(),
                 comebacks: comeback::Schedule::default(),
                 opens: Instant::ORIGIN,
-                ended: arrival::Window::default(),
+                late_begun: arrival::Window::default(),
             });
             self.pools.len() - 1
         });
@@ -241,22 +241,16 @@
         }
         let ready = idle || pool.pacer.ready(now);
         if !full && ready && pool.queue.is_empty() {
-            pool.begin(now, &claim.account, claim.tokens);
+            pool.begin(now, &claim);
             return Turn::Granted;
         }
         let id = self.next;
         self.next = self.next.wrapping_add(1);
-        let (account, tokens) = (claim.account.clone(), claim.tokens);
-        if claim.until <= now || !pool.queue.push(id, claim) {
+        if claim.until <= now || !pool.queue.push(id, claim.clone()) {
             return Turn::Full;
         }
         let (granted, receiver) = oneshot::channel();
-        pool.waiting.push(Waiter {
-            id,
-            account,
-            tokens,
-            granted,
-        });
+        pool.waiting.push(Waiter { id, claim, granted });
         Turn::Queued(id, receiver)
     }
 
@@ -273,10 +267,9 @@
     }
 
     /// Frees a place.
-    pub fn release(&mut self, now: Instant, service: ServiceKey, account: &Arc<str>) {
+    pub fn release(&mut self, service: ServiceKey, account: &Arc<str>) {
         let pool = &mut self.pools[service.0];
         pool.vacate(account);
-        pool.ended.take(now, usize::MAX);
     }
 
     /// Grants free places to waiting requests.
@@ -306,10 +299,10 @@
                     continue;
                 };
                 let waiter = pool.waiting.swap_remove(at);
-                pool.begin(now, &waiter.account, waiter.tokens);
+                pool.begin(now, &waiter.claim);
                 // A receiver that is gone belongs to a client that left.
                 if waiter.granted.send(()).is_err() {
-                    pool.vacate(&waiter.account);
+                    pool.vacate(&waiter.claim.account);
                     continue;
                 }
                 free -= 1;
@@ -321,8 +314,8 @@
     /// Time after which a refused client may come back.
     pub fn comeback(&mut self, now: Instant, service: ServiceKey) -> Duration {
         let pool = &mut self.pools[service.0];
-        let ended = pool.ended.count(now).max(1);
-        let interval = arrival::LENGTH / ended as u32;
+        let begun = pool.late_begun.count(now).max(1);
+        let interval = arrival::LENGTH / begun as u32;
         let opens = pool.opens;
         pool.comebacks.promise(now, interval, opens)
     }
@@ -461,9 +454,12 @@
 }
 
 impl Pool {
-    fn begin(&mut self, now: Instant, account: &Arc<str>, tokens: u32) {
-        self.pacer.begin(now, f64::from(tokens));
-        self.occupy(account);
+    fn begin(&mut self, now: Instant, claim: &Claim) {
+        self.pacer.begin(now, f64::from(claim.tokens));
+        if !claim.in_time {
+            self.late_begun.take(now, usize::MAX);
+        }
+        self.occupy(&claim.account);
     }
 
     fn occupy(&mut self, account: &Arc<str>) {
