--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -11,7 +11,7 @@
 use crate::call::Call;
 use crate::gateway::{Gateway, Permit};
 use crate::metrics::End;
-use crate::state::{ServiceKey, Turn};
+use crate::state::{ServiceKey, State, Turn};
 
 /// Time after the signal to stop in which streams are still taken. The rest of
 /// the time to stop is left for their answers.
@@ -89,7 +89,11 @@
             let left = self.gateway.clock.until(wake);
             match tokio::time::timeout(left, &mut self.granted).await {
                 Ok(granted) => return granted.is_ok(),
-                Err(_) if self.gateway.clock.now() >= until => return false,
+                Err(_) if self.gateway.clock.now() >= until => {
+                    let (service, id) = (self.call.service, self.id);
+                    let begin = |state: &mut State, now| state.begin_unpaced(now, service, id);
+                    return self.gateway.with(begin);
+                }
                 Err(_) => self.gateway.grant_places(),
             }
         }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -228,12 +228,7 @@
     pub fn request_place(&mut self, now: Instant, service: ServiceKey, claim: Claim) -> Turn {
         let in_flight = self.in_flight(now, service);
         let places = self.places(now, service);
-        let open = if claim.in_time {
-            places
-        } else {
-            (places as f64 * self.settings.group.late_share) as usize
-        };
-        let full = in_flight >= open;
+        let full = in_flight >= self.open_places(places, claim.in_time);
         let idle = is_idle(in_flight, places);
         let pool = &mut self.pools[service.0];
         if now < pool.opens {
@@ -254,6 +249,33 @@
         Turn::Queued(id, receiver)
     }
 
+    /// The places that a request may take.
+    fn open_places(&self, places: usize, in_time: bool) -> usize {
+        if in_time {
+            return places;
+        }
+        (places as f64 * self.settings.group.late_share) as usize
+    }
+
+    /// Begins a request whose wait is over if only the pace held it back;
+    /// returns whether it did.
+    pub fn begin_unpaced(&mut self, now: Instant, service: ServiceKey, id: Id) -> bool {
+        let places = self.places(now, service);
+        let in_flight = self.in_flight(now, service);
+        let pool = &self.pools[service.0];
+        let Some(waiter) = pool.waiting.iter().find(|waiter| waiter.id == id) else {
+            return false;
+        };
+        let claim = waiter.claim.clone();
+        let open = self.open_places(places, claim.in_time) as f64;
+        if in_flight as f64 >= UNPACED_SHARE * open {
+            return false;
+        }
+        self.forget(service, id);
+        self.pools[service.0].begin(now, &claim);
+        true
+    }
+
     /// When the next waiting request may begin at the earliest.
     pub fn next_begin(&self, service: ServiceKey) -> Instant {
         self.pools[service.0].pacer.next()
@@ -283,7 +305,7 @@
             let in_flight = self.in_flight(now, key);
             let idle = is_idle(in_flight, places);
             let mut free = places.saturating_sub(in_flight);
-            let late_free = (places as f64 * self.settings.group.late_share) as usize;
+            let late_free = self.open_places(places, false);
             let mut late_free = late_free.saturating_sub(in_flight);
             while free > 0 {
                 let pool = &mut self.pools[index];
@@ -446,6 +468,10 @@
     }
 }
 
+/// Share of the places below which a request begins at the end of its wait
+/// whatever the pace: it is not refused while many places are free.
+const UNPACED_SHARE: f64 = 0.85;
+
 /// Share of the places below which requests begin as they come.
 const PACED_SHARE: f64 = 0.6;
 
