--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -67,11 +67,17 @@
     pub may_have_run: bool,
 }
 
+/// How one sending ended.
 enum Outcome {
     Answer(Answer),
+    /// The server ran the request and answered with a failure.
     Failed(Whole),
-    NotRun { group_broken: bool },
+    /// The server states that it did not run the request.
+    NotRun {
+        group_broken: bool,
+    },
     Unreachable,
+    /// The server may have run the request.
     Lost(End),
 }
 
@@ -241,12 +247,10 @@
     }
 }
 
-async fn read_whole(exchange: Exchange) -> Result<Whole, hyper::Error> {
-    let Exchange { response, .. } = &exchange;
-    let status = response.status();
-    let mut headers = response.headers().clone();
+async fn read_whole(mut exchange: Exchange) -> Result<Whole, hyper::Error> {
+    let status = exchange.response.status();
+    let mut headers = exchange.response.headers().clone();
     strip_connection_headers(&mut headers);
-    let mut exchange = exchange;
     let body = exchange.response.body_mut().collect().await?.to_bytes();
     Ok(Whole {
         status,
--- a/crates/direct/src/beat.rs
+++ b/crates/direct/src/beat.rs
@@ -12,7 +12,6 @@
 
 use crate::entry::Status;
 use crate::gateway::Gateway;
-use crate::peer;
 use crate::view::Publisher;
 
 /// Time between two datagrams of an idle entry; a sixth of the silence after
@@ -188,7 +187,7 @@
         status.entries.sort_unstable();
         if **self.status.borrow() != status {
             let entries = status.entries.len();
-            tracing::info!(entries, ready = status.ready, silence = ?peer::SILENCE, "directory changed");
+            tracing::info!(entries, ready = status.ready, "directory changed");
             self.status.send_replace(Arc::new(status));
         }
         gateway.with(|state, now| state.export(now, &gateway.metrics));
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::attempt::{Answer, Attempts};
 use crate::call::Call;
 use crate::gateway::Gateway;
+use crate::metrics::End;
 use crate::record::Record;
 use crate::relay::relay;
 
@@ -108,8 +109,7 @@
         Ok(Answer::Stream(opened)) => relay(gateway, call, attempts, record, *opened, permit),
         Ok(Answer::Whole(whole)) => {
             record.event();
-            let end = crate::metrics::End::Answered;
-            record.end(end, whole.status.as_u16(), None);
+            record.end(End::Answered, whole.status.as_u16(), None);
             whole.into_response()
         }
         Err(refusal) => refuse(&mut record, refusal),
