--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -8,7 +8,8 @@
 const OUT_DIR: &str = "crates/wire/src/generated";
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let descriptors = protox::compile(["berylgw.proto", "direct.proto"], [PROTO_DIR])?;
+    let descriptors =
+        protox::compile(["berylgw.proto", "direct.proto", "rank.proto"], [PROTO_DIR])?;
     std::fs::create_dir_all(OUT_DIR)?;
     tonic_prost_build::configure()
         .bytes(".")
--- a/crates/core/src/expert.rs
+++ b/crates/core/src/expert.rs
@@ -7,6 +7,8 @@
 //!
 //! [`greedy`] computes a map from nothing, and [`incremental`] changes a map by
 //! single slots where the predicted gain exceeds the cost of the bytes moved.
+//! [`demand`] recognises a shift of demand, and [`follow`] changes a map for it
+//! within the number of experts that a rank loads at once.
 //! [`pace`] keeps transfers within the rate of the weight store.
 //!
 //! ```
@@ -18,11 +20,14 @@
 //! assert!(skew(&map, &load) < 1.2);
 //! ```
 
+pub mod demand;
+pub mod follow;
 pub mod greedy;
 pub mod incremental;
 mod layout;
 mod map;
 pub mod pace;
+pub mod switch;
 
 pub use layout::Layout;
 pub use map::{Expert, Load, Map, Rank, rank_loads, skew};
--- a/crates/core/src/expert/map.rs
+++ b/crates/core/src/expert/map.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Layout;
+use crate::error::{Error, Kind, Result};
 
 /// Index of an expert in a layer.
 #[derive(
@@ -120,6 +121,34 @@
         }
     }
 
+    /// The map in which the ranks hold these experts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the lists do not fit the layout or an expert has no holder.
+    pub fn from_ranks(layout: Layout, ranks: &[Vec<Expert>]) -> Result<Map> {
+        let invalid = |message: &str| Err(Error::new(Kind::Invalid, "expert map", message));
+        let mut map = Map::empty(layout);
+        if ranks.len() != layout.ranks() {
+            return invalid("another number of ranks");
+        }
+        for (rank, experts) in Rank::all(layout).zip(ranks) {
+            if experts.len() > layout.slots() {
+                return invalid("more experts than slots on a rank");
+            }
+            for &expert in experts {
+                if expert.index() >= layout.experts() {
+                    return invalid("an expert that does not exist");
+                }
+                map.insert(rank, expert);
+            }
+        }
+        if !map.is_complete() {
+            return invalid("an expert without a rank");
+        }
+        Ok(map)
+    }
+
     /// Dimensions of the layer.
     pub fn layout(&self) -> Layout {
         self.layout
--- /dev/null
+++ b/crates/core/tests/expert_follow.rs
@@ -0,0 +1,144 @@
+//! Following shifts of demand with expert maps.
+
+use berylgw_core::expert::demand::Demand;
+use berylgw_core::expert::follow::{Limits, follow};
+use berylgw_core::expert::{Expert, Layout, Load, Map, Rank, greedy, skew};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SHIFTS: usize = 40;
+const LIMITS: Limits = Limits {
+    loads_per_rank: 2,
+    target: 1.3,
+};
+
+/// Demand of which few experts get much, as a shift orders them anew.
+struct Demands {
+    order: Vec<usize>,
+    rng: ChaCha8Rng,
+}
+
+impl Demands {
+    fn new(experts: usize, seed: u64) -> Self {
+        Demands {
+            order: (0..experts).collect(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Exchanges seven tenths of the experts among themselves.
+    fn shift(&mut self) {
+        let mut places: Vec<usize> = (0..self.order.len()).collect();
+        places.shuffle(&mut self.rng);
+        places.truncate(self.order.len() * 7 / 10);
+        let mut moved: Vec<usize> = places.iter().map(|place| self.order[*place]).collect();
+        moved.shuffle(&mut self.rng);
+        for (place, expert) in places.into_iter().zip(moved) {
+            self.order[place] = expert;
+        }
+    }
+
+    fn load(&self) -> Vec<f64> {
+        let mut load = vec![0.0; self.order.len()];
+        for (rank, expert) in self.order.iter().enumerate() {
+            load[*expert] = 0.65 / (rank as f64 + 1.0).powf(1.1) / 3.9 + 0.35 / load.len() as f64;
+        }
+        load
+    }
+
+    /// Counts of a short window, which differ from the demand.
+    fn sample(&mut self) -> Vec<f64> {
+        let load = self.load();
+        let noisy = |value: f64, rng: &mut ChaCha8Rng| value * rng.random_range(0.75..1.25);
+        load.iter()
+            .map(|value| noisy(*value, &mut self.rng) * 1e5)
+            .collect()
+    }
+}
+
+fn copies(new: &Map, old: &Map) -> usize {
+    let of_rank = |rank| {
+        let experts = new.experts(rank).iter();
+        experts.filter(|expert| !old.holds(rank, **expert)).count()
+    };
+    Rank::all(new.layout()).map(of_rank).max().unwrap_or(0)
+}
+
+fn assert_whole(map: &Map) {
+    assert!(Expert::all(map.layout()).all(|expert| map.replicas(expert) > 0));
+    let slots = map.layout().slots();
+    assert!(Rank::all(map.layout()).all(|rank| map.experts(rank).len() <= slots));
+}
+
+/// Mean skew before and after each change, and copies for each change.
+fn replay(layout: Layout, limits: Limits) -> (f64, f64, f64) {
+    let even = Load::new(vec![1.0; layout.experts()]);
+    let mut map = greedy::place(layout, &even);
+    let mut demands = Demands::new(layout.experts(), 7);
+    let (mut before, mut after, mut moved) = (0.0, 0.0, 0.0);
+    for _ in 0..SHIFTS {
+        demands.shift();
+        let load = Load::new(demands.load());
+        let next = follow(&map, &load, limits);
+        assert_whole(&next);
+        assert!(copies(&next, &map) <= limits.loads_per_rank);
+        before += skew(&map, &load);
+        after += skew(&next, &load);
+        moved += next.transfers_from(&map) as f64;
+        map = next;
+    }
+    let shifts = SHIFTS as f64;
+    (before / shifts, after / shifts, moved / shifts)
+}
+
+// Guards against a map that stays behind a shift, a change that one order
+// cannot carry out, and an expert without a holder.
+#[test]
+fn follow_shifts_of_sixteen_ranks() {
+    let (before, after, copies) = replay(Layout::new(16, 64, 5).unwrap(), LIMITS);
+    assert!(before > 2.0 && after < 1.4, "{before} {after} {copies}");
+}
+
+// The same for the largest group of the design.
+#[test]
+fn follow_shifts_of_seventy_two_ranks() {
+    let (before, after, copies) = replay(Layout::new(72, 144, 3).unwrap(), LIMITS);
+    assert!(before > 2.0 && after < 1.5, "{before} {after} {copies}");
+}
+
+// Guards against counts from before a shift in the demand after it, and against
+// noise taken for a shift.
+#[test]
+fn demand_shift() {
+    let mut demands = Demands::new(64, 11);
+    let mut demand = Demand::new(1, 64);
+    demand.add(&demands.sample());
+    for _ in 0..SHIFTS {
+        let before = demands.load();
+        demands.shift();
+        if distance(&before, &demands.load()) < 0.25 {
+            continue;
+        }
+        assert!(demand.add(&demands.sample()));
+        for _ in 0..20 {
+            assert!(!demand.add(&demands.sample()));
+        }
+        assert!(demand.is_settled());
+        let load = demand.load(0);
+        let experts = Expert::all(Layout::new(16, 64, 5).unwrap());
+        let found: Vec<f64> = experts
+            .map(|expert| load.of(expert) / load.total())
+            .collect();
+        let far = distance(&found, &demands.load());
+        assert!(far < 0.08, "{far}");
+    }
+}
+
+/// Part of the choices by which two demands differ.
+fn distance(a: &[f64], b: &[f64]) -> f64 {
+    let total = |load: &[f64]| load.iter().sum::<f64>();
+    let pairs = a.iter().zip(b);
+    let differences = pairs.map(|(x, y)| (x / total(a) - y / total(b)).abs());
+    differences.sum::<f64>() / 2.0
+}
--- /dev/null
+++ b/crates/rank/src/leader.rs
@@ -0,0 +1,569 @@
+//! The process beside the first rank: it fits the group's map to demand.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::expert::demand::Demand;
+use berylgw_core::expert::follow::{Limits, follow};
+use berylgw_core::expert::switch::{self, Armed, Switch};
+use berylgw_core::expert::{Expert, Layout, Map, skew};
+use berylgw_wire::rank as wire;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+use crate::engine::{Action, Group, State};
+use crate::member::{self, DATAGRAM_BYTES, Member, SAMPLE_INTERVAL};
+use crate::plan;
+use crate::settings::{self, Settings};
+
+/// Time between two looks at what has to be done, while a switch is under way.
+const STEP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time between two datagrams to a rank that has nothing to do; a quarter of
+/// the silence after which it stops to report.
+const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after which a plan is sent again to a rank that has not confirmed it.
+const PLAN_INTERVAL: Duration = Duration::from_millis(120);
+
+/// The same for the pass of a switch, while the group is held.
+const ARM_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Time without an answer to a datagram after which a rank gets its order from
+/// here: some tries, and far below the time that a held group costs.
+const SILENCE: Duration = Duration::from_millis(300);
+
+/// Time between two tries to learn the group's addresses.
+const GROUP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Ranks that report samples. 16 ranks tell the demand within 100 ms as exactly
+/// as it has to be known.
+const SAMPLED: usize = 24;
+
+/// Ranks to which a map is sent directly at once. More would fill the link of a
+/// small host.
+const DIRECT: usize = 16;
+
+/// Versions of maps by which a process that begins to lead goes beyond the
+/// highest it can see, at least: one may have been ordered and not reported.
+const VERSION_LEAP: u64 = 2;
+
+/// Bits of a version that are drawn at random, so that no two processes use
+/// one version for different maps.
+const VERSION_BITS: u32 = 16;
+
+/// Leads one group in one epoch.
+struct Tenure {
+    switch: Switch,
+    group: Group,
+    /// Ranks by position: where their processes are reached.
+    members: Vec<Option<Seen>>,
+    /// Experts that each rank holds, by set, until the maps are known.
+    lists: Vec<Option<Vec<Vec<Expert>>>>,
+    maps: Option<Arc<Vec<Map>>>,
+    next: Option<(u64, Arc<Vec<Map>>)>,
+    /// Choices since the last look at the demand.
+    counts: Vec<f64>,
+    demand: Option<Demand>,
+    sampled_at: Instant,
+    greeted_at: Option<Instant>,
+    /// When the present plan was last sent, by rank.
+    planned_at: Vec<Option<(u64, Option<u64>, Instant)>>,
+    /// The switch for which ranks are being armed, and since when.
+    arming: Option<(Armed, Instant)>,
+    leapt: bool,
+}
+
+/// A process that was heard.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    address: SocketAddr,
+    at: Instant,
+    /// Map that it carries out a plan for.
+    planned: u64,
+}
+
+/// Leads the group while the own rank is the first.
+pub struct Leader {
+    member: Rc<Member>,
+    socket: UdpSocket,
+    /// Where answers go.
+    address: SocketAddr,
+    /// Port at which processes are reached on all hosts.
+    port: u16,
+    settings: settings::Map,
+    tenure: Option<Tenure>,
+    looked_at: Option<Instant>,
+}
+
+impl Leader {
+    /// A leader that sends from `socket`, which is bound to `settings.lead`.
+    pub fn new(member: Rc<Member>, socket: UdpSocket, settings: &Settings) -> Self {
+        Leader {
+            member,
+            socket,
+            address: settings.lead,
+            port: settings.listen.port(),
+            settings: settings.map,
+            tenure: None,
+            looked_at: None,
+        }
+    }
+
+    /// Leads for ever.
+    pub async fn run(mut self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let Some(state) = self.leads() else {
+                self.tenure = None;
+                self.member.observed.notified().await;
+                continue;
+            };
+            if !self.begin(state).await {
+                tokio::time::sleep(SAMPLE_INTERVAL).await;
+                continue;
+            }
+            let received = self.socket.recv_from(&mut buffer);
+            match tokio::time::timeout(STEP_INTERVAL, received).await {
+                Ok(Ok((length, from))) => self.hear(from, &buffer[..length]),
+                Ok(Err(error)) => tracing::debug!(%error, "no status received"),
+                Err(_) => {}
+            }
+            while let Ok((length, from)) = self.socket.try_recv_from(&mut buffer) {
+                self.hear(from, &buffer[..length]);
+            }
+            self.step().await;
+        }
+    }
+
+    fn leads(&self) -> Option<State> {
+        let state = self.member.state()?;
+        (state.rank == 0 && state.report.open && state.size > 1).then_some(state)
+    }
+
+    /// Begins a tenure in the present epoch; returns whether there is one.
+    async fn begin(&mut self, state: State) -> bool {
+        let current = |tenure: &Tenure| {
+            tenure.switch.epoch() == state.report.epoch && tenure.switch.ranks() == state.size
+        };
+        let known = self.tenure.as_ref().is_some_and(current);
+        let whole = |tenure: &Tenure| tenure.members.iter().all(Option::is_some);
+        if known && self.tenure.as_ref().is_some_and(whole) {
+            return true;
+        }
+        let due = self
+            .looked_at
+            .is_none_or(|at| at.elapsed() >= GROUP_INTERVAL);
+        if !due {
+            return known;
+        }
+        self.looked_at = Some(Instant::now());
+        let group = match (self.member.engine.group)().await {
+            Ok(group) => group,
+            Err(error) => {
+                tracing::warn!(%error, "group not read");
+                return known;
+            }
+        };
+        match &mut self.tenure {
+            Some(tenure) if known => tenure.group = group,
+            _ => {
+                let (epoch, ranks) = (state.report.epoch, state.size);
+                tracing::info!(
+                    epoch,
+                    ranks,
+                    addresses = group.ranks.len(),
+                    "leading the group"
+                );
+                self.tenure = Some(Tenure::new(state, group));
+            }
+        }
+        true
+    }
+
+    fn hear(&mut self, from: SocketAddr, datagram: &[u8]) {
+        let Some(tenure) = &mut self.tenure else {
+            return;
+        };
+        match wire::Status::decode(datagram) {
+            Ok(status) => tenure.hear(from, status),
+            Err(error) => tracing::warn!(%from, %error, "status not read"),
+        }
+    }
+
+    async fn step(&mut self) {
+        let Some(mut tenure) = self.tenure.take() else {
+            return;
+        };
+        self.greet(&mut tenure);
+        tenure.learn_maps();
+        if tenure.sampled_at.elapsed() >= SAMPLE_INTERVAL {
+            tenure.sampled_at = Instant::now();
+            self.decide(&mut tenure);
+        }
+        self.advance(&mut tenure).await;
+        self.tenure = Some(tenure);
+    }
+
+    /// Asks all processes to report.
+    fn greet(&self, tenure: &mut Tenure) {
+        if tenure
+            .greeted_at
+            .is_some_and(|at| at.elapsed() < HELLO_INTERVAL)
+        {
+            return;
+        }
+        tenure.greeted_at = Some(Instant::now());
+        for address in &tenure.group.ranks {
+            let address = SocketAddr::new(address.ip(), self.port);
+            let seen = |seen: &Option<Seen>| seen.is_some_and(|seen| seen.address == address);
+            let rank = tenure.members.iter().position(seen);
+            let lists = rank.is_none_or(|rank| tenure.lists[rank].is_none());
+            let hello = wire::Hello {
+                sample: rank.is_some_and(|rank| tenure.samples(rank)),
+                lists: lists && tenure.maps.is_none(),
+                ..self.hello(tenure)
+            };
+            self.send(address, &hello);
+        }
+        let heard = tenure.members.iter().flatten();
+        let heard = heard.filter(|seen| seen.at.elapsed() < HELLO_INTERVAL * 2);
+        self.member.metrics.ranks.set(heard.count() as i64);
+    }
+
+    fn send(&self, address: SocketAddr, hello: &wire::Hello) {
+        if let Err(error) = self.socket.try_send_to(&hello.encode_to_vec(), address) {
+            tracing::debug!(%address, %error, "datagram not sent");
+        }
+    }
+
+    /// Begins a switch if a map that fits the demand is worth it.
+    fn decide(&self, tenure: &mut Tenure) {
+        let Some(maps) = tenure.maps.clone() else {
+            return;
+        };
+        let counts = std::mem::take(&mut tenure.counts);
+        if counts.is_empty() {
+            return;
+        }
+        let experts = usize::from(tenure.group.experts);
+        let demand = tenure
+            .demand
+            .get_or_insert_with(|| Demand::new(maps.len(), experts));
+        if demand.add(&counts) {
+            self.member.metrics.shifts.inc();
+            tracing::info!(epoch = tenure.switch.epoch(), "demand shifted");
+        }
+        let loads: Vec<_> = (0..maps.len()).map(|set| demand.load(set)).collect();
+        let mean = |maps: &[Map]| {
+            let skews = maps.iter().zip(&loads).map(|(map, load)| skew(map, load));
+            skews.sum::<f64>() / maps.len() as f64
+        };
+        let before = mean(&maps);
+        self.member.metrics.skew.set(before);
+        if !demand.is_settled() || tenure.switch.settled().is_none() {
+            return;
+        }
+        let started = Instant::now();
+        let limits = Limits {
+            loads_per_rank: 1.min(tenure.group.loads),
+            target: self.settings.target,
+        };
+        let next = maps.iter().zip(&loads);
+        let next: Vec<Map> = next.map(|(map, load)| follow(map, load, limits)).collect();
+        let after = mean(&next);
+        if before - after < self.settings.gain {
+            return;
+        }
+        let version = tenure.next_version();
+        if !tenure.switch.aim(version) {
+            return;
+        }
+        let copies = maps.iter().zip(&next);
+        let copies: usize = copies.map(|(old, new)| new.transfers_from(old)).sum();
+        self.member.metrics.copies.inc_by(copies as u64);
+        let took_us = started.elapsed().as_micros() as u64;
+        let epoch = tenure.switch.epoch();
+        tracing::info!(
+            epoch,
+            version,
+            before,
+            after,
+            copies,
+            took_us,
+            "map decided"
+        );
+        tenure.next = Some((version, Arc::new(next)));
+    }
+
+    /// Does what the switch needs next.
+    async fn advance(&self, tenure: &mut Tenure) {
+        let epoch = tenure.switch.epoch();
+        match tenure.switch.next() {
+            switch::Action::Wait => tenure.finish(&self.member.metrics),
+            switch::Action::Prepare { version } => {
+                let Some((next, maps)) = tenure.next.clone() else {
+                    return;
+                };
+                if next != version {
+                    return;
+                }
+                self.plan(tenure, version, None, Some(&maps), PLAN_INTERVAL);
+            }
+            switch::Action::Hold { .. } => {
+                // The pass is chosen by what the rank says now.
+                let Some(state) = self.member.observe().await else {
+                    return;
+                };
+                tenure.switch.report(0, state.report);
+                if let switch::Action::Hold { pass } = tenure.switch.next() {
+                    self.member.order(epoch, Action::Hold { pass }).await;
+                    self.observe_own(tenure).await;
+                }
+                if let switch::Action::Arm(goal) = tenure.switch.next() {
+                    self.arm(tenure, goal).await;
+                }
+            }
+            switch::Action::Arm(goal) => self.arm(tenure, goal).await,
+            switch::Action::Release { pass } => {
+                self.member.order(epoch, Action::Release { pass }).await;
+                self.observe_own(tenure).await;
+            }
+        }
+    }
+
+    async fn observe_own(&self, tenure: &mut Tenure) {
+        if let Some(state) = self.member.observe().await {
+            tenure.switch.report(0, state.report);
+        }
+    }
+
+    async fn arm(&self, tenure: &mut Tenure, goal: Armed) {
+        self.plan(tenure, goal.version, Some(goal.pass), None, ARM_INTERVAL);
+        let (epoch, now) = (tenure.switch.epoch(), Instant::now());
+        let since = match tenure.arming {
+            Some((known, since)) if known == goal => since,
+            _ => {
+                tenure.arming = Some((goal, now));
+                now
+            }
+        };
+        if since.elapsed() < SILENCE {
+            return;
+        }
+        for rank in 0..tenure.switch.ranks() {
+            let armed = tenure
+                .switch
+                .of(rank)
+                .is_some_and(|report| report.armed.is_some());
+            let silent = tenure.members[rank].filter(|seen| seen.at <= since);
+            let (false, Some(seen)) = (armed, silent) else {
+                continue;
+            };
+            let mut addresses = tenure.group.ranks.iter();
+            let engine = addresses.find(|address| address.ip() == seen.address.ip());
+            let Some(&engine) = engine else { continue };
+            tracing::warn!(rank, "process of the rank is silent");
+            let calls = &self.member.engine;
+            let action = Action::Arm(goal);
+            member::give(calls, &self.member.metrics, engine, epoch, action).await;
+            match (calls.state)(engine, ()).await {
+                Ok(state) => tenure.switch.report(rank, state.report),
+                Err(error) => tracing::warn!(rank, %error, "rank does not answer"),
+            }
+        }
+    }
+
+    /// Sends a plan to the ranks that have not carried it out.
+    fn plan(
+        &self,
+        tenure: &mut Tenure,
+        version: u64,
+        pass: Option<u64>,
+        maps: Option<&Arc<Vec<Map>>>,
+        interval: Duration,
+    ) {
+        let ranks = tenure.switch.ranks();
+        let mut due = Vec::new();
+        for rank in 0..ranks {
+            let Some(seen) = tenure.members[rank] else {
+                continue;
+            };
+            let report = tenure.switch.of(rank);
+            let done = match pass {
+                Some(_) => report.is_some_and(|report| report.armed.is_some()),
+                None => seen.planned == version || tenure.switch.has_prepared(rank, version),
+            };
+            let recent = tenure.planned_at[rank].is_some_and(|(sent, sent_pass, at)| {
+                (sent, sent_pass) == (version, pass) && at.elapsed() < interval
+            });
+            if !done && !recent {
+                due.push((rank, seen.address));
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        let parts = match maps {
+            Some(maps) => plan::encode(version, maps),
+            None => vec![wire::Plan {
+                version,
+                pass: pass.unwrap_or(0),
+                ..Default::default()
+            }],
+        };
+        // All but the first try go to each rank directly: a process that passes
+        // datagrams on may be the one that is missing.
+        let first = due.len() == ranks && maps.is_some();
+        let fan_out = if first && ranks > DIRECT {
+            ranks.isqrt()
+        } else {
+            1
+        };
+        let direct = fan_out == 1 && maps.is_some();
+        let most = if direct { DIRECT } else { ranks };
+        for group in due[..due.len().min(most)].chunks(fan_out) {
+            let (first, address) = group[0];
+            let others = group[1..]
+                .iter()
+                .filter_map(|(_, address)| match address.ip() {
+                    IpAddr::V4(ip) => Some(u32::from(ip)),
+                    IpAddr::V6(_) => None,
+                });
+            let others: Vec<u32> = others.collect();
+            for (rank, _) in group {
+                tenure.planned_at[*rank] = Some((version, pass, Instant::now()));
+            }
+            for part in &parts {
+                let hello = wire::Hello {
+                    sample: tenure.samples(first),
+                    plan: Some(part.clone()),
+                    pass_on: others.clone(),
+                    ..self.hello(tenure)
+                };
+                self.send(address, &hello);
+            }
+        }
+    }
+
+    fn hello(&self, tenure: &Tenure) -> wire::Hello {
+        wire::Hello {
+            epoch: tenure.switch.epoch(),
+            leader: self.address.to_string(),
+            ..Default::default()
+        }
+    }
+}
+
+impl Tenure {
+    fn new(state: State, group: Group) -> Self {
+        let mut switch = Switch::new(state.report.epoch, state.size);
+        switch.report(0, state.report);
+        Tenure {
+            switch,
+            group,
+            members: vec![None; state.size],
+            lists: vec![None; state.size],
+            maps: None,
+            next: None,
+            counts: Vec::new(),
+            demand: None,
+            sampled_at: Instant::now(),
+            greeted_at: None,
+            planned_at: vec![None; state.size],
+            arming: None,
+            leapt: false,
+        }
+    }
+
+    /// Whether a rank reports samples.
+    fn samples(&self, rank: usize) -> bool {
+        let stride = self.switch.ranks().div_ceil(SAMPLED);
+        rank.is_multiple_of(stride)
+    }
+
+    fn hear(&mut self, from: SocketAddr, status: wire::Status) {
+        let rank = status.rank as usize;
+        let ranks = self.switch.ranks();
+        if status.epoch != self.switch.epoch() || rank >= ranks || status.size as usize != ranks {
+            return;
+        }
+        self.members[rank] = Some(Seen {
+            address: from,
+            at: Instant::now(),
+            planned: status.planned,
+        });
+        self.switch.report(rank, plan::report(&status));
+        if !status.lists.is_empty() && self.maps.is_none() {
+            let set = |set: &wire::Set| {
+                let experts = set.experts.iter();
+                experts.map(|expert| Expert::from(*expert as u16)).collect()
+            };
+            self.lists[rank] = Some(status.lists.iter().map(set).collect());
+        }
+        if let Some(sample) = status.sample {
+            self.counts.resize(sample.counts.len(), 0.0);
+            // Each rank counts alike: one that reads a long prompt has chosen
+            // much more often, but for one request only.
+            let total: f64 = sample.counts.iter().map(|count| f64::from(*count)).sum();
+            for (sum, count) in self.counts.iter_mut().zip(&sample.counts) {
+                *sum += f64::from(*count) / total.max(1.0);
+            }
+        }
+    }
+
+    /// Puts the maps together from what the ranks hold.
+    fn learn_maps(&mut self) {
+        if self.maps.is_some() || self.switch.settled().is_none() {
+            return;
+        }
+        let Some(lists) = self.lists.iter().cloned().collect::<Option<Vec<_>>>() else {
+            return;
+        };
+        let (ranks, group) = (self.switch.ranks() as u16, &self.group);
+        let sets = lists.iter().map(Vec::len).min().unwrap_or(0);
+        let map = |set: usize| {
+            let layout = Layout::new(ranks, group.experts, group.slots)?;
+            let held: Vec<Vec<Expert>> = lists.iter().map(|of_rank| of_rank[set].clone()).collect();
+            Map::from_ranks(layout, &held)
+        };
+        match (0..sets).map(map).collect::<Result<Vec<_>, _>>() {
+            Ok(maps) if !maps.is_empty() => {
+                tracing::info!(sets, "maps known");
+                self.maps = Some(Arc::new(maps));
+            }
+            Ok(_) => {}
+            Err(error) => {
+                tracing::warn!(%error, "maps not understood");
+                self.lists.fill(None);
+            }
+        }
+    }
+
+    /// Takes the new map over once all ranks use it.
+    fn finish(&mut self, metrics: &crate::metrics::Metrics) {
+        let Some((version, _)) = self.next else {
+            return;
+        };
+        if self.switch.settled() != Some(version) {
+            return;
+        }
+        let pass = self.switch.of(0).map_or(0, |report| report.pass);
+        tracing::info!(version, pass, "map in use");
+        metrics.switches.inc();
+        self.maps = self.next.take().map(|(_, maps)| maps);
+    }
+
+    fn next_version(&mut self) -> u64 {
+        let above = self.switch.highest() >> VERSION_BITS;
+        let mut number = above + 1;
+        if !self.leapt {
+            self.leapt = true;
+            number = above + VERSION_LEAP + u64::from(rand::random::<u16>());
+        }
+        (number << VERSION_BITS) + u64::from(rand::random::<u16>())
+    }
+}
--- /dev/null
+++ b/crates/rank/src/member.rs
@@ -0,0 +1,444 @@
+//! What the process does for its own rank.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::expert::Map;
+use berylgw_core::expert::switch::Armed;
+use berylgw_wire::rank as wire;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+use crate::engine::{Action, Counts, Engine, Order, State};
+use crate::metrics::Metrics;
+use crate::plan::{self, Parts, Plan};
+
+/// Time between two samples of counts, about a pass of a full group.
+pub const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two looks at a rank that nobody leads.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which a leader that was heard is answered, some of its datagrams.
+const LEADER_SILENCE: Duration = Duration::from_secs(2);
+
+/// Time between two tries to carry out a plan, several answers of a rank.
+const STEP_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Time for which a rank copies experts at most; an order that was accepted is
+/// not repeated before.
+const COPY_TIME: Duration = Duration::from_secs(1);
+
+/// Age from which on a state is read again before it is reported.
+const STATE_AGE: Duration = Duration::from_millis(400);
+
+/// Largest datagram that is read, in bytes.
+pub const DATAGRAM_BYTES: usize = 32 << 10;
+
+/// The process's view of its own rank.
+#[derive(Debug)]
+pub struct Member {
+    /// Calls to ranks.
+    pub engine: Rc<Engine>,
+    /// Counters.
+    pub metrics: Metrics,
+    own: SocketAddr,
+    socket: UdpSocket,
+    inner: RefCell<Inner>,
+    planned: Notify,
+    /// Told when the state of the rank was read.
+    pub observed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: Option<(State, Instant)>,
+    leader: Option<(SocketAddr, Instant)>,
+    sample: bool,
+    lists: bool,
+    counts: Option<Counts>,
+    parts: Option<Parts>,
+    maps: Option<(u64, Arc<Vec<Map>>)>,
+    plan: Option<Plan>,
+}
+
+impl Member {
+    /// A member for the rank at `own` that is reached at `socket`.
+    pub fn new(engine: Rc<Engine>, metrics: Metrics, own: SocketAddr, socket: UdpSocket) -> Self {
+        Member {
+            engine,
+            metrics,
+            own,
+            socket,
+            inner: RefCell::default(),
+            planned: Notify::new(),
+            observed: Notify::new(),
+        }
+    }
+
+    /// State of the rank when it was read last.
+    pub fn state(&self) -> Option<State> {
+        self.inner.borrow().state.map(|(state, _)| state)
+    }
+
+    /// Reads the state of the rank.
+    pub async fn observe(&self) -> Option<State> {
+        let read = (self.engine.state)(self.own, ()).await;
+        let mut inner = self.inner.borrow_mut();
+        let before = inner.state.map(|(state, _)| state);
+        match read {
+            Ok(state) => {
+                inner.state = Some((state, Instant::now()));
+                let changed = before.is_none_or(|before| {
+                    (before.report.epoch, before.report.open)
+                        != (state.report.epoch, state.report.open)
+                });
+                if changed {
+                    let State { rank, report, .. } = state;
+                    let (epoch, open) = (report.epoch, report.open);
+                    tracing::info!(rank, epoch, open, "group of the rank");
+                }
+            }
+            Err(error) => {
+                if before.is_some() {
+                    tracing::warn!(%error, "rank does not answer");
+                }
+                inner.state = None;
+            }
+        }
+        self.observed.notify_one();
+        inner.state.map(|(state, _)| state)
+    }
+
+    /// Gives an order to the own rank; returns whether it was accepted.
+    pub async fn order(&self, epoch: u64, action: Action) -> bool {
+        give(&self.engine, &self.metrics, self.own, epoch, action).await
+    }
+
+    /// Receives what leaders say, for ever.
+    pub async fn receive(&self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    tracing::debug!(%error, "no datagram received");
+                    sleep(STEP_INTERVAL).await;
+                    continue;
+                }
+            };
+            match wire::Hello::decode(&buffer[..length]) {
+                Ok(hello) => self.hear(from, hello).await,
+                Err(error) => tracing::warn!(%from, %error, "datagram not read"),
+            }
+        }
+    }
+
+    async fn hear(&self, from: SocketAddr, hello: wire::Hello) {
+        let known = self
+            .state()
+            .is_some_and(|state| state.report.epoch == hello.epoch);
+        if !known
+            && self
+                .observe()
+                .await
+                .is_none_or(|state| state.report.epoch != hello.epoch)
+        {
+            return;
+        }
+        let Ok(leader) = hello.leader.parse() else {
+            tracing::warn!(%from, leader = hello.leader, "address of the leader not read");
+            return;
+        };
+        self.pass_on(&hello);
+        {
+            let mut inner = self.inner.borrow_mut();
+            inner.leader = Some((leader, Instant::now()));
+            inner.sample = hello.sample;
+            inner.lists |= hello.lists;
+        }
+        match hello.plan {
+            Some(plan) => self.accept(hello.epoch, plan),
+            None => self.tell(None).await,
+        }
+    }
+
+    /// Passes a datagram on, so that the leader's link does not carry a map for
+    /// each rank of a large group.
+    fn pass_on(&self, hello: &wire::Hello) {
+        if hello.pass_on.is_empty() {
+            return;
+        }
+        let port = match self.socket.local_addr() {
+            Ok(own) => own.port(),
+            Err(error) => {
+                tracing::warn!(%error, "own address not known");
+                return;
+            }
+        };
+        let copy = wire::Hello {
+            pass_on: Vec::new(),
+            ..hello.clone()
+        };
+        let bytes = copy.encode_to_vec();
+        for ip in &hello.pass_on {
+            let address = SocketAddr::new(Ipv4Addr::from(*ip).into(), port);
+            if let Err(error) = self.socket.try_send_to(&bytes, address) {
+                tracing::debug!(%address, %error, "datagram not passed on");
+            }
+        }
+    }
+
+    fn accept(&self, epoch: u64, part: wire::Plan) {
+        let mut inner = self.inner.borrow_mut();
+        if !part.held.is_empty() {
+            let known = inner.parts.take();
+            let known = known.filter(|parts| parts.version == part.version);
+            let mut parts = known.unwrap_or_else(|| Parts::new(&part));
+            match parts.add(&part) {
+                Ok(Some(maps)) => inner.maps = Some((part.version, Arc::new(maps))),
+                Ok(None) => {}
+                Err(error) => tracing::warn!(%error, version = part.version, "map not read"),
+            }
+            inner.parts = Some(parts);
+        }
+        let maps = inner.maps.clone();
+        let Some((version, maps)) = maps.filter(|(version, _)| *version == part.version) else {
+            return;
+        };
+        let pass = Some(part.pass).filter(|pass| *pass > 0);
+        inner.plan = Some(Plan {
+            epoch,
+            version,
+            maps,
+            pass,
+        });
+        drop(inner);
+        self.planned.notify_one();
+    }
+
+    /// Carries out plans, for ever.
+    pub async fn carry_out(&self) {
+        loop {
+            self.planned.notified().await;
+            let mut told = None;
+            let mut prepared_at: Option<(u64, Instant)> = None;
+            loop {
+                let Some(plan) = self.inner.borrow().plan.clone() else {
+                    break;
+                };
+                let Some(mut state) = self.observe().await else {
+                    break;
+                };
+                let copying = prepared_at.is_some_and(|(version, at)| {
+                    version == plan.version && at.elapsed() < COPY_TIME
+                });
+                let step = next(&state, &plan);
+                let done = matches!(step, Step::Done);
+                let action = match step {
+                    Step::Order(Action::Prepare { .. }) if copying => None,
+                    Step::Order(action) => Some(action),
+                    Step::Wait | Step::Done => None,
+                };
+                if let Some(action) = action {
+                    let prepares = matches!(action, Action::Prepare { .. });
+                    let accepted = self.order(plan.epoch, action).await;
+                    if prepares && accepted {
+                        prepared_at = Some((plan.version, Instant::now()));
+                    }
+                    state = self.observe().await.unwrap_or(state);
+                }
+                let seen = (plan.version, state.report.prepared, state.report.armed);
+                if told != Some(seen) || done {
+                    told = Some(seen);
+                    self.tell(None).await;
+                }
+                if done {
+                    break;
+                }
+                tokio::select! {
+                    () = sleep(STEP_INTERVAL) => {}
+                    () = self.planned.notified() => {}
+                }
+            }
+        }
+    }
+
+    /// Observes the rank and reports samples, for ever.
+    pub async fn follow(&self) {
+        loop {
+            let interval = if self.is_led() {
+                SAMPLE_INTERVAL
+            } else {
+                IDLE_INTERVAL
+            };
+            sleep(interval).await;
+            let age = self.inner.borrow().state.map(|(_, read)| read.elapsed());
+            if age.is_none_or(|age| age >= STATE_AGE) {
+                self.observe().await;
+            }
+            if !self.is_led() || !self.inner.borrow().sample {
+                continue;
+            }
+            if let Some(sample) = self.sample().await {
+                self.tell(Some(sample)).await;
+            }
+        }
+    }
+
+    fn is_led(&self) -> bool {
+        let leader = self.inner.borrow().leader;
+        leader.is_some_and(|(_, heard)| heard.elapsed() < LEADER_SILENCE)
+    }
+
+    async fn sample(&self) -> Option<wire::Sample> {
+        let counts = self.count().await?;
+        let mut inner = self.inner.borrow_mut();
+        if let Some((state, _)) = &mut inner.state
+            && state.report.epoch == counts.epoch
+        {
+            state.report.pass = state.report.pass.max(counts.pass);
+        }
+        let before = inner.counts.replace(counts.clone())?;
+        let same = before.epoch == counts.epoch && before.chosen.len() == counts.chosen.len();
+        if !same {
+            return None;
+        }
+        let pairs = counts.chosen.iter().zip(&before.chosen);
+        // A rank that started again counts from nothing.
+        let new: Option<Vec<u64>> = pairs.map(|(now, then)| now.checked_sub(*then)).collect();
+        let new = new?;
+        let most = *new.iter().max()?;
+        if most == 0 {
+            return None;
+        }
+        let scaled = |count: &u64| (*count as f64 / most as f64 * f64::from(u8::MAX)).round();
+        let counts = new.iter().map(|count| scaled(count) as u8);
+        Some(wire::Sample {
+            counts: counts.collect::<Vec<u8>>().into(),
+        })
+    }
+
+    async fn count(&self) -> Option<Counts> {
+        match (self.engine.counts)(self.own, ()).await {
+            Ok(counts) => Some(counts),
+            Err(error) => {
+                tracing::debug!(%error, "no counts");
+                None
+            }
+        }
+    }
+
+    /// Reports to the leader.
+    async fn tell(&self, sample: Option<wire::Sample>) {
+        let lists = if self.inner.borrow().lists {
+            self.lists().await
+        } else {
+            Vec::new()
+        };
+        if self.inner.borrow().counts.is_none() {
+            let counts = self.count().await;
+            self.inner.borrow_mut().counts = counts;
+        }
+        let inner = self.inner.borrow();
+        let (Some((state, _)), Some((leader, _))) = (&inner.state, inner.leader) else {
+            return;
+        };
+        let status = wire::Status {
+            planned: inner.plan.as_ref().map_or(0, |plan| plan.version),
+            lists,
+            sample,
+            ..plan::status(state)
+        };
+        if let Err(error) = self.socket.try_send_to(&status.encode_to_vec(), leader) {
+            tracing::debug!(%leader, %error, "status not sent");
+        }
+    }
+
+    async fn lists(&self) -> Vec<wire::Set> {
+        self.inner.borrow_mut().lists = false;
+        let lists = match (self.engine.lists)(self.own, ()).await {
+            Ok(lists) => lists,
+            Err(error) => {
+                tracing::debug!(%error, "no list of experts");
+                return Vec::new();
+            }
+        };
+        let sets = lists.sets.iter();
+        let numbers = |set: &Vec<_>| {
+            set.iter()
+                .map(|expert| u32::from(u16::from(*expert)))
+                .collect()
+        };
+        sets.map(|set| wire::Set {
+            experts: numbers(set),
+        })
+        .collect()
+    }
+}
+
+/// What a rank has to do for a plan.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Nothing more.
+    Done,
+    /// Nothing until its state changes.
+    Wait,
+    /// Carry out an order.
+    Order(Action),
+}
+
+/// What a rank in `state` has to do next for `plan`.
+pub fn next(state: &State, plan: &Plan) -> Step {
+    let report = &state.report;
+    if report.epoch != plan.epoch || !report.open || report.version >= plan.version {
+        return Step::Done;
+    }
+    if report.armed.is_some() {
+        return Step::Wait;
+    }
+    if report.prepared != Some(plan.version) {
+        let (version, maps) = (plan.version, plan.maps.clone());
+        return Step::Order(Action::Prepare { version, maps });
+    }
+    match plan.pass {
+        // A pass that has begun cannot be armed for any more.
+        Some(pass) if pass > report.pass => Step::Order(Action::Arm(Armed {
+            version: plan.version,
+            pass,
+        })),
+        Some(_) => Step::Wait,
+        None => Step::Done,
+    }
+}
+
+/// Gives an order to the rank at `address`; reports tell whether it was carried
+/// out.
+pub async fn give(
+    engine: &Engine,
+    metrics: &Metrics,
+    address: SocketAddr,
+    epoch: u64,
+    action: Action,
+) -> bool {
+    let name = match action {
+        Action::Prepare { .. } => "prepare",
+        Action::Arm(_) => "arm",
+        Action::Hold { .. } => "hold",
+        Action::Release { .. } => "release",
+    };
+    let given = (engine.order)(address, Order { epoch, action }).await;
+    let accepted = given.is_ok();
+    let outcome = if accepted { "accepted" } else { "not accepted" };
+    metrics.orders.with_label_values(&[name, outcome]).inc();
+    match given {
+        Ok(()) => tracing::info!(%address, epoch, order = name, "order accepted"),
+        Err(error) => tracing::info!(%address, epoch, order = name, %error, "order not accepted"),
+    }
+    accepted
+}
--- /dev/null
+++ b/crates/rank/src/plan.rs
@@ -0,0 +1,170 @@
+//! Maps and reports in the messages between the processes of a group.
+
+use std::sync::Arc;
+
+use berylgw_core::expert::switch::{Armed, Report};
+use berylgw_core::expert::{Expert, Layout, Map, Rank};
+use berylgw_wire::rank as wire;
+
+use crate::engine::{Failure, State};
+
+/// Bytes of a map in one datagram, so that it is not split on the way.
+const PART_BYTES: usize = 1_100;
+
+/// Experts of a set from which on a slot takes two bytes.
+const WIDE: usize = 255;
+
+/// What a rank has to do.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// Number of the map.
+    pub version: u64,
+    /// The map of each set.
+    pub maps: Arc<Vec<Map>>,
+    /// Pass that begins with the map, once it is known.
+    pub pass: Option<u64>,
+}
+
+/// Parts of a map that have arrived.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// Number of the map.
+    pub version: u64,
+    sets: Vec<Option<Map>>,
+}
+
+impl Parts {
+    /// No part of the map that `part` belongs to.
+    pub fn new(part: &wire::Plan) -> Self {
+        Parts {
+            version: part.version,
+            sets: vec![None; part.sets as usize],
+        }
+    }
+
+    /// Adds a part; returns the maps of all sets once they are complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the part does not fit.
+    pub fn add(&mut self, part: &wire::Plan) -> Result<Option<Vec<Map>>, Failure> {
+        let first = part.first_set as usize;
+        for (set, map) in decode(part)?.into_iter().enumerate() {
+            let place = self.sets.get_mut(first + set);
+            let place = place.ok_or_else(|| Failure("more sets than announced".to_owned()))?;
+            *place = Some(map);
+        }
+        Ok(self.sets.iter().cloned().collect())
+    }
+}
+
+/// The messages that carry the maps of all sets.
+pub fn encode(version: u64, maps: &[Map]) -> Vec<wire::Plan> {
+    let Some(layout) = maps.first().map(Map::layout) else {
+        return Vec::new();
+    };
+    let slots = layout.ranks() * layout.slots();
+    let bytes_of_set = slots * width(layout.experts());
+    let sets_of_part = (PART_BYTES / bytes_of_set).max(1);
+    let part = |(index, sets): (usize, &[Map])| wire::Plan {
+        version,
+        ranks: layout.ranks() as u32,
+        slots: layout.slots() as u32,
+        experts: layout.experts() as u32,
+        sets: maps.len() as u32,
+        first_set: (index * sets_of_part) as u32,
+        held: sets.iter().flat_map(held).collect::<Vec<u8>>().into(),
+        pass: 0,
+    };
+    maps.chunks(sets_of_part).enumerate().map(part).collect()
+}
+
+fn width(experts: usize) -> usize {
+    if experts < WIDE { 1 } else { 2 }
+}
+
+fn held(map: &Map) -> Vec<u8> {
+    let layout = map.layout();
+    let width = width(layout.experts());
+    let mut bytes = Vec::new();
+    for rank in Rank::all(layout) {
+        let experts = map.experts(rank);
+        for slot in 0..layout.slots() {
+            let expert = experts
+                .get(slot)
+                .map_or(u16::MAX, |expert| u16::from(*expert));
+            bytes.extend(&expert.to_le_bytes()[..width]);
+        }
+    }
+    bytes
+}
+
+fn decode(part: &wire::Plan) -> Result<Vec<Map>, Failure> {
+    let failed = |error: &dyn std::fmt::Display| Failure(error.to_string());
+    let dimensions = (part.ranks as u16, part.experts as u16, part.slots as u16);
+    let (ranks, experts, slots) = dimensions;
+    let layout = Layout::new(ranks, experts, slots).map_err(|error| failed(&error))?;
+    let width = width(layout.experts());
+    let free = if width == 1 {
+        u16::from(u8::MAX)
+    } else {
+        u16::MAX
+    };
+    let number = |bytes: &[u8]| {
+        bytes
+            .iter()
+            .rev()
+            .fold(0, |sum, byte| sum << 8 | u16::from(*byte))
+    };
+    let numbers: Vec<u16> = part.held.chunks(width).map(number).collect();
+    let mut maps = Vec::new();
+    for set in numbers.chunks(layout.ranks() * layout.slots()) {
+        let of_rank = |slots: &[u16]| {
+            let held = slots.iter().filter(|expert| **expert != free);
+            held.map(|expert| Expert::from(*expert)).collect()
+        };
+        let ranks: Vec<Vec<Expert>> = set.chunks(layout.slots()).map(of_rank).collect();
+        maps.push(Map::from_ranks(layout, &ranks).map_err(|error| failed(&error))?);
+    }
+    Ok(maps)
+}
+
+/// The message for a state.
+pub fn status(state: &State) -> wire::Status {
+    let State {
+        rank, size, report, ..
+    } = *state;
+    wire::Status {
+        epoch: report.epoch,
+        rank: rank as u32,
+        size: size as u32,
+        open: report.open,
+        pass: report.pass,
+        version: report.version,
+        prepared: report.prepared,
+        armed: report.armed.map(|armed| wire::Armed {
+            version: armed.version,
+            pass: armed.pass,
+        }),
+        held: report.held,
+        ..Default::default()
+    }
+}
+
+/// The report in a message.
+pub fn report(status: &wire::Status) -> Report {
+    Report {
+        epoch: status.epoch,
+        open: status.open,
+        pass: status.pass,
+        version: status.version,
+        prepared: status.prepared,
+        armed: status.armed.as_ref().map(|armed| Armed {
+            version: armed.version,
+            pass: armed.pass,
+        }),
+        held: status.held,
+    }
+}
--- /dev/null
+++ b/crates/rank/src/process.rs
@@ -0,0 +1,76 @@
+//! The process.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use berylgw_runtime::{log, metrics as endpoint};
+use tokio::net::UdpSocket;
+
+use crate::engine::Engine;
+use crate::leader::Leader;
+use crate::member::Member;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+
+/// Error of the process.
+#[derive(Debug, thiserror::Error)]
+#[error("{place}: {message}")]
+pub struct Error {
+    place: &'static str,
+    message: String,
+}
+
+impl Error {
+    fn new(place: &'static str, message: impl ToString) -> Self {
+        Error {
+            place,
+            message: message.to_string(),
+        }
+    }
+}
+
+/// Serves the rank until `stop` resolves.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn run(
+    settings: Settings,
+    engine: Engine,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let metrics = Metrics::new().map_err(|error| Error::new("metrics", error))?;
+    let mut settings = settings;
+    let socket = bind("members", &mut settings.listen).await?;
+    let lead = bind("leader", &mut settings.lead).await?;
+    let registry = metrics.registry();
+    let engine = Rc::new(engine);
+    let member = Rc::new(Member::new(engine, metrics, settings.engine, socket));
+    let leader = Leader::new(member.clone(), lead, &settings);
+    let metrics = async {
+        let served = endpoint::serve(settings.metrics, registry, std::future::pending()).await;
+        if let Err(error) = served {
+            tracing::error!(%error, "metrics not served");
+        }
+        std::future::pending::<()>().await
+    };
+    tokio::select! {
+        () = member.receive() => {}
+        () = member.carry_out() => {}
+        () = member.follow() => {}
+        () = leader.run() => {}
+        () = metrics => {}
+        () = stop => {}
+    }
+    tracing::info!("stopped");
+    Ok(())
+}
+
+/// Binds a socket and replaces the address by the one it was bound to.
+async fn bind(interface: &'static str, address: &mut SocketAddr) -> Result<UdpSocket, Error> {
+    let failed = |error: std::io::Error| Error::new(interface, error);
+    let socket = UdpSocket::bind(*address).await.map_err(failed)?;
+    *address = socket.local_addr().map_err(failed)?;
+    log::listening(interface, *address);
+    Ok(socket)
+}
--- /dev/null
+++ b/crates/spec/src/hold/rank.rs
@@ -0,0 +1,133 @@
+//! Ranks and the orders they accept, as the platform's contract has them.
+
+use berylgw_core::expert::switch::{Armed, Report};
+
+/// Number of ranks; the first one is held.
+pub(super) const RANKS: usize = 2;
+
+/// A map; two maps may have the same version only by mistake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Map {
+    pub(super) version: u8,
+    /// Tells apart maps of one version.
+    pub(super) content: u8,
+}
+
+/// An order, which has no meaning in another epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Order {
+    pub(super) epoch: u8,
+    pub(super) rank: u8,
+    pub(super) action: Action,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) enum Action {
+    Prepare(Map),
+    Arm { version: u8, pass: u8 },
+    Hold { pass: u8 },
+    Release { pass: u8 },
+}
+
+/// The ranks of the group in one epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) struct Group {
+    pub(super) epoch: u8,
+    /// Last pass that began.
+    pub(super) pass: u8,
+    pub(super) held: Option<u8>,
+    pub(super) ranks: [Rank; RANKS],
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) struct Rank {
+    pub(super) used: Option<Map>,
+    prepared: Option<Map>,
+    /// Map, and the pass that begins with it.
+    armed: Option<(Map, u8)>,
+    /// Highest version that the rank has had.
+    highest: u8,
+}
+
+impl Group {
+    /// Carries an order out; returns whether it was accepted.
+    pub(super) fn apply(&mut self, order: Order) -> bool {
+        if order.epoch != self.epoch {
+            return false;
+        }
+        let rank = &mut self.ranks[usize::from(order.rank)];
+        match order.action {
+            Action::Prepare(map) => {
+                if map.version <= rank.highest || rank.armed.is_some() {
+                    return false;
+                }
+                rank.highest = map.version;
+                rank.prepared = Some(map);
+            }
+            Action::Arm { version, pass } => {
+                let prepared = rank.prepared.filter(|map| map.version == version);
+                let Some(map) = prepared.filter(|_| pass > self.pass) else {
+                    return false;
+                };
+                rank.armed = Some((map, pass));
+            }
+            Action::Hold { pass } => {
+                if self.held.is_some() || pass <= self.pass {
+                    return false;
+                }
+                self.held = Some(pass);
+            }
+            Action::Release { pass } => {
+                if self.held != Some(pass) {
+                    return false;
+                }
+                self.held = None;
+            }
+        }
+        true
+    }
+
+    /// Begins the next pass; returns false if it is held.
+    pub(super) fn begin(&mut self) -> bool {
+        let next = self.pass + 1;
+        if self.held == Some(next) {
+            return false;
+        }
+        self.pass = next;
+        for rank in &mut self.ranks {
+            if let Some((map, _)) = rank.armed.filter(|(_, pass)| *pass == next) {
+                rank.used = Some(map);
+                rank.armed = None;
+                rank.prepared = None;
+            }
+        }
+        true
+    }
+
+    /// The group after a rank has restarted.
+    pub(super) fn formed_again(&self) -> Group {
+        Group {
+            epoch: self.epoch + 1,
+            pass: self.pass,
+            ..Group::default()
+        }
+    }
+
+    /// What a rank reports.
+    pub(super) fn report(&self, index: usize) -> Report {
+        let rank = &self.ranks[index];
+        let version = |map: Map| u64::from(map.version);
+        Report {
+            epoch: u64::from(self.epoch),
+            open: true,
+            pass: u64::from(self.pass),
+            version: rank.used.map_or(0, version),
+            prepared: rank.prepared.map(version),
+            armed: rank.armed.map(|(map, pass)| Armed {
+                version: version(map),
+                pass: u64::from(pass),
+            }),
+            held: self.held.filter(|_| index == 0).map(u64::from),
+        }
+    }
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod claim;
 pub mod config;
+pub mod hold;
 pub mod lease;
 pub mod step;
--- /dev/null
+++ b/crates/spec/tests/hold.rs
@@ -0,0 +1,103 @@
+//! Exhaustive exploration of the switch at an announced pass.
+
+use berylgw_spec::hold::{Mistake, Setup, State, Violation, count, find};
+
+const SETUP: Setup = Setup {
+    maps: 2,
+    passes: 4,
+    starts: 1,
+    forms: 0,
+    mistake: None,
+};
+
+/// A path to a violation, a line for each state.
+fn shown(path: Option<Vec<State>>) -> String {
+    let states = path.unwrap_or_default();
+    let lines = states.iter().map(|state| format!("{state:?}\n"));
+    lines.collect()
+}
+
+fn finds(mistake: Mistake, setup: Setup) -> bool {
+    let mistake = Some(mistake);
+    find(&Setup { mistake, ..setup }, Violation::MixedPass).is_some()
+}
+
+// Guards against a pass with two maps, with orders lost, late and repeated and
+// a leader that starts again in the middle of a switch.
+#[test]
+fn explore_leader_start() {
+    let path = find(&SETUP, Violation::MixedPass);
+    assert!(path.is_none(), "{}", shown(path));
+    println!("explore_leader_start: {} states", count(&SETUP));
+}
+
+// The same with more starts and a third map.
+#[test]
+fn explore_more_starts() {
+    let setup = Setup {
+        maps: 3,
+        passes: 5,
+        starts: 3,
+        ..SETUP
+    };
+    let path = find(&setup, Violation::MixedPass);
+    assert!(path.is_none(), "{}", shown(path));
+    println!("explore_more_starts: {} states", count(&setup));
+}
+
+// The same with a group that is formed again.
+#[test]
+fn explore_formed_again() {
+    let setup = Setup {
+        starts: 0,
+        forms: 1,
+        passes: 3,
+        ..SETUP
+    };
+    let path = find(&setup, Violation::MixedPass);
+    assert!(path.is_none(), "{}", shown(path));
+    println!("explore_formed_again: {} states", count(&setup));
+}
+
+#[test]
+fn find_arm_without_hold() {
+    assert!(finds(Mistake::ArmWithoutHold, SETUP));
+}
+
+#[test]
+fn find_hold_before_prepared() {
+    assert!(finds(Mistake::HoldBeforePrepared, SETUP));
+}
+
+#[test]
+fn find_release_before_armed() {
+    assert!(finds(Mistake::ReleaseBeforeArmed, SETUP));
+}
+
+#[test]
+fn find_reuse_version() {
+    assert!(finds(Mistake::ReuseVersion, SETUP));
+}
+
+// Found by this exploration: a hold of the first process landed after the
+// second had begun to prepare another map, and the third switched to the first.
+#[test]
+fn find_aim_at_once() {
+    let setup = Setup {
+        starts: 2,
+        maps: 3,
+        passes: 3,
+        ..SETUP
+    };
+    assert!(finds(Mistake::AimAtOnce, setup));
+}
+
+#[test]
+fn find_ignore_epoch() {
+    let setup = Setup {
+        starts: 0,
+        forms: 1,
+        ..SETUP
+    };
+    assert!(finds(Mistake::IgnoreEpoch, setup));
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,11 @@
 #[path = "generated/berylgw.direct.v1.rs"]
 pub mod direct;
 
+/// Messages between the processes beside the ranks of a group.
+#[allow(missing_docs, clippy::all, rustdoc::all)]
+#[path = "generated/berylgw.rank.v1.rs"]
+pub mod rank;
+
 mod codec;
 mod outcome;
 
