Test the processes beside ranks against a group that does not compare maps

Change: a stand-in of a group of ranks (passes, holds, maps, orders that get no answer and are carried out late, a group formed again) and six tests with the real processes: demand followed, orders lost, processes killed and paused, a new epoch, a map in several datagrams.

Found by the stand-in: orders carried no content type, which the platform's pages ask for; the client of the object API sets it now. An order that is refused is given again after 50 ms instead of 15, so that lines stay few.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{IF_MATCH, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, IF_MATCH, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client as HttpClient;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -221,6 +221,9 @@
         if let Some(expected) = expected {
             request = request.header(IF_MATCH, expected);
         }
+        if !body.is_empty() {
+            request = request.header(CONTENT_TYPE, "application/json");
+        }
         let request = request
             .body(Full::new(body))
             .map_err(|error| Error::new(Kind::Protocol, path, error))?;
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -30,6 +30,10 @@
 /// Time between two tries to carry out a plan, several answers of a rank.
 const STEP_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Time after which an order that was not accepted is given again, so that
+/// lines about it stay few.
+const REFUSED_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time for which a rank copies experts at most; an order that was accepted is
 /// not repeated before.
 const COPY_TIME: Duration = Duration::from_secs(1);
@@ -245,9 +249,11 @@
                     Step::Order(action) => Some(action),
                     Step::Wait | Step::Done => None,
                 };
+                let mut refused = false;
                 if let Some(action) = action {
                     let prepares = matches!(action, Action::Prepare { .. });
                     let accepted = self.order(plan.epoch, action).await;
+                    refused = !accepted;
                     if prepares && accepted {
                         prepared_at = Some((plan.version, Instant::now()));
                     }
@@ -261,8 +267,14 @@
                 if done {
                     break;
                 }
+                // An order that was refused fits the rank's state later at best.
+                let pause = if refused {
+                    REFUSED_INTERVAL
+                } else {
+                    STEP_INTERVAL
+                };
                 tokio::select! {
-                    () = sleep(STEP_INTERVAL) => {}
+                    () = sleep(pause) => {}
                     () = self.planned.notified() => {}
                 }
             }
--- a/crates/testkit/src/direct.rs
+++ b/crates/testkit/src/direct.rs
@@ -5,5 +5,6 @@
 
 pub mod backend;
 pub mod caller;
+pub mod group;
 pub mod site;
 pub mod store;
--- /dev/null
+++ b/crates/testkit/tests/direct_rank.rs
@@ -0,0 +1,229 @@
+//! Processes beside the ranks of a group, with stand-ins of store and ranks.
+
+use std::io::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use berylgw_testkit::direct::group::{Group, Shape};
+use berylgw_testkit::direct::site::Failure;
+use berylgw_testkit::direct::store::Store;
+use berylgw_testkit::launch::{self, Process};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+type Result<T = ()> = std::result::Result<T, Failure>;
+
+const SHAPE: Shape = Shape {
+    ranks: 4,
+    sets: 2,
+    experts: 16,
+    slots: 6,
+};
+
+/// Skew that a map fitted to the demand of the tests has at most.
+const FITTED: f64 = 1.35;
+
+struct Site {
+    _store: Store,
+    group: Group,
+    settings: Vec<std::path::PathBuf>,
+    processes: Vec<Process>,
+}
+
+/// A group, a store that lists it, and a process beside each rank.
+async fn site(shape: Shape, host: u16) -> Result<Site> {
+    let store = Store::default();
+    let engine = json!({ "Experts": shape.experts, "Placements": shape.slots, "Spare": 2 });
+    let services = json!([{ "Name": "model", "Engine": engine }]);
+    store.put(
+        "config",
+        "main",
+        json!({ "Version": 1, "Services": services }),
+    );
+    let group = Group::start(shape, host).await?;
+    for (rank, address) in group.addresses.iter().enumerate() {
+        let entry = json!({
+            "Service": "model", "Address": address, "Zone": "shed", "Slots": 8,
+            "State": "ready",
+        });
+        store.put("servers", &format!("i-{rank}"), entry);
+    }
+    let (address, door) = store.listen().await?;
+    // The store answers as long as its door exists.
+    std::mem::forget(door);
+    let ports = [free_port(&group)?, free_port(&group)?];
+    let mut settings = Vec::new();
+    for engine in &group.addresses {
+        let (ip, [listen, lead]) = (engine.ip(), ports);
+        let text = format!(
+            "rank:\n  name: host-{ip}\n  engine: {engine}\n  listen: {ip}:{listen}\n  \
+             lead: {ip}:{lead}\n  metrics: 127.0.0.1:0\nplatform:\n  store: {address}\n  \
+             service: model\n"
+        );
+        let name = format!("berylgw-rank-{}-{ip}.yaml", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::File::create(&path)?.write_all(text.as_bytes())?;
+        settings.push(path);
+    }
+    let started = settings.iter().map(|path| start(path));
+    let processes = started.collect::<Result<Vec<_>>>()?;
+    Ok(Site {
+        _store: store,
+        group,
+        settings,
+        processes,
+    })
+}
+
+/// A port that is free on the first host; nothing else uses these hosts.
+fn free_port(group: &Group) -> Result<u16> {
+    let socket = std::net::UdpSocket::bind((group.addresses[0].ip(), 0))?;
+    Ok(socket.local_addr()?.port())
+}
+
+fn start(settings: &Path) -> Result<Process> {
+    Ok(launch::start(
+        "berylgw-rank",
+        [Path::new("--settings"), settings],
+    )?)
+}
+
+/// Waits until a process logged `message` so many times.
+async fn logged(process: &Process, message: &str, times: usize) -> Result<Value> {
+    let wanted = |line: &Value| line["message"] == message;
+    let seen = std::cell::Cell::new(0);
+    let line = process.line(|line| {
+        // All recent lines are looked at again after each new one.
+        let first = line["message"] == "listening" && line["interface"] == "members";
+        seen.set(if first { 0 } else { seen.get() });
+        seen.set(seen.get() + usize::from(wanted(line)));
+        wanted(line) && seen.get() >= times
+    });
+    Ok(line.await?)
+}
+
+/// Waits until the map fits the demand.
+async fn fits(site: &Site) -> Result<u64> {
+    let group = &site.group;
+    let fitted = async {
+        loop {
+            let (version, skew) = group.skew();
+            if skew <= FITTED {
+                return version;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let limited = tokio::time::timeout(Duration::from_secs(20), fitted).await;
+    let seen = || {
+        let log = site.processes[0].recent().join("\n");
+        format!("skew {:?}, mixed {:?}\n{log}", group.skew(), group.mixed())
+    };
+    limited.map_err(|_| seen().into())
+}
+
+/// Guards against a map that does not follow demand, and against a pass with
+/// two maps.
+#[tokio::test]
+async fn follow_demand() -> Result {
+    let site = site(SHAPE, 10).await?;
+    for hot in [3, 9, 14, 6] {
+        site.group.demand(hot);
+        assert!(site.group.skew().1 > FITTED);
+        fits(&site).await?;
+    }
+    assert_eq!(site.group.mixed(), None);
+    Ok(())
+}
+
+/// Guards against a pass with two maps, and a group that stays held, where
+/// orders get no answer and are carried out late.
+#[tokio::test]
+async fn follow_with_orders_lost() -> Result {
+    let site = site(SHAPE, 30).await?;
+    for (index, hot) in [3, 9, 14, 6, 1, 11].into_iter().enumerate() {
+        // Another order of each switch is lost.
+        site.group
+            .lose_orders(3 + index as u64, Duration::from_millis(300));
+        site.group.demand(hot);
+        fits(&site).await?;
+    }
+    assert_eq!(site.group.mixed(), None);
+    let before = site.group.passes();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert!(site.group.passes() > before + 10);
+    Ok(())
+}
+
+/// Guards against a switch that waits for a process that is gone, and a group
+/// that stays held when its leader ends in the middle of a switch.
+#[tokio::test]
+async fn follow_with_processes_ending() -> Result {
+    let mut site = site(SHAPE, 50).await?;
+    site.group.demand(3);
+    fits(&site).await?;
+    for (rank, hot) in [(0, 9), (2, 14), (0, 6)] {
+        site.group.demand(hot);
+        logged(&site.processes[0], "map decided", 1).await?;
+        site.processes[rank].signal(Signal::SIGKILL)?;
+        site.processes[rank].wait().await?;
+        site.processes[rank] = start(&site.settings[rank])?;
+        fits(&site).await?;
+    }
+    assert_eq!(site.group.mixed(), None);
+    Ok(())
+}
+
+/// Guards against a group that stays held while the process of a rank does not
+/// run: its rank gets the order from the leader.
+#[tokio::test]
+async fn follow_with_process_paused() -> Result {
+    let site = site(SHAPE, 70).await?;
+    site.group.demand(3);
+    fits(&site).await?;
+    site.group.demand(9);
+    logged(&site.processes[0], "order accepted", 2).await?;
+    site.processes[3].signal(Signal::SIGSTOP)?;
+    let before = site.group.passes();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let during = site.group.passes() - before;
+    site.processes[3].signal(Signal::SIGCONT)?;
+    assert!(during > 20, "{during} passes in 1.5 s");
+    fits(&site).await?;
+    assert_eq!(site.group.mixed(), None);
+    Ok(())
+}
+
+/// Guards against orders of one epoch in the next, and against a leader that
+/// takes the maps of the last epoch for those in use.
+#[tokio::test]
+async fn follow_after_group_formed_again() -> Result {
+    let site = site(SHAPE, 90).await?;
+    site.group.demand(3);
+    fits(&site).await?;
+    for hot in [9, 14] {
+        site.group.demand(hot);
+        site.group.restart().await;
+        fits(&site).await?;
+    }
+    assert_eq!(site.group.mixed(), None);
+    Ok(())
+}
+
+/// Guards against a map of a large group that does not arrive whole.
+#[tokio::test]
+async fn follow_large_group() -> Result {
+    let shape = Shape {
+        ranks: 20,
+        sets: 6,
+        experts: 80,
+        slots: 6,
+    };
+    let site = site(shape, 110).await?;
+    for hot in [7, 50] {
+        site.group.demand(hot);
+        fits(&site).await?;
+    }
+    assert_eq!(site.group.mixed(), None);
+    Ok(())
+}
