Let deputies end a switch that a silent leader left half done

Change: the processes beside the next three ranks finish a switch if no pass begins and the leader is silent; explored with the code as `deputy`. A map is decided only from the one in use; one that is not prepared after 2 s is given up for another as long as no hold was ordered (explored, with the mistake `AimWhileHolding`).

The deputy helps where only the process stands still.

Conclusion: kept for processes; a frozen host in the moment of a hold still costs its whole freeze.

--- a/crates/core/src/expert/switch.rs
+++ b/crates/core/src/expert/switch.rs
@@ -93,6 +93,8 @@
     /// Passes before this one are not held: orders of an earlier process about
     /// them may be on their way.
     first_hold: u64,
+    /// Whether an order to hold the group was given for the present switch.
+    holds: bool,
 }
 
 impl Switch {
@@ -103,6 +105,7 @@
             reports: vec![None; ranks],
             aim: None,
             first_hold: 0,
+            holds: false,
         }
     }
 
@@ -138,8 +141,8 @@
         }
     }
 
-    /// Begins a switch to a map; returns whether the one before has ended, so
-    /// that this one may begin.
+    /// Begins a switch to a map; returns whether it may begin: the one before
+    /// has ended, or has not come to a hold.
     ///
     /// A process that has just begun to lead waits for a pass, after which
     /// orders of an earlier one to hold the group have no effect. The version
@@ -147,13 +150,27 @@
     /// and must never be used for another map.
     pub fn aim(&mut self, version: u64) -> bool {
         let passed = |first: &Report| first.pass + LEAD >= self.first_hold;
-        let free = self.settled().is_some() && self.of(0).is_some_and(passed);
+        let passed = self.of(0).is_some_and(passed);
+        let free = passed && (self.settled().is_some() || self.prepares());
         if free {
             self.aim = Some(version);
+            self.holds = false;
         }
         free
     }
 
+    /// Whether a switch is under way that has not come to a hold.
+    pub fn prepares(&self) -> bool {
+        let idle = |report: &Report| report.armed.is_none() && report.held.is_none();
+        let ranks_idle = self.all(idle);
+        self.aim.is_some() && !self.holds && ranks_idle
+    }
+
+    /// Notes that an order to hold the group is being given.
+    pub fn holding(&mut self) {
+        self.holds = true;
+    }
+
     /// Lets the next switch begin without a pass before it. Only for the
     /// exploration of that mistake.
     #[doc(hidden)]
@@ -194,6 +211,27 @@
         self.of(rank).is_some_and(|report| has(report, version))
     }
 
+    /// What a deputy has to do next: end the switch that a silent leader has
+    /// left half done.
+    ///
+    /// The leader may go on at any time, so that a deputy gives no order that
+    /// the leader would not give: it never decides on a map, and releases a pass
+    /// only if all ranks are armed for it.
+    pub fn next_of_deputy(&self) -> Action {
+        match self.next() {
+            action @ Action::Arm(_) => action,
+            Action::Release { pass } => {
+                let armed = |report: &Report| report.armed.is_some_and(|armed| armed.pass == pass);
+                if self.all(armed) {
+                    Action::Release { pass }
+                } else {
+                    Action::Wait
+                }
+            }
+            _ => Action::Wait,
+        }
+    }
+
     /// What has to be done next.
     pub fn next(&self) -> Action {
         let Some(first) = self.of(0).filter(|report| report.open) else {
--- /dev/null
+++ b/crates/rank/src/deputy.rs
@@ -0,0 +1,78 @@
+//! Ends a switch that a silent leader has left half done.
+//!
+//! Load pattern: the leader's host stands still right after it has held the
+//! group, and every answer of the group waits for it. The processes beside the
+//! next ranks notice that no pass begins.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use berylgw_core::expert::switch::{self, Switch};
+use futures_util::future::join_all;
+use tokio::time::Instant;
+
+use crate::engine::{Action, State};
+use crate::member::{self, Member};
+
+/// Ranks after the first whose processes act as deputy, one after the other.
+const DEPUTIES: usize = 3;
+
+/// Time without a pass and without a word of the leader after which the first
+/// deputy acts: several passes, and less than callers wait for an event.
+const SILENCE: Duration = Duration::from_millis(300);
+
+/// Time between two tries of a deputy; each asks all ranks.
+pub const INTERVAL: Duration = Duration::from_millis(400);
+
+/// Whether the process beside `rank` has to act: no pass has begun since
+/// `passed`, and the leader was last heard at `heard`.
+pub fn acts(rank: usize, passed: Instant, heard: Instant) -> bool {
+    let patience = SILENCE * rank as u32;
+    let silent = passed.elapsed() >= patience && heard.elapsed() >= patience;
+    (1..=DEPUTIES).contains(&rank) && silent
+}
+
+/// Does what is missing for the pass that is held, if all ranks have the map.
+pub async fn finish(member: &Member, epoch: u64) {
+    let engine = &member.engine;
+    let group = match (engine.group)().await {
+        Ok(group) => group,
+        Err(error) => {
+            tracing::warn!(%error, "group not read");
+            return;
+        }
+    };
+    let asked = group.ranks.iter().map(|&address| async move {
+        match (engine.state)(address, ()).await {
+            Ok(state) => Some((address, state)),
+            Err(error) => {
+                tracing::info!(%address, %error, "rank does not answer");
+                None
+            }
+        }
+    });
+    let seen: Vec<(SocketAddr, State)> = join_all(asked).await.into_iter().flatten().collect();
+    let Some(size) = seen.iter().map(|(_, state)| state.size).max() else {
+        return;
+    };
+    let mut switch = Switch::new(epoch, size);
+    for (_, state) in &seen {
+        switch.report(state.rank, state.report);
+    }
+    let action = switch.next_of_deputy();
+    tracing::warn!(epoch, ?action, "leader is silent and no pass begins");
+    let give = |address, action| member::give(engine, &member.metrics, address, epoch, action);
+    match action {
+        switch::Action::Arm(goal) => {
+            let missing = |entry: &&(SocketAddr, State)| entry.1.report.armed != Some(goal);
+            let missing = seen.iter().filter(missing);
+            join_all(missing.map(|(address, _)| give(*address, Action::Arm(goal)))).await;
+        }
+        switch::Action::Release { pass } => {
+            for (address, _) in seen.iter().filter(|(_, state)| state.rank == 0) {
+                give(*address, Action::Release { pass }).await;
+            }
+        }
+        _ => {}
+    }
+}
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -36,6 +36,10 @@
 /// here: some tries, and far below the time that a held group costs.
 const SILENCE: Duration = Duration::from_millis(300);
 
+/// Time after which a map that not all ranks have prepared is given up for
+/// another one; some times that of the copies.
+const PREPARE_TIME: Duration = Duration::from_secs(2);
+
 /// Time between two tries to learn the group's addresses.
 const GROUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -62,8 +66,9 @@
     /// Ranks by position: where their processes are reached.
     members: Vec<Option<Seen>>,
     /// Experts that each rank holds, by set, until the maps are known.
-    lists: Vec<Option<Vec<Vec<Expert>>>>,
-    maps: Option<Arc<Vec<Map>>>,
+    lists: Vec<Option<Lists>>,
+    /// The maps in use, and their number.
+    maps: Option<(u64, Arc<Vec<Map>>)>,
     next: Option<(u64, Arc<Vec<Map>>)>,
     /// Choices since the last look at the demand.
     counts: Vec<f64>,
@@ -72,11 +77,15 @@
     greeted_at: Option<Instant>,
     /// When the present plan was last sent, by rank.
     planned_at: Vec<Option<(u64, Option<u64>, Instant)>>,
+    decided_at: Option<Instant>,
     /// The switch for which ranks are being armed, and since when.
     arming: Option<(Armed, Instant)>,
     leapt: bool,
 }
 
+/// Experts that a rank holds by set, and the number of the map.
+type Lists = (u64, Vec<Vec<Expert>>);
+
 /// A process that was heard.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
@@ -199,6 +208,7 @@
             return;
         };
         self.greet(&mut tenure);
+        tenure.finish(&self.member.metrics);
         tenure.learn_maps();
         if tenure.sampled_at.elapsed() >= SAMPLE_INTERVAL {
             tenure.sampled_at = Instant::now();
@@ -242,7 +252,7 @@
 
     /// Begins a switch if a map that fits the demand is worth it.
     fn decide(&self, tenure: &mut Tenure) {
-        let Some(maps) = tenure.maps.clone() else {
+        let Some((_, maps)) = tenure.maps.clone() else {
             return;
         };
         let counts = std::mem::take(&mut tenure.counts);
@@ -264,7 +274,13 @@
         };
         let before = mean(&maps);
         self.member.metrics.skew.set(before);
-        if !demand.is_settled() || tenure.switch.settled().is_none() {
+        // A map that some rank refuses does not stand in the way of others.
+        let stuck = tenure.switch.prepares()
+            && tenure
+                .decided_at
+                .is_some_and(|at| at.elapsed() >= PREPARE_TIME);
+        let free = tenure.next.is_none() && tenure.switch.settled().is_some();
+        if !demand.is_settled() || !(free || stuck) {
             return;
         }
         let started = Instant::now();
@@ -297,13 +313,14 @@
             "map decided"
         );
         tenure.next = Some((version, Arc::new(next)));
+        tenure.decided_at = Some(Instant::now());
     }
 
     /// Does what the switch needs next.
     async fn advance(&self, tenure: &mut Tenure) {
         let epoch = tenure.switch.epoch();
         match tenure.switch.next() {
-            switch::Action::Wait => tenure.finish(&self.member.metrics),
+            switch::Action::Wait => {}
             switch::Action::Prepare { version } => {
                 let Some((next, maps)) = tenure.next.clone() else {
                     return;
@@ -320,6 +337,7 @@
                 };
                 tenure.switch.report(0, state.report);
                 if let switch::Action::Hold { pass } = tenure.switch.next() {
+                    tenure.switch.holding();
                     self.member.order(epoch, Action::Hold { pass }).await;
                     self.observe_own(tenure).await;
                 }
@@ -474,6 +492,7 @@
             sampled_at: Instant::now(),
             greeted_at: None,
             planned_at: vec![None; state.size],
+            decided_at: None,
             arming: None,
             leapt: false,
         }
@@ -502,7 +521,8 @@
                 let experts = set.experts.iter();
                 experts.map(|expert| Expert::from(*expert as u16)).collect()
             };
-            self.lists[rank] = Some(status.lists.iter().map(set).collect());
+            let lists = status.lists.iter().map(set).collect();
+            self.lists[rank] = Some((status.version, lists));
         }
         if let Some(sample) = status.sample {
             self.counts.resize(sample.counts.len(), 0.0);
@@ -517,27 +537,37 @@
 
     /// Puts the maps together from what the ranks hold.
     fn learn_maps(&mut self) {
-        if self.maps.is_some() || self.switch.settled().is_none() {
-            return;
-        }
-        let Some(lists) = self.lists.iter().cloned().collect::<Option<Vec<_>>>() else {
+        let Some(version) = self.switch.settled() else {
             return;
         };
+        if self
+            .maps
+            .as_ref()
+            .is_some_and(|(known, _)| *known == version)
+        {
+            return;
+        }
+        self.maps = None;
+        for lists in &mut self.lists {
+            lists.take_if(|(known, _)| *known != version);
+        }
+        let lists: Option<Vec<_>> = self.lists.iter().map(Option::as_ref).collect();
+        let Some(lists) = lists else { return };
         let (ranks, group) = (self.switch.ranks() as u16, &self.group);
-        let sets = lists.iter().map(Vec::len).min().unwrap_or(0);
+        let sets = lists.iter().map(|(_, sets)| sets.len()).min().unwrap_or(0);
         let map = |set: usize| {
             let layout = Layout::new(ranks, group.experts, group.slots)?;
-            let held: Vec<Vec<Expert>> = lists.iter().map(|of_rank| of_rank[set].clone()).collect();
-            Map::from_ranks(layout, &held)
+            let held = lists.iter().map(|(_, sets)| sets[set].clone());
+            Map::from_ranks(layout, &held.collect::<Vec<_>>())
         };
         match (0..sets).map(map).collect::<Result<Vec<_>, _>>() {
             Ok(maps) if !maps.is_empty() => {
-                tracing::info!(sets, "maps known");
-                self.maps = Some(Arc::new(maps));
+                tracing::info!(version, sets, "maps known");
+                self.maps = Some((version, Arc::new(maps)));
             }
             Ok(_) => {}
             Err(error) => {
-                tracing::warn!(%error, "maps not understood");
+                tracing::warn!(version, %error, "maps not understood");
                 self.lists.fill(None);
             }
         }
@@ -554,7 +584,7 @@
         let pass = self.switch.of(0).map_or(0, |report| report.pass);
         tracing::info!(version, pass, "map in use");
         metrics.switches.inc();
-        self.maps = self.next.take().map(|(_, maps)| maps);
+        self.maps = self.next.take();
     }
 
     fn next_version(&mut self) -> u64 {
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -6,10 +6,11 @@
 //!
 //! [`member`] does what one rank needs: it counts, and carries out the [`plan`]
 //! that the [`leader`] sends. The leader is the process beside the first rank;
-//! its decisions are `berylgw_core::expert::{demand, follow, switch}`. An
+//! a [`deputy`] ends a switch that it leaves half done. Its decisions are `berylgw_core::expert::{demand, follow, switch}`. An
 //! adapter to a platform provides the [`engine`]'s calls. [`process`] puts the
 //! parts together.
 
+pub mod deputy;
 pub mod engine;
 pub mod leader;
 pub mod member;
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
+use crate::deputy;
 use crate::engine::{Action, Counts, Engine, Order, State};
 use crate::metrics::Metrics;
 use crate::plan::{self, Parts, Plan};
@@ -30,9 +31,9 @@
 /// Time between two tries to carry out a plan, several answers of a rank.
 const STEP_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Time after which an order that was not accepted is given again, so that
-/// lines about it stay few.
-const REFUSED_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two tries after an order was refused, and between two looks at a
+/// rank that is prepared: below a pass, and few lines of the log.
+const SLOW_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time for which a rank copies experts at most; an order that was accepted is
 /// not repeated before.
@@ -231,6 +232,8 @@
         loop {
             self.planned.notified().await;
             let mut told = None;
+            let mut passed = (0, Instant::now());
+            let mut acted_at: Option<Instant> = None;
             let mut prepared_at: Option<(u64, Instant)> = None;
             loop {
                 let Some(plan) = self.inner.borrow().plan.clone() else {
@@ -239,6 +242,15 @@
                 let Some(mut state) = self.observe().await else {
                     break;
                 };
+                if state.report.pass != passed.0 {
+                    passed = (state.report.pass, Instant::now());
+                }
+                let heard = self.inner.borrow().leader.map_or(passed.1, |(_, at)| at);
+                let acted_lately = acted_at.is_some_and(|at| at.elapsed() < deputy::INTERVAL);
+                if deputy::acts(state.rank, passed.1, heard) && !acted_lately {
+                    deputy::finish(self, plan.epoch).await;
+                    acted_at = Some(Instant::now());
+                }
                 let copying = prepared_at.is_some_and(|(version, at)| {
                     version == plan.version && at.elapsed() < COPY_TIME
                 });
@@ -267,9 +279,9 @@
                 if done {
                     break;
                 }
-                // An order that was refused fits the rank's state later at best.
+                // Neither a refused order nor a prepared rank needs another look soon.
                 let pause = if refused {
-                    REFUSED_INTERVAL
+                    SLOW_INTERVAL
                 } else {
                     STEP_INTERVAL
                 };
@@ -424,8 +436,7 @@
             version: plan.version,
             pass,
         })),
-        Some(_) => Step::Wait,
-        None => Step::Done,
+        _ => Step::Wait,
     }
 }
 
--- a/crates/spec/src/hold/state.rs
+++ b/crates/spec/src/hold/state.rs
@@ -20,6 +20,10 @@
     AimAtOnce,
     /// Orders of one epoch are carried out in the next one.
     IgnoreEpoch,
+    /// The leader decides on another map after it gave an order to hold.
+    AimWhileHolding,
+    /// A deputy does whatever a leader would do.
+    DeputyLeads,
 }
 
 /// Bounds of the exploration.
@@ -33,6 +37,8 @@
     pub starts: u8,
     /// Times that the group is formed again.
     pub forms: u8,
+    /// Whether a deputy may act at any time, beside the leader.
+    pub deputy: bool,
     /// Mistake that is switched on.
     pub mistake: Option<Mistake>,
 }
@@ -42,6 +48,8 @@
 pub struct State {
     pub(super) group: Group,
     switch: Switch,
+    /// What a deputy knows.
+    deputy: Switch,
     /// Orders that were sent, sorted.
     sent: Vec<Order>,
     maps: u8,
@@ -57,6 +65,7 @@
         State {
             group: Group::default(),
             switch: Switch::new(0, RANKS),
+            deputy: Switch::new(0, RANKS),
             sent: Vec::new(),
             maps: 0,
             aim: None,
@@ -79,6 +88,10 @@
                 state.switch.report(rank, state.group.report(rank));
                 true
             });
+            add(&|state| {
+                state.deputy.report(rank, state.group.report(rank));
+                setup.deputy
+            });
         }
         for order in &self.sent {
             add(&|state| {
@@ -92,6 +105,7 @@
         add(&|state| state.group.pass < setup.passes && state.group.begin());
         add(&|state| state.decide(setup));
         add(&|state| state.lead(setup));
+        add(&|state| state.lead_as_deputy(setup));
         add(&|state| state.start_leader());
         add(&|state| state.form_again());
         next
@@ -120,14 +134,30 @@
 
     /// The leader gives the orders of its next action.
     fn lead(&mut self, setup: &Setup) -> bool {
-        let action = self.next(setup);
+        self.give(self.next(setup), setup)
+    }
+
+    fn lead_as_deputy(&mut self, setup: &Setup) -> bool {
+        let action = match setup.mistake {
+            Some(Mistake::DeputyLeads) => self.deputy.next(),
+            _ => self.deputy.next_of_deputy(),
+        };
+        setup.deputy && self.give(action, setup)
+    }
+
+    fn give(&mut self, action: switch::Action, setup: &Setup) -> bool {
         match action {
             switch::Action::Wait => return false,
             switch::Action::Prepare { .. } => {
                 let Some(map) = self.aim else { return false };
                 self.send_all(Action::Prepare(map));
             }
-            switch::Action::Hold { pass } => self.send(0, Action::Hold { pass: pass as u8 }),
+            switch::Action::Hold { pass } => {
+                if setup.mistake != Some(Mistake::AimWhileHolding) {
+                    self.switch.holding();
+                }
+                self.send(0, Action::Hold { pass: pass as u8 });
+            }
             switch::Action::Arm(goal) => self.send_all(Action::Arm {
                 version: goal.version as u8,
                 pass: goal.pass as u8,
@@ -191,6 +221,9 @@
     fn lead_epoch(&mut self) {
         self.switch = Switch::new(u64::from(self.group.epoch), RANKS);
         self.aim = None;
+        if self.deputy.epoch() != self.switch.epoch() {
+            self.deputy = self.switch.clone();
+        }
     }
 
     fn send_all(&mut self, action: Action) {
--- a/crates/spec/tests/hold.rs
+++ b/crates/spec/tests/hold.rs
@@ -7,6 +7,7 @@
     passes: 4,
     starts: 1,
     forms: 0,
+    deputy: false,
     mistake: None,
 };
 
@@ -45,6 +46,29 @@
     println!("explore_more_starts: {} states", count(&setup));
 }
 
+// The same with a deputy that takes a leader for silent that is not.
+#[test]
+fn explore_deputy() {
+    let setup = Setup {
+        starts: 1,
+        passes: 3,
+        deputy: true,
+        ..SETUP
+    };
+    let path = find(&setup, Violation::MixedPass);
+    assert!(path.is_none(), "{}", shown(path));
+    println!("explore_deputy: {} states", count(&setup));
+}
+
+#[test]
+fn find_deputy_leads() {
+    let setup = Setup {
+        deputy: true,
+        ..SETUP
+    };
+    assert!(finds(Mistake::DeputyLeads, setup));
+}
+
 // The same with a group that is formed again.
 #[test]
 fn explore_formed_again() {
@@ -92,6 +116,11 @@
     assert!(finds(Mistake::AimAtOnce, setup));
 }
 
+#[test]
+fn find_aim_while_holding() {
+    assert!(finds(Mistake::AimWhileHolding, SETUP));
+}
+
 #[test]
 fn find_ignore_epoch() {
     let setup = Setup {
--- a/crates/testkit/src/direct/group.rs
+++ b/crates/testkit/src/direct/group.rs
@@ -186,6 +186,13 @@
         self.lock().form();
     }
 
+    /// Waits until the group is held.
+    pub async fn held(&self) {
+        while self.lock().held.is_none() {
+            tokio::time::sleep(Duration::from_micros(200)).await;
+        }
+    }
+
     /// First pass that began with different maps, if any.
     pub fn mixed(&self) -> Option<u64> {
         self.lock().mixed
--- a/crates/testkit/tests/direct_rank.rs
+++ b/crates/testkit/tests/direct_rank.rs
@@ -194,6 +194,28 @@
     Ok(())
 }
 
+/// Guards against a group that stays held while its leader stands still in the
+/// middle of a switch.
+#[tokio::test]
+async fn follow_with_leader_paused() -> Result {
+    let site = site(SHAPE, 130).await?;
+    site.group.demand(3);
+    fits(&site).await?;
+    for hot in [9, 14] {
+        site.group.demand(hot);
+        site.group.held().await;
+        site.processes[0].signal(Signal::SIGSTOP)?;
+        let before = site.group.passes();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let during = site.group.passes() - before;
+        site.processes[0].signal(Signal::SIGCONT)?;
+        assert!(during > 20, "{during} passes in 1.5 s");
+        fits(&site).await?;
+    }
+    assert_eq!(site.group.mixed(), None);
+    Ok(())
+}
+
 /// Guards against orders of one epoch in the next, and against a leader that
 /// takes the maps of the last epoch for those in use.
 #[tokio::test]
