Give slow ranks less, prefer near servers, tell far entries less often

Change: ranks report their pace and expert::follow balances time instead of load (test follow_slow_ranks; the fixed number of steps keeps it from running for ever, which an unbounded version did); a near server is taken with up to two more requests; entries in other failure domains get every second datagram about the load.

--- a/crates/core/src/expert/follow.rs
+++ b/crates/core/src/expert/follow.rs
@@ -3,13 +3,18 @@
 //! Load pattern: which experts are in demand changes in steps, every few
 //! seconds, and stays the same between two steps. The map has to follow within
 //! a fraction of that time, with few copies, since passes are longer while
-//! ranks copy. [`Demand`](super::demand::Demand) recognises the step.
+//! ranks copy. Ranks turn slow as well: all wait for the slowest, and a map that
+//! gives it less work keeps the others fast. [`Demand`](super::demand::Demand) recognises the step.
 
 use super::{Expert, Load, Map, Rank, rank_loads};
 
-/// Smallest reduction of a rank's load, in units of the mean, that counts.
+/// Smallest reduction of a rank's time that counts, in units of that of balanced
+/// ranks.
 const MIN_DROP: f64 = 1e-3;
 
+/// Steps of one change for each rank, above what a shift needs.
+const STEPS_PER_RANK: usize = 6;
+
 /// Copies that a change without any is taken to cost, so that it can be
 /// compared with others by its drop for each copy.
 const FREE_COST: f64 = 0.25;
@@ -19,16 +24,42 @@
 pub struct Limits {
     /// Experts that one rank may load.
     pub loads_per_rank: usize,
-    /// Load of the most loaded rank over the mean at which no further expert is
-    /// loaded.
+    /// [`delay`] at which no further expert is loaded.
     pub target: f64,
 }
 
-/// Changes `map` step by step until the most loaded rank is at the target or
-/// nothing within the limits relieves it.
+/// Time of the slowest rank over that of ranks that share the work by how fast
+/// they are, 1 when perfectly balanced.
+///
+/// `paces` has the time that each rank takes for the work that another does in
+/// 1; ranks beyond its end take 1.
+pub fn delay(map: &Map, load: &Load, paces: &[f64]) -> f64 {
+    let loads = rank_loads(map, load);
+    let slowest = loads.iter().enumerate();
+    let slowest = slowest.map(|(rank, load)| load * pace(paces, rank));
+    let ideal = ideal(&loads, paces);
+    if ideal > 0.0 {
+        slowest.fold(0.0, f64::max) / ideal
+    } else {
+        1.0
+    }
+}
+
+fn pace(paces: &[f64], rank: usize) -> f64 {
+    paces.get(rank).copied().unwrap_or(1.0)
+}
+
+/// Time that each rank takes if all share the work by how fast they are.
+fn ideal(loads: &[f64], paces: &[f64]) -> f64 {
+    let speed: f64 = (0..loads.len()).map(|rank| 1.0 / pace(paces, rank)).sum();
+    loads.iter().sum::<f64>() / speed
+}
+
+/// Changes `map` step by step until the slowest rank is at the target or nothing
+/// within the limits relieves any rank above it. `paces` as for [`delay`].
 ///
-/// Work for each step grows with the slots of the most loaded rank times all
-/// slots of the layer.
+/// Work for each step grows with the slots of the slowest rank times all slots
+/// of the layer.
 ///
 /// ```
 /// use berylgw_core::expert::{Layout, Load, follow, greedy, skew};
@@ -38,13 +69,22 @@
 /// let map = greedy::place(layout, &even);
 /// let shifted = Load::new(vec![8.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0]);
 /// let limits = follow::Limits { loads_per_rank: 2, target: 1.1 };
-/// let next = follow::follow(&map, &shifted, limits);
+/// let next = follow::follow(&map, &shifted, &[], limits);
 /// assert!(skew(&next, &shifted) < skew(&map, &shifted));
 /// ```
-pub fn follow(map: &Map, load: &Load, limits: Limits) -> Map {
-    let mut draft = Draft::new(map, load);
-    while let Some(step) = draft.best_step(limits) {
-        draft.apply(step);
+pub fn follow(map: &Map, load: &Load, paces: &[f64], limits: Limits) -> Map {
+    let mut draft = Draft::new(map, load, paces);
+    // Ranks that nothing relieves, for example slow ones with experts that no
+    // other has room for.
+    let mut settled = vec![false; draft.loads.len()];
+    for _ in 0..STEPS_PER_RANK * draft.loads.len() {
+        let Some(hot) = draft.slowest(limits, &settled) else {
+            break;
+        };
+        match draft.best_step(hot, limits) {
+            Some(step) => draft.apply(step),
+            None => settled[hot.index()] = true,
+        }
     }
     draft.map
 }
@@ -72,9 +112,10 @@
     map: Map,
     old: &'a Map,
     load: &'a Load,
-    /// Load of each rank, and its mean.
     loads: Vec<f64>,
-    mean: f64,
+    paces: &'a [f64],
+    /// Time of each rank if all are balanced.
+    ideal: f64,
     /// Experts that each rank has to load.
     copies: Vec<usize>,
     /// Ranks that hold each expert.
@@ -82,9 +123,8 @@
 }
 
 impl<'a> Draft<'a> {
-    fn new(old: &'a Map, load: &'a Load) -> Self {
+    fn new(old: &'a Map, load: &'a Load, paces: &'a [f64]) -> Self {
         let loads = rank_loads(old, load);
-        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
         let mut holders = vec![Vec::new(); old.layout().experts()];
         for rank in Rank::all(old.layout()) {
             for expert in old.experts(rank) {
@@ -95,23 +135,27 @@
             map: old.clone(),
             old,
             load,
-            mean,
+            ideal: ideal(&loads, paces),
+            paces,
             copies: vec![0; loads.len()],
             loads,
             holders,
         }
     }
 
-    fn best_step(&self, limits: Limits) -> Option<Step> {
-        let ranks = Rank::all(self.map.layout());
-        let hot = ranks.max_by(|a, b| self.of(*a).total_cmp(&self.of(*b)))?;
-        if self.of(hot) <= limits.target * self.mean {
-            return None;
-        }
+    /// The slowest rank above the target that is not `settled`.
+    fn slowest(&self, limits: Limits, settled: &[bool]) -> Option<Rank> {
+        let above =
+            |rank: &Rank| !settled[rank.index()] && self.of(*rank) > limits.target * self.ideal;
+        let ranks = Rank::all(self.map.layout()).filter(above);
+        ranks.max_by(|a, b| self.of(*a).total_cmp(&self.of(*b)))
+    }
+
+    fn best_step(&self, hot: Rank, limits: Limits) -> Option<Step> {
         let mut best: Option<(f64, Step)> = None;
         let mut consider = |expert, kind, peak: f64, copies: usize| {
             let drop = self.of(hot) - peak;
-            if drop <= MIN_DROP * self.mean {
+            if drop <= MIN_DROP * self.ideal {
                 return;
             }
             let value = drop / (copies as f64).max(FREE_COST);
@@ -164,8 +208,14 @@
         best.map(|(_, step)| step)
     }
 
+    /// Time of a rank.
     fn of(&self, rank: Rank) -> f64 {
-        self.loads[rank.index()]
+        self.with(rank, 0.0)
+    }
+
+    /// Time of a rank with so much more load.
+    fn with(&self, rank: Rank, more: f64) -> f64 {
+        (self.loads[rank.index()] + more) * pace(self.paces, rank.index())
     }
 
     /// Load of each of `replicas` replicas of an expert.
@@ -192,11 +242,11 @@
     fn peak_after_copy(&self, expert: Expert, to: Rank, victim: Option<Expert>) -> f64 {
         let count = self.map.replicas(expert);
         let relief = self.share(expert, count) - self.share(expert, count + 1);
-        let mut target = self.of(to) + self.share(expert, count + 1);
+        let mut more = self.share(expert, count + 1);
         let mut peak: f64 = 0.0;
         if let Some(victim) = victim {
             let held = self.map.replicas(victim);
-            target -= self.share(victim, held);
+            more -= self.share(victim, held);
             let rise = self.share(victim, held - 1) - self.share(victim, held);
             for &rank in &self.holders[victim.index()] {
                 if rank == to {
@@ -207,15 +257,15 @@
                 } else {
                     0.0
                 };
-                peak = peak.max(self.of(rank) + rise - relief);
+                peak = peak.max(self.with(rank, rise - relief));
             }
         }
         for &rank in &self.holders[expert.index()] {
             if !victim.is_some_and(|victim| self.map.holds(rank, victim)) {
-                peak = peak.max(self.of(rank) - relief);
+                peak = peak.max(self.with(rank, -relief));
             }
         }
-        peak.max(target)
+        peak.max(self.with(to, more))
     }
 
     /// Larger load of two ranks after they exchange an expert each.
@@ -223,7 +273,7 @@
         let given = self.share(given, self.map.replicas(given));
         let taken = self.share(taken, self.map.replicas(taken));
         let shift = given - taken;
-        (self.of(hot) - shift).max(self.of(with) + shift)
+        self.with(hot, -shift).max(self.with(with, shift))
     }
 
     fn apply(&mut self, step: Step) {
--- a/crates/core/src/group/place.rs
+++ b/crates/core/src/group/place.rs
@@ -19,7 +19,7 @@
 
 /// Requests in flight that a server in another failure domain must have fewer
 /// to be preferred; less than one, so that it only decides between equals.
-const NEAR_ADVANTAGE: f64 = 0.9;
+const NEAR_ADVANTAGE: f64 = 2.9;
 
 /// Chooses a candidate; `turn` differs by entry and request.
 ///
--- a/crates/core/tests/expert_follow.rs
+++ b/crates/core/tests/expert_follow.rs
@@ -1,7 +1,7 @@
 //! Following shifts of demand with expert maps.
 
 use berylgw_core::expert::demand::Demand;
-use berylgw_core::expert::follow::{Limits, follow};
+use berylgw_core::expert::follow::{Limits, delay, follow};
 use berylgw_core::expert::{Expert, Layout, Load, Map, Rank, greedy, skew};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -80,7 +80,7 @@
     for _ in 0..SHIFTS {
         demands.shift();
         let load = Load::new(demands.load());
-        let next = follow(&map, &load, limits);
+        let next = follow(&map, &load, &[], limits);
         assert_whole(&next);
         assert!(copies(&next, &map) <= limits.loads_per_rank);
         before += skew(&map, &load);
@@ -107,6 +107,32 @@
     assert!(before > 2.0 && after < 1.5, "{before} {after} {copies}");
 }
 
+// Guards against a group that is as slow as its slowest ranks: two fifths of
+// them take twelve times as long.
+#[test]
+fn follow_slow_ranks() {
+    for (ranks, experts, slots) in [(16, 64, 5), (72, 144, 3)] {
+        let layout = Layout::new(ranks, experts, slots).unwrap();
+        let demands = Demands::new(layout.experts(), 5);
+        let load = Load::new(demands.load());
+        let slow = |rank: usize| if rank % 5 < 2 { 12.0 } else { 1.0 };
+        let paces: Vec<f64> = (0..layout.ranks()).map(slow).collect();
+        let mut map = follow(&greedy::place(layout, &load), &load, &[], LIMITS);
+        let before = delay(&map, &load, &paces);
+        for _ in 0..4 {
+            let next = follow(&map, &load, &paces, LIMITS);
+            assert_whole(&next);
+            assert!(copies(&next, &map) <= LIMITS.loads_per_rank);
+            map = next;
+        }
+        let after = delay(&map, &load, &paces);
+        println!("{ranks} ranks: {before:.2} {after:.2}");
+        // Fourteen cold experts have no place on a fast rank, three of them on one
+        // slow rank: 12 * 3 * 0.0073 over 1 / 10.5.
+        assert!(before > 6.0 && after < 3.0, "{before} {after}");
+    }
+}
+
 // Guards against counts from before a shift in the demand after it, and against
 // noise taken for a shift.
 #[test]
--- a/crates/direct/src/beat.rs
+++ b/crates/direct/src/beat.rs
@@ -18,6 +18,10 @@
 /// which it counts as gone.
 const INTERVAL: Duration = Duration::from_millis(400);
 
+/// Datagrams about the load for each one that also goes to entries in other
+/// failure domains, where bytes cost more.
+const FAR_INTERVAL: u64 = 2;
+
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -96,9 +100,12 @@
 
     async fn send_beat(&self, sequence: u64, to_all: bool) {
         let settings = &self.gateway.settings;
+        let far_too = to_all || sequence.is_multiple_of(FAR_INTERVAL);
         let (loads, bounds, revisions, live) = self.gateway.with(|state, now| {
             let (loads, bounds) = state.loads();
-            let live: Vec<SocketAddr> = state.peers.live(now).map(|peer| peer.address).collect();
+            let live = state.peers.live(now);
+            let live = live.filter(|peer| far_too || peer.domain == settings.domain);
+            let live: Vec<SocketAddr> = live.map(|peer| peer.address).collect();
             (loads, bounds, state.view.revisions(), live)
         });
         let beat = Beat {
--- a/crates/rank/src/engine.rs
+++ b/crates/rank/src/engine.rs
@@ -40,7 +40,7 @@
 }
 
 /// A rank and its group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct State {
     /// Position in the group.
     pub rank: usize,
@@ -48,6 +48,8 @@
     pub size: usize,
     /// Whether an order is being carried out.
     pub busy: bool,
+    /// Time that the rank takes for the work that another does in 1.
+    pub pace: f64,
     /// What the switch of maps depends on.
     pub report: Report,
 }
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use berylgw_core::expert::demand::Demand;
-use berylgw_core::expert::follow::{Limits, follow};
+use berylgw_core::expert::follow::{Limits, delay, follow};
 use berylgw_core::expert::switch::{self, Armed, Switch};
-use berylgw_core::expert::{Expert, Layout, Map, skew};
+use berylgw_core::expert::{Expert, Layout, Map};
 use berylgw_wire::rank as wire;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -40,6 +40,14 @@
 /// another one; some times that of the copies.
 const PREPARE_TIME: Duration = Duration::from_secs(2);
 
+/// Experts of a set that a rank loads for one switch at most. More take longer
+/// and fit a shift hardly better.
+const LOADS_PER_RANK: usize = 1;
+
+/// Least time of a rank for the work that another does in 1, against nonsense
+/// in a report.
+const FASTEST: f64 = 0.1;
+
 /// Time between two tries to learn the group's addresses.
 const GROUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -72,6 +80,8 @@
     next: Option<(u64, Arc<Vec<Map>>)>,
     /// Choices since the last look at the demand.
     counts: Vec<f64>,
+    /// Time that each rank takes for the work that another does in 1.
+    paces: Vec<f64>,
     demand: Option<Demand>,
     sampled_at: Instant,
     greeted_at: Option<Instant>,
@@ -269,7 +279,8 @@
         }
         let loads: Vec<_> = (0..maps.len()).map(|set| demand.load(set)).collect();
         let mean = |maps: &[Map]| {
-            let skews = maps.iter().zip(&loads).map(|(map, load)| skew(map, load));
+            let skews = maps.iter().zip(&loads);
+            let skews = skews.map(|(map, load)| delay(map, load, &tenure.paces));
             skews.sum::<f64>() / maps.len() as f64
         };
         let before = mean(&maps);
@@ -285,11 +296,13 @@
         }
         let started = Instant::now();
         let limits = Limits {
-            loads_per_rank: 1.min(tenure.group.loads),
+            loads_per_rank: tenure.group.loads.min(LOADS_PER_RANK),
             target: self.settings.target,
         };
         let next = maps.iter().zip(&loads);
-        let next: Vec<Map> = next.map(|(map, load)| follow(map, load, limits)).collect();
+        let next: Vec<Map> = next
+            .map(|(map, load)| follow(map, load, &tenure.paces, limits))
+            .collect();
         let after = mean(&next);
         if before - after < self.settings.gain {
             return;
@@ -488,6 +501,7 @@
             maps: None,
             next: None,
             counts: Vec::new(),
+            paces: vec![1.0; state.size],
             demand: None,
             sampled_at: Instant::now(),
             greeted_at: None,
@@ -516,6 +530,7 @@
             planned: status.planned,
         });
         self.switch.report(rank, plan::report(&status));
+        self.paces[rank] = f64::from(status.pace).max(FASTEST);
         if !status.lists.is_empty() && self.maps.is_none() {
             let set = |set: &wire::Set| {
                 let experts = set.experts.iter();
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -40,7 +40,7 @@
 const COPY_TIME: Duration = Duration::from_secs(1);
 
 /// Age from which on a state is read again before it is reported.
-const STATE_AGE: Duration = Duration::from_millis(400);
+const STATE_AGE: Duration = Duration::from_millis(180);
 
 /// Largest datagram that is read, in bytes.
 pub const DATAGRAM_BYTES: usize = 32 << 10;
@@ -304,7 +304,11 @@
             sleep(interval).await;
             let age = self.inner.borrow().state.map(|(_, read)| read.elapsed());
             if age.is_none_or(|age| age >= STATE_AGE) {
-                self.observe().await;
+                let before = self.state().map(|state| state.pace);
+                let after = self.observe().await.map(|state| state.pace);
+                if before != after && self.is_led() {
+                    self.tell(None).await;
+                }
             }
             if !self.is_led() || !self.inner.borrow().sample {
                 continue;
--- a/crates/rank/src/plan.rs
+++ b/crates/rank/src/plan.rs
@@ -134,7 +134,11 @@
 /// The message for a state.
 pub fn status(state: &State) -> wire::Status {
     let State {
-        rank, size, report, ..
+        rank,
+        size,
+        report,
+        pace,
+        ..
     } = *state;
     wire::Status {
         epoch: report.epoch,
@@ -149,6 +153,7 @@
             pass: armed.pass,
         }),
         held: report.held,
+        pace: pace as f32,
         ..Default::default()
     }
 }
