--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod header;
 pub mod metrics;
 pub mod peer;
+mod pool;
 pub mod pull;
 pub mod record;
 pub mod relay;
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -17,6 +17,7 @@
 use crate::config::Route;
 use crate::metrics::Metrics;
 use crate::peer::Table;
+use crate::pool::{Pool, Waiter};
 use crate::settings::Settings;
 use crate::view::View;
 
@@ -51,35 +52,6 @@
     arrivals: arrival::Window,
 }
 
-/// A service and the requests of this entry for it.
-#[derive(Debug)]
-struct Pool {
-    name: Arc<str>,
-    digest: u32,
-    bound: Bound,
-    queue: Queue,
-    waiting: Vec<Waiter>,
-    /// Requests that hold a place, by client account.
-    running: Vec<(Arc<str>, usize)>,
-    places: usize,
-    pacer: Pacer,
-    retries: Window,
-    comebacks: comeback::Schedule,
-    /// When a broken group is expected to run again.
-    opens: Instant,
-    /// Late requests that began lately, for the rate at which clients that come
-    /// back get a place.
-    late_begun: arrival::Window,
-}
-
-/// A waiting request.
-#[derive(Debug)]
-struct Waiter {
-    id: Id,
-    claim: Claim,
-    granted: oneshot::Sender<()>,
-}
-
 /// How a request for a place ended.
 #[derive(Debug)]
 pub enum Turn {
@@ -479,32 +451,6 @@
     (in_flight as f64) < PACED_SHARE * places as f64
 }
 
-impl Pool {
-    fn begin(&mut self, now: Instant, claim: &Claim) {
-        self.pacer.begin(now, f64::from(claim.tokens));
-        if !claim.in_time {
-            self.late_begun.take(now, usize::MAX);
-        }
-        self.occupy(&claim.account);
-    }
-
-    fn occupy(&mut self, account: &Arc<str>) {
-        self.places += 1;
-        match self.running.iter_mut().find(|entry| entry.0 == *account) {
-            Some(running) => running.1 += 1,
-            None => self.running.push((account.clone(), 1)),
-        }
-    }
-
-    fn vacate(&mut self, account: &Arc<str>) {
-        self.places = self.places.saturating_sub(1);
-        if let Some(running) = self.running.iter_mut().find(|entry| entry.0 == *account) {
-            running.1 = running.1.saturating_sub(1);
-        }
-        self.running.retain(|entry| entry.1 > 0);
-    }
-}
-
 fn count(running: &[(Arc<str>, usize)], account: &str) -> usize {
     let found = running.iter().find(|entry| *entry.0 == *account);
     found.map_or(0, |entry| entry.1)
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -5,19 +5,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::expert::Map;
 use berylgw_core::expert::demand::Demand;
 use berylgw_core::expert::follow::{Limits, delay, follow};
-use berylgw_core::expert::switch::{self, Armed, Switch};
-use berylgw_core::expert::{Expert, Layout, Map};
+use berylgw_core::expert::switch::{self, Armed};
 use berylgw_wire::rank as wire;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-use crate::engine::{Action, Group, State};
+use crate::engine::{Action, State};
 use crate::member::{self, DATAGRAM_BYTES, Member, SAMPLE_INTERVAL};
 use crate::plan;
 use crate::settings::{self, Settings};
+use crate::tenure::{Seen, Tenure};
 
 /// Time between two looks at what has to be done, while a switch is under way.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
@@ -44,67 +45,13 @@
 /// and fit a shift hardly better.
 const LOADS_PER_RANK: usize = 1;
 
-/// Least time of a rank for the work that another does in 1, against nonsense
-/// in a report.
-const FASTEST: f64 = 0.1;
-
 /// Time between two tries to learn the group's addresses.
 const GROUP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Ranks that report samples. 16 ranks tell the demand within 100 ms as exactly
-/// as it has to be known.
-const SAMPLED: usize = 24;
-
 /// Ranks to which a map is sent directly at once. More would fill the link of a
 /// small host.
 const DIRECT: usize = 16;
 
-/// Versions of maps by which a process that begins to lead goes beyond the
-/// highest it can see, at least: one may have been ordered and not reported.
-const VERSION_LEAP: u64 = 2;
-
-/// Bits of a version that are drawn at random, so that no two processes use
-/// one version for different maps.
-const VERSION_BITS: u32 = 16;
-
-/// Leads one group in one epoch.
-struct Tenure {
-    switch: Switch,
-    group: Group,
-    /// Ranks by position: where their processes are reached.
-    members: Vec<Option<Seen>>,
-    /// Experts that each rank holds, by set, until the maps are known.
-    lists: Vec<Option<Lists>>,
-    /// The maps in use, and their number.
-    maps: Option<(u64, Arc<Vec<Map>>)>,
-    next: Option<(u64, Arc<Vec<Map>>)>,
-    /// Choices since the last look at the demand.
-    counts: Vec<f64>,
-    /// Time that each rank takes for the work that another does in 1.
-    paces: Vec<f64>,
-    demand: Option<Demand>,
-    sampled_at: Instant,
-    greeted_at: Option<Instant>,
-    /// When the present plan was last sent, by rank.
-    planned_at: Vec<Option<(u64, Option<u64>, Instant)>>,
-    decided_at: Option<Instant>,
-    /// The switch for which ranks are being armed, and since when.
-    arming: Option<(Armed, Instant)>,
-    leapt: bool,
-}
-
-/// Experts that a rank holds by set, and the number of the map.
-type Lists = (u64, Vec<Vec<Expert>>);
-
-/// A process that was heard.
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    address: SocketAddr,
-    at: Instant,
-    /// Map that it carries out a plan for.
-    planned: u64,
-}
-
 /// Leads the group while the own rank is the first.
 pub struct Leader {
     member: Rc<Member>,
@@ -488,127 +435,3 @@
         }
     }
 }
-
-impl Tenure {
-    fn new(state: State, group: Group) -> Self {
-        let mut switch = Switch::new(state.report.epoch, state.size);
-        switch.report(0, state.report);
-        Tenure {
-            switch,
-            group,
-            members: vec![None; state.size],
-            lists: vec![None; state.size],
-            maps: None,
-            next: None,
-            counts: Vec::new(),
-            paces: vec![1.0; state.size],
-            demand: None,
-            sampled_at: Instant::now(),
-            greeted_at: None,
-            planned_at: vec![None; state.size],
-            decided_at: None,
-            arming: None,
-            leapt: false,
-        }
-    }
-
-    /// Whether a rank reports samples.
-    fn samples(&self, rank: usize) -> bool {
-        let stride = self.switch.ranks().div_ceil(SAMPLED);
-        rank.is_multiple_of(stride)
-    }
-
-    fn hear(&mut self, from: SocketAddr, status: wire::Status) {
-        let rank = status.rank as usize;
-        let ranks = self.switch.ranks();
-        if status.epoch != self.switch.epoch() || rank >= ranks || status.size as usize != ranks {
-            return;
-        }
-        self.members[rank] = Some(Seen {
-            address: from,
-            at: Instant::now(),
-            planned: status.planned,
-        });
-        self.switch.report(rank, plan::report(&status));
-        self.paces[rank] = f64::from(status.pace).max(FASTEST);
-        if !status.lists.is_empty() && self.maps.is_none() {
-            let set = |set: &wire::Set| {
-                let experts = set.experts.iter();
-                experts.map(|expert| Expert::from(*expert as u16)).collect()
-            };
-            let lists = status.lists.iter().map(set).collect();
-            self.lists[rank] = Some((status.version, lists));
-        }
-        if let Some(sample) = status.sample {
-            self.counts.resize(sample.counts.len(), 0.0);
-            // Each rank counts alike: one that reads a long prompt has chosen
-            // much more often, but for one request only.
-            let total: f64 = sample.counts.iter().map(|count| f64::from(*count)).sum();
-            for (sum, count) in self.counts.iter_mut().zip(&sample.counts) {
-                *sum += f64::from(*count) / total.max(1.0);
-            }
-        }
-    }
-
-    /// Puts the maps together from what the ranks hold.
-    fn learn_maps(&mut self) {
-        let Some(version) = self.switch.settled() else {
-            return;
-        };
-        if self
-            .maps
-            .as_ref()
-            .is_some_and(|(known, _)| *known == version)
-        {
-            return;
-        }
-        self.maps = None;
-        for lists in &mut self.lists {
-            lists.take_if(|(known, _)| *known != version);
-        }
-        let lists: Option<Vec<_>> = self.lists.iter().map(Option::as_ref).collect();
-        let Some(lists) = lists else { return };
-        let (ranks, group) = (self.switch.ranks() as u16, &self.group);
-        let sets = lists.iter().map(|(_, sets)| sets.len()).min().unwrap_or(0);
-        let map = |set: usize| {
-            let layout = Layout::new(ranks, group.experts, group.slots)?;
-            let held = lists.iter().map(|(_, sets)| sets[set].clone());
-            Map::from_ranks(layout, &held.collect::<Vec<_>>())
-        };
-        match (0..sets).map(map).collect::<Result<Vec<_>, _>>() {
-            Ok(maps) if !maps.is_empty() => {
-                tracing::info!(version, sets, "maps known");
-                self.maps = Some((version, Arc::new(maps)));
-            }
-            Ok(_) => {}
-            Err(error) => {
-                tracing::warn!(version, %error, "maps not understood");
-                self.lists.fill(None);
-            }
-        }
-    }
-
-    /// Takes the new map over once all ranks use it.
-    fn finish(&mut self, metrics: &crate::metrics::Metrics) {
-        let Some((version, _)) = self.next else {
-            return;
-        };
-        if self.switch.settled() != Some(version) {
-            return;
-        }
-        let pass = self.switch.of(0).map_or(0, |report| report.pass);
-        tracing::info!(version, pass, "map in use");
-        metrics.switches.inc();
-        self.maps = self.next.take();
-    }
-
-    fn next_version(&mut self) -> u64 {
-        let above = self.switch.highest() >> VERSION_BITS;
-        let mut number = above + 1;
-        if !self.leapt {
-            self.leapt = true;
-            number = above + VERSION_LEAP + u64::from(rand::random::<u16>());
-        }
-        (number << VERSION_BITS) + u64::from(rand::random::<u16>())
-    }
-}
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plan;
 pub mod process;
 pub mod settings;
+mod tenure;
 
 pub use engine::Engine;
 pub use process::{Error, run};
