Add a fault soak of the programs on the users' platform

Change: berylgw-soak runs three entries, six servers and a group of four ranks with their processes, and injects faults in an order that the seed decides: signals, restarts beside the predecessor, connections delayed, cut, silent or open one way, a store that refuses, is silent or forgets, servers that drain or answer wrongly, lost orders, groups formed again. Callers and servers check that what runs once does, that refusals are true, that answers are whole and their own, that no pass mixes maps, and that all is served again within 15 s.

--- a/crates/testkit/src/direct.rs
+++ b/crates/testkit/src/direct.rs
@@ -6,5 +6,6 @@
 pub mod backend;
 pub mod caller;
 pub mod group;
+pub mod rank;
 pub mod site;
 pub mod store;
--- a/crates/testkit/src/direct/backend.rs
+++ b/crates/testkit/src/direct/backend.rs
@@ -70,6 +70,8 @@
     next: VecDeque<Reply>,
     usual: Reply,
     arrivals: Vec<Arrival>,
+    /// Ids of the requests that ran, once for each run.
+    ran: Vec<String>,
     hung_up: usize,
 }
 
@@ -88,6 +90,7 @@
                 next: VecDeque::new(),
                 usual,
                 arrivals: Vec::new(),
+                ran: Vec::new(),
                 hung_up: 0,
             })),
             changed: Arc::default(),
@@ -116,6 +119,11 @@
         self.lock().arrivals.clone()
     }
 
+    /// Ids of the requests that ran, once for each run.
+    pub fn ran(&self) -> Vec<String> {
+        self.lock().ran.clone()
+    }
+
     /// Connections that the entry closed before the answer was complete.
     pub fn hung_up(&self) -> usize {
         self.lock().hung_up
@@ -159,7 +167,11 @@
             let mut script = self.lock();
             script.arrivals.push(arrival);
             let usual = script.usual;
-            script.next.pop_front().unwrap_or(usual)
+            let reply = script.next.pop_front().unwrap_or(usual);
+            if reply != Reply::NotRun {
+                script.ran.push(id.clone());
+            }
+            reply
         };
         self.changed.send_modify(|count| *count += 1);
         let from = from.and_then(|from| from.parse().ok()).unwrap_or(0);
--- /dev/null
+++ b/crates/testkit/src/direct/rank.rs
@@ -0,0 +1,66 @@
+//! Processes beside the ranks of a group.
+
+use std::io::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+
+use crate::direct::group::Group;
+use crate::direct::site::Failure;
+use crate::launch::{self, Process};
+
+/// A process beside a rank, which can be started again.
+#[derive(Debug)]
+pub struct Beside {
+    /// The process.
+    pub process: Process,
+    settings: PathBuf,
+}
+
+impl Beside {
+    /// Starts the process again after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub fn start(&mut self) -> Result<(), Failure> {
+        self.process = launch(&self.settings)?;
+        Ok(())
+    }
+}
+
+/// Starts a process beside each rank of a group.
+///
+/// # Errors
+///
+/// Fails if a settings file cannot be written or a process does not start.
+pub fn start_all(group: &Group, service: &str, store: SocketAddr) -> Result<Vec<Beside>, Failure> {
+    let ports = [free_port(group)?, free_port(group)?];
+    let mut started = Vec::new();
+    for engine in &group.addresses {
+        let (ip, [listen, lead]) = (engine.ip(), ports);
+        let text = format!(
+            "rank:\n  name: host-{ip}\n  engine: {engine}\n  listen: {ip}:{listen}\n  \
+             lead: {ip}:{lead}\n  metrics: 127.0.0.1:0\nplatform:\n  store: {store}\n  \
+             service: {service}\n"
+        );
+        let name = format!("berylgw-rank-{}-{ip}-{listen}.yaml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        std::fs::File::create(&settings)?.write_all(text.as_bytes())?;
+        let process = launch(&settings)?;
+        started.push(Beside { process, settings });
+    }
+    Ok(started)
+}
+
+/// A port that is free on the first host; nothing else uses these hosts.
+fn free_port(group: &Group) -> Result<u16, Failure> {
+    let socket = UdpSocket::bind((group.addresses[0].ip(), 0))?;
+    Ok(socket.local_addr()?.port())
+}
+
+fn launch(settings: &Path) -> Result<Process, Failure> {
+    Ok(launch::start(
+        "berylgw-rank",
+        [Path::new("--settings"), settings],
+    )?)
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,7 +7,8 @@
 //!   connections.
 //! - [`launch`] starts processes, [`cluster`] a whole system of them; [`control`]
 //!   drives the control listeners and [`client`] makes calls as a caller would.
-//! - [`direct`] plays the platform of direct entries.
+//! - [`direct`] plays the platform of direct entries, [`soak`] injects faults
+//!   into them in an order that a seed decides.
 //! - [`version`] watches the configuration versions of processes.
 //! - [`load`] measures a cluster under load.
 //! - [`serve`] and [`bucket`] are shared by the fakes.
@@ -24,6 +25,7 @@
 pub mod proxy;
 pub mod serve;
 pub mod service;
+pub mod soak;
 pub mod store;
 pub mod version;
 
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Switches to these faults.
+    pub fn set(&self, fault: Fault) {
+        self.switch.send_modify(|switch| {
+            switch.freezes += u64::from(fault.freeze);
+            switch.fault = fault;
+        });
+    }
+
     /// Bytes relayed so far, in both directions.
     pub fn relayed(&self) -> u64 {
         self.relayed.load(Ordering::Relaxed)
@@ -106,10 +114,7 @@
         Ok(fault) => fault,
         Err(message) => return (StatusCode::BAD_REQUEST, message).into_response(),
     };
-    proxy.switch.send_modify(|switch| {
-        switch.freezes += u64::from(fault.freeze);
-        switch.fault = fault.clone();
-    });
+    proxy.set(fault.clone());
     Json(fault).into_response()
 }
 
--- /dev/null
+++ b/crates/testkit/src/soak.rs
@@ -0,0 +1,69 @@
+//! Randomized faults on the real programs of the users' platform.
+//!
+//! Entries and processes beside ranks run as processes, against stand-ins of
+//! store, servers and ranks. Faults come from outside, in series and
+//! overlapping, in an order that the seed decides; what callers and servers see
+//! is checked against the promises all the while.
+
+mod caller;
+mod fault;
+mod world;
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use crate::direct::site::Failure;
+use caller::Callers;
+use world::World;
+
+/// Time after the last fault within which all is served again.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// What a run did.
+#[derive(Clone, Debug, Default)]
+pub struct Summary {
+    /// Faults injected.
+    pub faults: usize,
+    /// Requests of callers, and those answered with success.
+    pub requests: usize,
+    /// Requests answered with success.
+    pub served: usize,
+    /// Promises that were broken, with their request.
+    pub broken: Vec<String>,
+}
+
+/// Runs one seed for `length`.
+///
+/// # Errors
+///
+/// Fails if a process does not start or the system does not recover; broken
+/// promises are in the summary.
+pub async fn run(seed: u64, length: Duration) -> Result<Summary, Failure> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut world = World::start(seed).await?;
+    let callers = Callers::start(seed, world.doors());
+    let mut faults = fault::Faults::default();
+    let end = Instant::now() + length;
+    while Instant::now() < end {
+        faults.step(&mut world, &mut rng).await?;
+    }
+    faults.end(&mut world).await?;
+    let recovered = tokio::time::timeout(RECOVERY, world.recovered()).await;
+    let mut summary = callers.finish(&world.servers).await;
+    summary.faults = faults.count();
+    match recovered {
+        Ok(result) => result?,
+        Err(_) => summary
+            .broken
+            .push(format!("not served {RECOVERY:?} after the last fault")),
+    }
+    if let Some(pass) = world.group.mixed() {
+        summary
+            .broken
+            .push(format!("pass {pass} began with two maps"));
+    }
+    Ok(summary)
+}
--- a/crates/testkit/tests/direct_rank.rs
+++ b/crates/testkit/tests/direct_rank.rs
@@ -1,13 +1,12 @@
 //! Processes beside the ranks of a group, with stand-ins of store and ranks.
 
-use std::io::Write;
-use std::path::Path;
 use std::time::Duration;
 
 use berylgw_testkit::direct::group::{Group, Shape};
+use berylgw_testkit::direct::rank::{self, Beside};
 use berylgw_testkit::direct::site::Failure;
-use berylgw_testkit::direct::store::Store;
-use berylgw_testkit::launch::{self, Process};
+use berylgw_testkit::direct::store::{Door, Store};
+use berylgw_testkit::launch::Process;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
@@ -25,9 +24,9 @@
 
 struct Site {
     _store: Store,
+    _door: tokio::sync::watch::Sender<Door>,
     group: Group,
-    settings: Vec<std::path::PathBuf>,
-    processes: Vec<Process>,
+    processes: Vec<Beside>,
 }
 
 /// A group, a store that lists it, and a process beside each rank.
@@ -49,45 +48,15 @@
         store.put("servers", &format!("i-{rank}"), entry);
     }
     let (address, door) = store.listen().await?;
-    // The store answers as long as its door exists.
-    std::mem::forget(door);
-    let ports = [free_port(&group)?, free_port(&group)?];
-    let mut settings = Vec::new();
-    for engine in &group.addresses {
-        let (ip, [listen, lead]) = (engine.ip(), ports);
-        let text = format!(
-            "rank:\n  name: host-{ip}\n  engine: {engine}\n  listen: {ip}:{listen}\n  \
-             lead: {ip}:{lead}\n  metrics: 127.0.0.1:0\nplatform:\n  store: {address}\n  \
-             service: model\n"
-        );
-        let name = format!("berylgw-rank-{}-{ip}.yaml", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        std::fs::File::create(&path)?.write_all(text.as_bytes())?;
-        settings.push(path);
-    }
-    let started = settings.iter().map(|path| start(path));
-    let processes = started.collect::<Result<Vec<_>>>()?;
+    let processes = rank::start_all(&group, "model", address)?;
     Ok(Site {
         _store: store,
+        _door: door,
         group,
-        settings,
         processes,
     })
 }
 
-/// A port that is free on the first host; nothing else uses these hosts.
-fn free_port(group: &Group) -> Result<u16> {
-    let socket = std::net::UdpSocket::bind((group.addresses[0].ip(), 0))?;
-    Ok(socket.local_addr()?.port())
-}
-
-fn start(settings: &Path) -> Result<Process> {
-    Ok(launch::start(
-        "berylgw-rank",
-        [Path::new("--settings"), settings],
-    )?)
-}
-
 /// Waits until a process logged `message` so many times.
 async fn logged(process: &Process, message: &str, times: usize) -> Result<Value> {
     let wanted = |line: &Value| line["message"] == message;
@@ -116,7 +85,7 @@
     };
     let limited = tokio::time::timeout(Duration::from_secs(20), fitted).await;
     let seen = || {
-        let log = site.processes[0].recent().join("\n");
+        let log = site.processes[0].process.recent().join("\n");
         format!("skew {:?}, mixed {:?}\n{log}", group.skew(), group.mixed())
     };
     limited.map_err(|_| seen().into())
@@ -164,10 +133,10 @@
     fits(&site).await?;
     for (rank, hot) in [(0, 9), (2, 14), (0, 6)] {
         site.group.demand(hot);
-        logged(&site.processes[0], "map decided", 1).await?;
-        site.processes[rank].signal(Signal::SIGKILL)?;
-        site.processes[rank].wait().await?;
-        site.processes[rank] = start(&site.settings[rank])?;
+        logged(&site.processes[0].process, "map decided", 1).await?;
+        site.processes[rank].process.signal(Signal::SIGKILL)?;
+        site.processes[rank].process.wait().await?;
+        site.processes[rank].start()?;
         fits(&site).await?;
     }
     assert_eq!(site.group.mixed(), None);
@@ -182,12 +151,12 @@
     site.group.demand(3);
     fits(&site).await?;
     site.group.demand(9);
-    logged(&site.processes[0], "order accepted", 2).await?;
-    site.processes[3].signal(Signal::SIGSTOP)?;
+    logged(&site.processes[0].process, "order accepted", 2).await?;
+    site.processes[3].process.signal(Signal::SIGSTOP)?;
     let before = site.group.passes();
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let during = site.group.passes() - before;
-    site.processes[3].signal(Signal::SIGCONT)?;
+    site.processes[3].process.signal(Signal::SIGCONT)?;
     assert!(during > 20, "{during} passes in 1.5 s");
     fits(&site).await?;
     assert_eq!(site.group.mixed(), None);
@@ -204,11 +173,11 @@
     for hot in [9, 14] {
         site.group.demand(hot);
         site.group.held().await;
-        site.processes[0].signal(Signal::SIGSTOP)?;
+        site.processes[0].process.signal(Signal::SIGSTOP)?;
         let before = site.group.passes();
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         let during = site.group.passes() - before;
-        site.processes[0].signal(Signal::SIGCONT)?;
+        site.processes[0].process.signal(Signal::SIGCONT)?;
         assert!(during > 20, "{during} passes in 1.5 s");
         fits(&site).await?;
     }
--- /dev/null
+++ b/crates/testkit/tests/soak.rs
@@ -0,0 +1,33 @@
+//! The fault soak with fixed seeds. `berylgw-soak` runs fresh ones.
+
+use std::time::Duration;
+
+use berylgw_testkit::direct::site::Failure;
+use berylgw_testkit::soak;
+
+const LENGTH: Duration = Duration::from_secs(4);
+
+async fn keeps_promises(seed: u64) -> Result<(), Failure> {
+    let summary = soak::run(seed, LENGTH).await?;
+    println!("seed {seed}: {summary:?}");
+    assert_eq!(summary.broken, Vec::<String>::new());
+    assert!(summary.served > 0);
+    Ok(())
+}
+
+// Guards against promises that hold for each fault and break where faults
+// overlap.
+#[tokio::test]
+async fn soak_seed_1() -> Result<(), Failure> {
+    keeps_promises(1).await
+}
+
+#[tokio::test]
+async fn soak_seed_2() -> Result<(), Failure> {
+    keeps_promises(2).await
+}
+
+#[tokio::test]
+async fn soak_seed_3() -> Result<(), Failure> {
+    keeps_promises(3).await
+}
