Arm a rank whose process has started again without the map

Started again, it had no map and ignored the order to arm; it answered the leader, so that it did not count as silent either, and the group stayed held for good (state printed by the soak: held 235, one of four ranks not armed).

Ruled out: a lost order (the log of the leader has no refused order), a paused process (SIGCONT was sent).

Change: arming needs no map; and a rank that is not armed after 0.6 s gets its order from the leader although its process answers.

--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -45,6 +45,10 @@
 /// and fit a shift hardly better.
 const LOADS_PER_RANK: usize = 1;
 
+/// Time after which a rank that is not armed gets its order from here although
+/// its process answers.
+const ARM_TIME: Duration = Duration::from_millis(600);
+
 /// Time between two tries to learn the group's addresses.
 const GROUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -337,14 +341,15 @@
                 .switch
                 .of(rank)
                 .is_some_and(|report| report.armed.is_some());
-            let silent = tenure.members[rank].filter(|seen| seen.at <= since);
+            let late = since.elapsed() >= ARM_TIME;
+            let silent = tenure.members[rank].filter(|seen| late || seen.at <= since);
             let (false, Some(seen)) = (armed, silent) else {
                 continue;
             };
             let mut addresses = tenure.group.ranks.iter();
             let engine = addresses.find(|address| address.ip() == seen.address.ip());
             let Some(&engine) = engine else { continue };
-            tracing::warn!(rank, "process of the rank is silent");
+            tracing::warn!(rank, late, "rank is not armed");
             let calls = &self.member.engine;
             let action = Action::Arm(goal);
             member::give(calls, &self.member.metrics, engine, epoch, action).await;
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -213,13 +213,16 @@
             inner.parts = Some(parts);
         }
         let maps = inner.maps.clone();
-        let Some((version, maps)) = maps.filter(|(version, _)| *version == part.version) else {
-            return;
-        };
+        let maps = maps.filter(|(version, _)| *version == part.version);
+        let maps = maps.map(|(_, maps)| maps);
         let pass = Some(part.pass).filter(|pass| *pass > 0);
+        // A process that has started again arms its rank without the map.
+        if maps.is_none() && pass.is_none() {
+            return;
+        }
         inner.plan = Some(Plan {
             epoch,
-            version,
+            version: part.version,
             maps,
             pass,
         });
@@ -431,8 +434,11 @@
         return Step::Wait;
     }
     if report.prepared != Some(plan.version) {
-        let (version, maps) = (plan.version, plan.maps.clone());
-        return Step::Order(Action::Prepare { version, maps });
+        let version = plan.version;
+        return match plan.maps.clone() {
+            Some(maps) => Step::Order(Action::Prepare { version, maps }),
+            None => Step::Wait,
+        };
     }
     match plan.pass {
         // A pass that has begun cannot be armed for any more.
--- a/crates/rank/src/plan.rs
+++ b/crates/rank/src/plan.rs
@@ -21,8 +21,8 @@
     pub epoch: u64,
     /// Number of the map.
     pub version: u64,
-    /// The map of each set.
-    pub maps: Arc<Vec<Map>>,
+    /// The map of each set, if it has arrived.
+    pub maps: Option<Arc<Vec<Map>>>,
     /// Pass that begins with the map, once it is known.
     pub pass: Option<u64>,
 }
--- a/crates/testkit/src/direct/group.rs
+++ b/crates/testkit/src/direct/group.rs
@@ -198,6 +198,28 @@
         self.lock().mixed
     }
 
+    /// State of the group, for reports.
+    pub fn describe(&self) -> String {
+        let inner = self.lock();
+        let rank = |rank: &Rank| {
+            let prepared = rank.prepared.as_ref().map(|(version, _)| version);
+            let armed = rank
+                .armed
+                .as_ref()
+                .map(|(version, pass, _)| (version, pass));
+            format!("{} {prepared:?} {armed:?}", rank.version)
+        };
+        let ranks: Vec<String> = inner.ranks.iter().map(rank).collect();
+        let Inner {
+            epoch,
+            open,
+            pass,
+            held,
+            ..
+        } = &*inner;
+        format!("epoch {epoch} open {open} pass {pass} held {held:?} ranks {ranks:?}")
+    }
+
     /// Number of passes that began.
     pub fn passes(&self) -> u64 {
         self.lock().pass
--- a/crates/testkit/src/soak.rs
+++ b/crates/testkit/src/soak.rs
@@ -56,9 +56,14 @@
     summary.faults = faults.count();
     match recovered {
         Ok(result) => result?,
-        Err(_) => summary
-            .broken
-            .push(format!("not served {RECOVERY:?} after the last fault")),
+        Err(_) => {
+            let group = world.group.describe();
+            let what = format!("not served {RECOVERY:?} after the last fault: {group}");
+            summary.broken.push(what);
+            for rank in &world.ranks {
+                println!("{}", rank.process.recent().join("\n"));
+            }
+        }
     }
     if let Some(pass) = world.group.mixed() {
         summary
