Tell clients of a closed group when it opens

Cause: while a group was formed again, the rate of places for clients that come back was none, so that all but the first four of an entry were told 5 s. The group ran after 0.7 to 1.9 s (new line 'group runs again'). Its places stayed free for up to a second, and the clients came in the seconds after it, together.

Change: core::group::closure. While a group does not run and for 2 s after, the time to come back is 1.2 s after the break at the earliest, and one client follows another at the larger of the rate before and that which takes the free places in 2 s.

Tests: group::closure_refills, closure_breaks_again.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -15,6 +15,7 @@
 
 pub mod arrival;
 pub mod bound;
+pub mod closure;
 pub mod comeback;
 pub mod health;
 pub mod pace;
--- a/crates/core/tests/group.rs
+++ b/crates/core/tests/group.rs
@@ -5,6 +5,7 @@
 use berylgw_core::clock::Instant;
 use berylgw_core::group::arrival::{self, Window};
 use berylgw_core::group::bound::{Bound, Tuning};
+use berylgw_core::group::closure::Closure;
 use berylgw_core::group::comeback::Schedule;
 use berylgw_core::group::health::Record;
 use berylgw_core::group::pace::Pacer;
@@ -236,6 +237,55 @@
     assert!(time >= Duration::from_secs(3));
 }
 
+/// Guards against clients refused while a group is formed again that come back
+/// long after it runs, or all at once.
+#[test]
+fn closure_refills() {
+    let mut closure = Closure::default();
+    let mut schedule = Schedule::default();
+    assert!(closure.broke(at(1_000), 12));
+    assert!(!closure.broke(at(1_300), 0));
+    let mut returns = Vec::new();
+    // One client in each 0.1 s until the group runs after 1.5 s.
+    for step in 0..15 {
+        let now = at(1_000 + step * 100);
+        let interval = Duration::from_millis(1_200) / closure.rate(now, 0) as u32;
+        returns.push(now + schedule.promise(now, interval, closure.opens(now)));
+    }
+    assert_eq!(closure.runs(at(2_500)), Some(Duration::from_millis(1_500)));
+    let early = returns.iter().filter(|time| **time < at(2_200)).count();
+    assert_eq!(early, 0);
+    let in_refill = returns.iter().filter(|time| **time < at(4_000)).count();
+    assert_eq!(in_refill, returns.len());
+    assert!(
+        returns
+            .windows(2)
+            .all(|pair| pair[1] >= pair[0] + Duration::from_millis(100))
+    );
+    assert_eq!(closure.rate(at(4_400), 0), 12);
+    assert_eq!(closure.rate(at(4_600), 0), 0);
+}
+
+/// Guards against a rate taken from the seconds after a closure, in which the
+/// group breaks once more.
+#[test]
+fn closure_breaks_again() {
+    let mut closure = Closure::default();
+    closure.broke(at(1_000), 12);
+    closure.runs(at(2_000));
+    closure.broke(at(2_500), 3);
+    assert_eq!(closure.rate(at(2_500), 0), 12);
+    closure.runs(at(3_500));
+    closure.broke(at(9_000), 5);
+    assert_eq!(closure.rate(at(9_000), 0), 5);
+    assert_eq!(closure.runs(at(9_100)), Some(Duration::from_millis(100)));
+    assert_eq!(closure.runs(at(9_200)), None);
+    // An entry that has just started knows the free places only.
+    let mut closure = Closure::default();
+    closure.broke(at(20_000), 0);
+    assert_eq!(closure.rate(at(20_000), 20), 12);
+}
+
 /// Guards against taking clients with less patience for ones that come back.
 #[test]
 fn is_late_spread() {
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -115,7 +115,10 @@
                 }
             }
             match outcome {
-                Outcome::Answer(answer) => return Ok(answer),
+                Outcome::Answer(answer) => {
+                    gateway.with(|state, now| state.group_runs(now, call.service));
+                    return Ok(answer);
+                }
                 Outcome::Failed(whole) => {
                     self.may_have_run = true;
                     failed = Some(whole);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -174,7 +174,8 @@
 
     /// Records that another process has the server's address.
     pub fn replaced(&self) {
-        self.gateway.with(|state, now| state.replaced(now, self.key));
+        self.gateway
+            .with(|state, now| state.replaced(now, self.key));
     }
 
     /// Records an outcome of the server.
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -6,7 +6,7 @@
 use berylgw_core::group::bound::Bound;
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::wait::{Claim, Id, Queue};
-use berylgw_core::group::{arrival, comeback};
+use berylgw_core::group::{arrival, closure, comeback};
 use berylgw_core::retry::Window;
 use tokio::sync::oneshot;
 
@@ -24,8 +24,12 @@
     pub(crate) pacer: Pacer,
     pub(crate) retries: Window,
     pub(crate) comebacks: comeback::Schedule,
-    /// When a broken group is expected to run again.
+    /// When a broken group is tried again.
     pub(crate) opens: Instant,
+    /// The last time at which the group did not run.
+    pub(crate) closure: closure::Closure,
+    /// Requests that began lately.
+    pub(crate) begun: arrival::Window,
     /// Late requests that began lately, for the rate at which clients that come
     /// back get a place.
     pub(crate) late_begun: arrival::Window,
@@ -42,6 +46,7 @@
 impl Pool {
     pub(crate) fn begin(&mut self, now: Instant, claim: &Claim) {
         self.pacer.begin(now, f64::from(claim.tokens));
+        self.begun.take(now, usize::MAX);
         if !claim.in_time {
             self.late_begun.take(now, usize::MAX);
         }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -8,7 +8,7 @@
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::place::{self, Candidate};
 use berylgw_core::group::wait::{Claim, Id, Queue};
-use berylgw_core::group::{arrival, comeback, health, patience};
+use berylgw_core::group::{arrival, closure, comeback, health, patience};
 use berylgw_core::retry::Window;
 use berylgw_wire::direct as wire;
 use tokio::sync::oneshot;
@@ -201,6 +201,8 @@
                 retries: Window::default(),
                 comebacks: comeback::Schedule::default(),
                 opens: Instant::ORIGIN,
+                closure: closure::Closure::default(),
+                begun: arrival::Window::default(),
                 late_begun: arrival::Window::default(),
             });
             self.pools.len() - 1
@@ -351,10 +353,14 @@
 
     /// Time after which a refused client may come back.
     pub fn comeback(&mut self, now: Instant, service: ServiceKey) -> Duration {
+        let free = self.places(now, service);
+        let free = free.saturating_sub(self.in_flight(now, service));
+        let share = free / self.peers.sharing(now).max(1);
         let pool = &mut self.pools[service.0];
-        let begun = pool.late_begun.count(now).max(1);
+        let late_begun = pool.late_begun.count(now);
+        let begun = late_begun.max(pool.closure.rate(now, share)).max(1);
         let interval = arrival::LENGTH / begun as u32;
-        let opens = pool.opens;
+        let opens = pool.opens.max(pool.closure.opens(now));
         pool.comebacks.promise(now, interval, opens)
     }
 
@@ -368,12 +374,22 @@
     /// Records that a rank of a group does not run, which stops all of them.
     pub fn suspect_group(&mut self, now: Instant, service: ServiceKey) {
         let pool = &mut self.pools[service.0];
-        if now >= pool.opens {
-            tracing::warn!(service = %pool.name, "group does not run");
+        let begun = pool.begun.count(now);
+        if pool.closure.broke(now, begun) {
+            tracing::warn!(service = %pool.name, begun, "group does not run");
         }
         pool.opens = now + GROUP_RETRY;
     }
 
+    /// Records that a server of a group answers.
+    pub fn group_runs(&mut self, now: Instant, service: ServiceKey) {
+        let pool = &mut self.pools[service.0];
+        if let Some(closed) = pool.closure.runs(now) {
+            let closed_ms = closed.as_millis() as u64;
+            tracing::info!(service = %pool.name, closed_ms, "group runs again");
+        }
+    }
+
     /// Counts a request of a client for a service.
     pub fn count_request(&mut self, now: Instant, service: ServiceKey) {
         let allowance = self.settings.retry.allowance();
@@ -404,7 +420,8 @@
             let Some(slot) = &mut self.slots[index] else {
                 continue;
             };
-            if !slot.takes_work() || slot.server.service != name || tried.contains(&slot.server.id) {
+            if !slot.takes_work() || slot.server.service != name || tried.contains(&slot.server.id)
+            {
                 continue;
             }
             let cold = limit.is_some_and(|limit| !slot.arrivals.allows(now, limit));
