Have the group held by an entry instead of the leader's host

A release without a switch from a second rank's process needs a fence against deputies that read before it; not tried.

Change: entries listen for a datagram of the leader and give the order (rank::holder); the leader finds their hosts in the store, asks another one for each pass, and holds the group itself after three that did not. Nothing else of the switch changes: to the specification such an order is one that may be lost or late.

Test: direct_rank::follow_with_holder_paused (no 'hold accepted' of an entry before, so that it could not end).

--- a/crates/rank/src/engine.rs
+++ b/crates/rank/src/engine.rs
@@ -1,6 +1,6 @@
 //! Calls to the ranks of a group, which an adapter provides.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -81,6 +81,8 @@
 pub struct Group {
     /// Addresses of the ranks, in no order.
     pub ranks: Vec<SocketAddr>,
+    /// Hosts without a rank whose processes give orders to hold the group.
+    pub holders: Vec<IpAddr>,
     /// Experts of a set.
     pub experts: u16,
     /// Experts that a rank holds of a set.
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -18,7 +18,7 @@
 use crate::member::{self, DATAGRAM_BYTES, Member, SAMPLE_INTERVAL};
 use crate::plan;
 use crate::settings::{self, Settings};
-use crate::tenure::{Seen, Tenure};
+use crate::tenure::{Hold, Seen, Tenure};
 
 /// Time between two looks at what has to be done, while a switch is under way.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
@@ -49,9 +49,25 @@
 /// its process answers.
 const ARM_TIME: Duration = Duration::from_millis(600);
 
+/// Holders that are asked in one switch before the leader holds the group
+/// itself: two of them may stand still or be cut off.
+const HOLDERS: usize = 3;
+
+/// Time after which another holder is asked although no pass began meanwhile:
+/// many times that of a datagram and an order.
+const HOLD_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time from a datagram to a holder until its order is carried out, in one
+/// region.
+const HOLD_ANSWER: Duration = Duration::from_millis(8);
+
 /// Time between two tries to learn the group's addresses.
 const GROUP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two looks at the addresses of a group whose ranks are all heard:
+/// holders come and go, and another one is asked where one does not answer.
+const HOLDERS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Ranks to which a map is sent directly at once. More would fill the link of a
 /// small host.
 const DIRECT: usize = 16;
@@ -121,12 +137,18 @@
         };
         let known = self.tenure.as_ref().is_some_and(current);
         let whole = |tenure: &Tenure| tenure.members.iter().all(Option::is_some);
-        if known && self.tenure.as_ref().is_some_and(whole) {
+        let whole = known && self.tenure.as_ref().is_some_and(whole);
+        // A store that does not answer must not delay a switch.
+        let rests = |tenure: &Tenure| tenure.next.is_none() && tenure.switch.settled().is_some();
+        if whole && !self.tenure.as_ref().is_some_and(rests) {
             return true;
         }
-        let due = self
-            .looked_at
-            .is_none_or(|at| at.elapsed() >= GROUP_INTERVAL);
+        let interval = if whole {
+            HOLDERS_INTERVAL
+        } else {
+            GROUP_INTERVAL
+        };
+        let due = self.looked_at.is_none_or(|at| at.elapsed() >= interval);
         if !due {
             return known;
         }
@@ -206,7 +228,11 @@
     }
 
     fn send(&self, address: SocketAddr, hello: &wire::Hello) {
-        if let Err(error) = self.socket.try_send_to(&hello.encode_to_vec(), address) {
+        self.send_bytes(address, &hello.encode_to_vec());
+    }
+
+    fn send_bytes(&self, address: SocketAddr, datagram: &[u8]) {
+        if let Err(error) = self.socket.try_send_to(datagram, address) {
             tracing::debug!(%address, %error, "datagram not sent");
         }
     }
@@ -302,7 +328,7 @@
                 tenure.switch.report(0, state.report);
                 if let switch::Action::Hold { pass } = tenure.switch.next() {
                     tenure.switch.holding();
-                    self.member.order(epoch, Action::Hold { pass }).await;
+                    self.hold(tenure, pass).await;
                     self.observe_own(tenure).await;
                 }
                 if let switch::Action::Arm(goal) = tenure.switch.next() {
@@ -311,12 +337,46 @@
             }
             switch::Action::Arm(goal) => self.arm(tenure, goal).await,
             switch::Action::Release { pass } => {
+                tenure.hold = None;
                 self.member.order(epoch, Action::Release { pass }).await;
                 self.observe_own(tenure).await;
             }
         }
     }
 
+    /// Has the group held by a holder, or holds it itself where none does.
+    async fn hold(&self, tenure: &mut Tenure, pass: u64) {
+        let epoch = tenure.switch.epoch();
+        let before = tenure.hold;
+        let waits =
+            before.is_some_and(|hold| hold.pass == pass && hold.asked.elapsed() < HOLD_INTERVAL);
+        if waits {
+            return;
+        }
+        let tries = before.map_or(0, |hold| hold.tries);
+        tenure.hold = Some(Hold {
+            pass,
+            asked: Instant::now(),
+            tries: tries + 1,
+        });
+        let holders = &tenure.group.holders;
+        if tries >= HOLDERS.min(holders.len()) {
+            self.member.order(epoch, Action::Hold { pass }).await;
+            return;
+        }
+        // Another one for each pass, so that none is asked more than others.
+        let holder = holders[(pass as usize + tries) % holders.len()];
+        let address = SocketAddr::new(holder, self.address.port());
+        let hold = wire::Hold {
+            epoch,
+            rank: self.member.rank().to_string(),
+            pass,
+        };
+        tracing::info!(%address, epoch, pass, tries, "holder asked");
+        self.send_bytes(address, &hold.encode_to_vec());
+        tokio::time::sleep(HOLD_ANSWER).await;
+    }
+
     async fn observe_own(&self, tenure: &mut Tenure) {
         if let Some(state) = self.member.observe().await {
             tenure.switch.report(0, state.report);
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! [`member`] does what one rank needs: it counts, and carries out the [`plan`]
 //! that the [`leader`] sends. The leader is the process beside the first rank;
-//! a [`deputy`] ends a switch that it leaves half done. Its decisions are `berylgw_core::expert::{demand, follow, switch}`. An
-//! adapter to a platform provides the [`engine`]'s calls. [`process`] puts the
-//! parts together.
+//! a [`holder`] on a host without a rank holds the group for it, and a
+//! [`deputy`] ends a switch that it leaves half done. Its decisions are
+//! `berylgw_core::expert::{demand, follow, switch}`. An adapter to a platform
+//! provides the [`engine`]'s calls. [`process`] puts the parts together.
 
 pub mod deputy;
 pub mod engine;
+pub mod holder;
 pub mod leader;
 pub mod member;
 pub mod metrics;
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Address of the rank.
+    pub fn rank(&self) -> SocketAddr {
+        self.own
+    }
+
     /// State of the rank when it was read last.
     pub fn state(&self) -> Option<State> {
         self.inner.borrow().state.map(|(state, _)| state)
--- a/crates/rank/src/tenure.rs
+++ b/crates/rank/src/tenure.rs
@@ -53,6 +53,17 @@
     /// The switch for which ranks are being armed, and since when.
     pub(crate) arming: Option<(Armed, Instant)>,
     pub(crate) leapt: bool,
+    /// The pass for which the group was last to be held, since when, and by how
+    /// many holders in a row it was not.
+    pub(crate) hold: Option<Hold>,
+}
+
+/// A hold that a holder was asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hold {
+    pub(crate) pass: u64,
+    pub(crate) asked: Instant,
+    pub(crate) tries: usize,
 }
 
 /// Experts that a rank holds by set, and the number of the map.
@@ -87,6 +98,7 @@
             decided_at: None,
             arming: None,
             leapt: false,
+            hold: None,
         }
     }
 
--- a/crates/testkit/src/direct/rank.rs
+++ b/crates/testkit/src/direct/rank.rs
@@ -13,6 +13,8 @@
 pub struct Beside {
     /// The process.
     pub process: Process,
+    /// Port at which it leads.
+    pub lead: u16,
     settings: PathBuf,
 }
 
@@ -47,7 +49,11 @@
         let settings = std::env::temp_dir().join(name);
         std::fs::File::create(&settings)?.write_all(text.as_bytes())?;
         let process = launch(&settings)?;
-        started.push(Beside { process, settings });
+        started.push(Beside {
+            process,
+            lead,
+            settings,
+        });
     }
     Ok(started)
 }
--- a/crates/testkit/src/direct/site.rs
+++ b/crates/testkit/src/direct/site.rs
@@ -98,8 +98,26 @@
     ///
     /// Fails if the process does not start.
     pub async fn start(store: &Store, name: &str, domain: &str) -> Result<Self, Failure> {
+        Self::start_with(store, name, domain, "").await
+    }
+
+    /// Starts an entry with further lines of the platform's settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub async fn start_with(
+        store: &Store,
+        name: &str,
+        domain: &str,
+        further: &str,
+    ) -> Result<Self, Failure> {
         let (address, door) = store.listen().await?;
         let settings = settings(name, domain, address)?;
+        std::fs::OpenOptions::new()
+            .append(true)
+            .open(&settings)?
+            .write_all(further.as_bytes())?;
         let process = launch::start("berylgw-direct", [Path::new("--settings"), &*settings])?;
         Ok(Entry {
             callers: process.address("callers").await?,
--- a/crates/testkit/tests/direct_rank.rs
+++ b/crates/testkit/tests/direct_rank.rs
@@ -4,7 +4,7 @@
 
 use berylgw_testkit::direct::group::{Group, Shape};
 use berylgw_testkit::direct::rank::{self, Beside};
-use berylgw_testkit::direct::site::Failure;
+use berylgw_testkit::direct::site::{Entry, Failure};
 use berylgw_testkit::direct::store::{Door, Store};
 use berylgw_testkit::launch::Process;
 use nix::sys::signal::Signal;
@@ -185,6 +185,46 @@
     Ok(())
 }
 
+/// Guards against a group that stays held while the host whose process gave the
+/// order stands still, and against a leader that depends on that host.
+#[tokio::test]
+async fn follow_with_holder_paused() -> Result {
+    let site = site(SHAPE, 150).await?;
+    let lead = site.processes[0].lead;
+    let further = format!("  holds: 127.0.0.1:{lead}\n");
+    let entry = Entry::start_with(&site._store, "edge-1", "shed", &further).await?;
+    let accepted = entry.line("hold accepted", &[]);
+    let shifts = async {
+        for hot in [3, 9, 14, 6, 1, 11].into_iter().cycle() {
+            site.group.demand(hot);
+            fits(&site).await?;
+            // The leader looks for entries from time to time.
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        Result::Ok(())
+    };
+    tokio::select! {
+        line = accepted => line.map(drop)?,
+        ended = shifts => ended?,
+    }
+    for hot in [7, 2, 13] {
+        site.group.demand(hot);
+        site.group.held().await;
+        entry.process.signal(Signal::SIGSTOP)?;
+        let before = site.group.passes();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let during = site.group.passes() - before;
+        // The holder stands still for the next shift as well.
+        fits(&site).await?;
+        site.group.demand(hot + 1);
+        fits(&site).await?;
+        entry.process.signal(Signal::SIGCONT)?;
+        assert!(during > 20, "{during} passes in 1.5 s");
+    }
+    assert_eq!(site.group.mixed(), None);
+    Ok(())
+}
+
 /// Guards against orders of one epoch in the next, and against a leader that
 /// takes the maps of the last epoch for those in use.
 #[tokio::test]
