Tell the groups of one service apart beside ranks

A service there has several groups of one size and epoch; a leader took reports of the other groups' ranks for those of its own.

Ruled out: lost or late orders (the same two maps in the first switches of quiet groups).

Change: datagrams name the group, leaders, members and deputies ignore those of another one; a leader greets the whole service only until it has heard its own ranks.

Test: direct_rank::follow_two_groups; with all names equal it saw a mixed pass (73) and never fitted, now it passes.

--- a/crates/direct/src/backend.rs
+++ b/crates/direct/src/backend.rs
@@ -26,9 +26,9 @@
     pub draining: bool,
 }
 
-/// Short name of a server or service in messages between entries.
+/// Short name of a server, service or group in messages between processes.
 ///
-/// All entries run one build, whose default hasher has fixed keys.
+/// All processes run one build, whose default hasher has fixed keys.
 pub fn digest(text: &str) -> u32 {
     let mut hasher = DefaultHasher::new();
     text.hash(&mut hasher);
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -51,7 +51,11 @@
             }
         }
     });
-    let seen: Vec<(SocketAddr, State)> = join_all(asked).await.into_iter().flatten().collect();
+    let answers = join_all(asked).await.into_iter().flatten();
+    // The service may have other groups.
+    let own = member.state().map(|state| state.group);
+    let of_group = answers.filter(|(_, state)| Some(state.group) == own);
+    let seen: Vec<(SocketAddr, State)> = of_group.collect();
     let Some(size) = seen.iter().map(|(_, state)| state.size).max() else {
         return;
     };
--- a/crates/rank/src/engine.rs
+++ b/crates/rank/src/engine.rs
@@ -42,6 +42,8 @@
 /// A rank and its group.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct State {
+    /// Short name of the group, which tells it from others of the service.
+    pub group: u32,
     /// Position in the group.
     pub rank: usize,
     /// Number of ranks.
@@ -79,7 +81,7 @@
 /// Addresses and dimensions of a group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Group {
-    /// Addresses of the ranks, in no order.
+    /// Addresses of the ranks of all groups of the service, in no order.
     pub ranks: Vec<SocketAddr>,
     /// Hosts without a rank whose processes give orders to hold the group.
     pub holders: Vec<IpAddr>,
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -133,11 +133,11 @@
     /// Begins a tenure in the present epoch; returns whether there is one.
     async fn begin(&mut self, state: State) -> bool {
         let current = |tenure: &Tenure| {
-            tenure.switch.epoch() == state.report.epoch && tenure.switch.ranks() == state.size
+            let same = (tenure.name, tenure.switch.epoch()) == (state.group, state.report.epoch);
+            same && tenure.switch.ranks() == state.size
         };
         let known = self.tenure.as_ref().is_some_and(current);
-        let whole = |tenure: &Tenure| tenure.members.iter().all(Option::is_some);
-        let whole = known && self.tenure.as_ref().is_some_and(whole);
+        let whole = known && self.tenure.as_ref().is_some_and(Tenure::is_whole);
         // A store that does not answer must not delay a switch.
         let rests = |tenure: &Tenure| tenure.next.is_none() && tenure.switch.settled().is_some();
         if whole && !self.tenure.as_ref().is_some_and(rests) {
@@ -210,8 +210,8 @@
             return;
         }
         tenure.greeted_at = Some(Instant::now());
-        for address in &tenure.group.ranks {
-            let address = SocketAddr::new(address.ip(), self.port);
+        for host in tenure.hosts() {
+            let address = SocketAddr::new(host, self.port);
             let seen = |seen: &Option<Seen>| seen.is_some_and(|seen| seen.address == address);
             let rank = tenure.members.iter().position(seen);
             let lists = rank.is_none_or(|rank| tenure.lists[rank].is_none());
@@ -494,6 +494,7 @@
 
     fn hello(&self, tenure: &Tenure) -> wire::Hello {
         wire::Hello {
+            group: tenure.name,
             epoch: tenure.switch.epoch(),
             leader: self.address.to_string(),
             ..Default::default()
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -150,15 +150,12 @@
     }
 
     async fn hear(&self, from: SocketAddr, hello: wire::Hello) {
-        let known = self
-            .state()
-            .is_some_and(|state| state.report.epoch == hello.epoch);
-        if !known
-            && self
-                .observe()
-                .await
-                .is_none_or(|state| state.report.epoch != hello.epoch)
-        {
+        // The group of a rank does not change while its process answers.
+        if self.state().is_some_and(|state| state.group != hello.group) {
+            return;
+        }
+        let same = |state: State| (state.group, state.report.epoch) == (hello.group, hello.epoch);
+        if !self.state().is_some_and(same) && !self.observe().await.is_some_and(same) {
             return;
         }
         let Ok(leader) = hello.leader.parse() else {
--- a/crates/rank/src/plan.rs
+++ b/crates/rank/src/plan.rs
@@ -134,6 +134,7 @@
 /// The message for a state.
 pub fn status(state: &State) -> wire::Status {
     let State {
+        group,
         rank,
         size,
         report,
@@ -141,6 +142,7 @@
         ..
     } = *state;
     wire::Status {
+        group,
         epoch: report.epoch,
         rank: rank as u32,
         size: size as u32,
--- a/crates/rank/src/tenure.rs
+++ b/crates/rank/src/tenure.rs
@@ -1,6 +1,6 @@
 //! What a leader knows of its group in one epoch.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use berylgw_core::expert::demand::Demand;
@@ -32,6 +32,8 @@
 /// Leads one group in one epoch.
 pub(crate) struct Tenure {
     pub(crate) switch: Switch,
+    /// Short name of the group.
+    pub(crate) name: u32,
     pub(crate) group: Group,
     /// Ranks by position: where their processes are reached.
     pub(crate) members: Vec<Option<Seen>>,
@@ -84,6 +86,7 @@
         switch.report(0, state.report);
         Tenure {
             switch,
+            name: state.group,
             group,
             members: vec![None; state.size],
             lists: vec![None; state.size],
@@ -102,6 +105,20 @@
         }
     }
 
+    /// Whether all ranks have been heard.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.members.iter().all(Option::is_some)
+    }
+
+    /// Hosts that may have a rank of the group: those of the service until all
+    /// ranks have been heard.
+    pub(crate) fn hosts(&self) -> Vec<IpAddr> {
+        let members = self.members.iter().flatten();
+        let heard = || members.map(|seen| seen.address.ip()).collect();
+        let listed = || self.group.ranks.iter().map(SocketAddr::ip).collect();
+        if self.is_whole() { heard() } else { listed() }
+    }
+
     /// Whether a rank reports samples.
     pub(crate) fn samples(&self, rank: usize) -> bool {
         let stride = self.switch.ranks().div_ceil(SAMPLED);
@@ -111,7 +128,8 @@
     pub(crate) fn hear(&mut self, from: SocketAddr, status: wire::Status) {
         let rank = status.rank as usize;
         let ranks = self.switch.ranks();
-        if status.epoch != self.switch.epoch() || rank >= ranks || status.size as usize != ranks {
+        let same = (status.group, status.epoch) == (self.name, self.switch.epoch());
+        if !same || rank >= ranks || status.size as usize != ranks {
             return;
         }
         self.members[rank] = Some(Seen {
--- a/crates/testkit/src/direct/group.rs
+++ b/crates/testkit/src/direct/group.rs
@@ -49,6 +49,7 @@
 
 #[derive(Debug)]
 struct Inner {
+    name: String,
     shape: Shape,
     epoch: u64,
     open: bool,
@@ -113,6 +114,7 @@
             ..Rank::default()
         };
         let inner = Inner {
+            name: format!("group-{host}"),
             shape,
             epoch: 1,
             open: true,
@@ -346,7 +348,7 @@
     let armed = rank.armed.as_ref();
     Json(json!({
         "group": {
-            "Name": "g", "epoch": inner.epoch, "rank": access.rank,
+            "Name": inner.name, "epoch": inner.epoch, "rank": access.rank,
             "State": if inner.open { "open" } else { "broken" },
         },
         "size": inner.shape.ranks, "Busy": false, "step": inner.pass, "Mapping": rank.version,
--- a/crates/testkit/src/direct/rank.rs
+++ b/crates/testkit/src/direct/rank.rs
@@ -13,6 +13,8 @@
 pub struct Beside {
     /// The process.
     pub process: Process,
+    /// Port at which it is reached.
+    pub listen: u16,
     /// Port at which it leads.
     pub lead: u16,
     settings: PathBuf,
@@ -36,7 +38,26 @@
 ///
 /// Fails if a settings file cannot be written or a process does not start.
 pub fn start_all(group: &Group, service: &str, store: SocketAddr) -> Result<Vec<Beside>, Failure> {
-    let ports = [free_port(group)?, free_port(group)?];
+    start_all_at(
+        [free_port(group)?, free_port(group)?],
+        group,
+        service,
+        store,
+    )
+}
+
+/// Starts a process beside each rank of a group, reached at the first and
+/// leading from the second of two ports.
+///
+/// # Errors
+///
+/// Fails if a settings file cannot be written or a process does not start.
+pub fn start_all_at(
+    ports: [u16; 2],
+    group: &Group,
+    service: &str,
+    store: SocketAddr,
+) -> Result<Vec<Beside>, Failure> {
     let mut started = Vec::new();
     for engine in &group.addresses {
         let (ip, [listen, lead]) = (engine.ip(), ports);
@@ -51,6 +72,7 @@
         let process = launch(&settings)?;
         started.push(Beside {
             process,
+            listen,
             lead,
             settings,
         });
--- a/crates/testkit/tests/direct_rank.rs
+++ b/crates/testkit/tests/direct_rank.rs
@@ -225,6 +225,37 @@
     Ok(())
 }
 
+/// Guards against a pass with two maps where a service has two groups: a leader
+/// that takes the ranks of the other group for its own.
+#[tokio::test]
+async fn follow_two_groups() -> Result {
+    let site = site(SHAPE, 170).await?;
+    let other = Group::start(SHAPE, 190).await?;
+    for (rank, address) in other.addresses.iter().enumerate() {
+        let entry = json!({
+            "Service": "model", "Address": address, "Zone": "shed", "Slots": 8,
+            "State": "ready",
+        });
+        site._store.put("servers", &format!("j-{rank}"), entry);
+    }
+    let (address, _door) = site._store.listen().await?;
+    let ports = [site.processes[0].listen, site.processes[0].lead];
+    let _beside = rank::start_all_at(ports, &other, "model", address)?;
+    for hot in [3, 9, 14, 6] {
+        site.group.demand(hot);
+        other.demand((hot + 5) % 16);
+        fits(&site).await?;
+        let fitted = async {
+            while other.skew().1 > FITTED {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(20), fitted).await?;
+    }
+    assert_eq!((site.group.mixed(), other.mixed()), (None, None));
+    Ok(())
+}
+
 /// Guards against orders of one epoch in the next, and against a leader that
 /// takes the maps of the last epoch for those in use.
 #[tokio::test]
