Let a broken group not close the others of its service

Change: a closure below 0.5 s, which no single group can have, shows that a service has several groups; for 60 s after it, a request that meets a broken group tries another server first, and a server of a broken group is left out at once.

Test: group::closure_of_one_of_several.

--- a/crates/core/src/group/closure.rs
+++ b/crates/core/src/group/closure.rs
@@ -13,6 +13,14 @@
 /// group; 0.9 to 1.6 s in the closures of docs/MEASUREMENTS.md.
 const FORMING: Duration = Duration::from_millis(1_200);
 
+/// Closures below this time are not those of one group, which takes longer to be
+/// formed again: the service has several, of which others ran meanwhile.
+const SHORTEST: Duration = Duration::from_millis(500);
+
+/// Time for which a service counts as one with several groups after a closure
+/// that showed it. A group that breaks costs two requests then instead of one.
+const SEVERAL: Duration = Duration::from_secs(60);
+
 /// Time after which a group that runs again is full, about that of an answer.
 const REFILL: Duration = Duration::from_secs(2);
 
@@ -34,6 +42,7 @@
     since: Option<Instant>,
     ended: Instant,
     begun: usize,
+    several_until: Instant,
 }
 
 impl Closure {
@@ -56,7 +65,17 @@
     pub fn runs(&mut self, now: Instant) -> Option<Duration> {
         let since = self.since.take()?;
         self.ended = now;
-        Some(now.since(since))
+        let closed = now.since(since);
+        if closed < SHORTEST {
+            self.several_until = now + SEVERAL;
+        }
+        Some(closed)
+    }
+
+    /// Whether the service has several groups, so that a broken one says nothing
+    /// about another server.
+    pub fn is_one_of_several(&self, now: Instant) -> bool {
+        now < self.several_until
     }
 
     /// When the group is expected to run.
--- a/crates/core/tests/group.rs
+++ b/crates/core/tests/group.rs
@@ -286,6 +286,21 @@
     assert_eq!(closure.rate(at(20_000), 20), 12);
 }
 
+/// Guards against a service that is closed as a whole each time one of its
+/// groups is broken.
+#[test]
+fn closure_of_one_of_several() {
+    let mut closure = Closure::default();
+    closure.broke(at(1_000), 5);
+    closure.runs(at(2_500));
+    assert!(!closure.is_one_of_several(at(2_500)));
+    closure.broke(at(3_000), 5);
+    closure.runs(at(3_320));
+    assert!(closure.is_one_of_several(at(3_400)));
+    assert!(closure.is_one_of_several(at(60_000)));
+    assert!(!closure.is_one_of_several(at(64_000)));
+}
+
 /// Guards against taking clients with less patience for ones that come back.
 #[test]
 fn is_late_spread() {
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -101,6 +101,7 @@
     ) -> Result<Answer, Refusal> {
         let mut failed = None;
         let mut end = None;
+        let mut broken = 0;
         while let Some(lease) = self.next_server(gateway, call) {
             record.sent(&lease.server);
             self.tried.push(lease.server.id.clone());
@@ -129,9 +130,14 @@
                 }
                 Outcome::NotRun { group_broken } => {
                     if group_broken {
-                        gateway.with(|state, now| state.suspect_group(now, call.service));
-                        end = Some(End::GroupClosed);
-                        break;
+                        broken += 1;
+                        let several =
+                            gateway.with(|state, now| state.has_several_groups(now, call.service));
+                        if !several || broken > 1 {
+                            gateway.with(|state, now| state.suspect_group(now, call.service));
+                            end = Some(End::GroupClosed);
+                            break;
+                        }
                     }
                     record.retried(Retry::NotRun);
                 }
@@ -231,7 +237,12 @@
     }
     if header(&names.not_run).is_some() || status == StatusCode::MISDIRECTED_REQUEST {
         let group_broken = header(&names.failed_server).is_some();
-        lease.report(|health, now| health.failed(now));
+        if group_broken {
+            // All servers of its group refuse until it is formed again.
+            lease.report(|health, now| health.unreachable(now));
+        } else {
+            lease.report(|health, now| health.failed(now));
+        }
         return Outcome::NotRun { group_broken };
     }
     let other = header(&names.request).is_some_and(|id| *id != call.id);
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -381,6 +381,11 @@
         pool.opens = now + GROUP_RETRY;
     }
 
+    /// Whether a broken group says nothing about the other servers of a service.
+    pub fn has_several_groups(&self, now: Instant, service: ServiceKey) -> bool {
+        self.pools[service.0].closure.is_one_of_several(now)
+    }
+
     /// Records that a server of a group answers.
     pub fn group_runs(&mut self, now: Instant, service: ServiceKey) {
         let pool = &mut self.pools[service.0];
