--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -12,6 +12,7 @@
 //! - [`arrival`]: how many requests a server in cold start receives.
 //! - [`health`]: which servers are left out for the outcomes of their requests.
 //! - [`comeback`]: when a refused client is told to come back.
+//! - [`closure`]: when a group that broke runs again.
 
 pub mod arrival;
 pub mod bound;
--- a/crates/core/src/group/closure.rs
+++ b/crates/core/src/group/closure.rs
@@ -86,7 +86,7 @@
     /// Requests that begin in one [window](super::arrival::LENGTH) once the
     /// group runs, 0 if nothing is known beyond the present rate.
     ///
-    /// `free` places of this entry are taken within [`REFILL`], also where the
+    /// `free` places of this entry are taken within 2 s, also where the
     /// entry has just started and has seen no rate.
     pub fn rate(&self, now: Instant, free: usize) -> usize {
         if !self.refills(now) {
