Keep a rank's arming although an older report comes later

A status from before the order, with the same pass, came after the one that said 'armed': two questions of a process to its rank can be answered out of order, and the sample that follows repeats the older state. The leader asked again, but a process that had told its state once did not tell it again before its next sample.

Change: a report does not undo 'armed' within one pass; an answer of the rank that was overtaken is dropped; a process that is asked again tells its state again.

Tests: expert_switch::report_overtaken fails before (Arm instead of Release), report_newer guards the other side; the specification holds as before with all mistakes found.

--- a/crates/core/src/expert/switch.rs
+++ b/crates/core/src/expert/switch.rs
@@ -132,8 +132,13 @@
         let Some(known) = self.reports.get_mut(rank) else {
             return;
         };
-        // Datagrams overtake each other; passes only grow.
-        if known.as_ref().is_none_or(|known| known.pass <= report.pass) {
+        // Datagrams overtake each other; passes only grow, and a rank that is armed
+        // for one stays so until it begins.
+        let older = known.as_ref().is_some_and(|known| {
+            let unarmed = known.armed.is_some() && report.armed.is_none();
+            known.pass > report.pass || (known.pass == report.pass && unarmed)
+        });
+        if !older {
             *known = Some(report);
         }
         if rank == 0 && self.first_hold == 0 {
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -98,12 +98,17 @@
 
     /// Reads the state of the rank.
     pub async fn observe(&self) -> Option<State> {
+        let asked = Instant::now();
         let read = (self.engine.state)(self.own, ()).await;
         let mut inner = self.inner.borrow_mut();
         let before = inner.state.map(|(state, _)| state);
+        // The answer to a later question has come before this one.
+        if inner.state.is_some_and(|(_, known)| known > asked) {
+            return before;
+        }
         match read {
             Ok(state) => {
-                inner.state = Some((state, Instant::now()));
+                inner.state = Some((state, asked));
                 let changed = before.is_none_or(|before| {
                     (before.report.epoch, before.report.open)
                         != (state.report.epoch, state.report.open)
@@ -292,7 +297,8 @@
                 };
                 tokio::select! {
                     () = sleep(pause) => {}
-                    () = self.planned.notified() => {}
+                    // The leader asks again because it has not heard the answer.
+                    () = self.planned.notified() => told = None,
                 }
             }
         }
