Decide the gossip round by its deadline, sum loads once, and deal out home slots

Cause 1: the periodic round waited for a pause in the changes of load. The deadline decides now, the evaluation has a loop of its own, and sending never waits for a blocked link. A new view is announced to six entries at once instead of with the next load.

Cause 2: each read of the load summed the reports of all entries for each server, 149 x 197 searches for each event of a stream. Sums are updated with each datagram.

Cause 3: all entries chose the servers that looked idle half a second ago. Each entry prefers slots that no other prefers and samples the others.

--- a/crates/core/src/group/selection.rs
+++ b/crates/core/src/group/selection.rs
@@ -1,8 +1,16 @@
 //! Choice of the backend server for a request.
 //!
 //! Load pattern: many entries choose at the same moment among ranks that advance
-//! at the speed of the slowest. A request goes to the server with the fewest
-//! requests in flight from all entries, and entries break ties differently.
+//! at the speed of the slowest. In a small fleet, each entry knows the requests
+//! in flight from all entries as of some milliseconds ago, and a request goes to
+//! the server with the fewest.
+//!
+//! In a fleet of hundreds of entries, that knowledge is half a second old. All
+//! entries see the same servers with free slots and fill them beyond their slots
+//! while others are idle. There, each entry prefers slots that no other entry
+//! prefers, its home slots, and finds further ones in a small random sample. Both
+//! rules set in gradually with the number of requests that other entries begin
+//! while a report is on its way.
 
 /// A server that a request may be sent to, as known to an entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -15,30 +23,67 @@
     pub same_domain: bool,
     /// Whether the server was ejected and no request has succeeded since.
     pub recovering: bool,
+    /// Home slots of the entry at this server that none of its requests uses.
+    pub home_slots: u32,
 }
 
 /// Cost of a server in another failure domain, in requests in flight. Such a
 /// server is preferred only if it has at least three requests fewer.
 const CROSS_DOMAIN_COST: f64 = 2.9;
 
-/// Returns the index of the candidate with the lowest cost.
+/// Smallest number of candidates without a free home slot that are compared.
+const MIN_SAMPLE: f64 = 2.0;
+
+/// Returns the index of the candidate with the lowest cost among those with a
+/// free home slot and a sample of the others.
 ///
-/// Ties are broken in favour of the first candidate from index `first` on, which
-/// has to differ between entries and between requests.
+/// `unseen` is the number of requests that other entries are expected to have
+/// begun, at all candidates, since their last reports. `random` returns a random
+/// number below its argument. Ties are broken in favour of the first candidate
+/// from a random one on, so that entries break them differently.
 ///
 /// ```
 /// use berylgw_core::group::selection::{Candidate, choose};
 ///
-/// let busy = Candidate { in_flight: 3, slots: 12, same_domain: true, recovering: false };
+/// let busy = Candidate {
+///     in_flight: 3, slots: 12, same_domain: true, recovering: false, home_slots: 0,
+/// };
 /// let idle = Candidate { in_flight: 1, ..busy };
-/// assert_eq!(choose(&[busy, idle], 0), Some(1));
+/// assert_eq!(choose(&[busy, idle], 0.0, |_| 0), Some(1));
 /// ```
-pub fn choose(candidates: &[Candidate], first: usize) -> Option<usize> {
+pub fn choose(
+    candidates: &[Candidate],
+    unseen: f64,
+    mut random: impl FnMut(usize) -> usize,
+) -> Option<usize> {
     let count = candidates.len();
+    if count == 0 {
+        return None;
+    }
+    let unseen_per_server = unseen / count as f64;
+    let others = candidates
+        .iter()
+        .filter(|candidate| candidate.home_slots == 0)
+        .count();
+    // As many candidates as there are requests that would choose the same one.
+    let sample = (others as f64 / (1.0 + unseen)).max(MIN_SAMPLE).ceil() as usize;
+    let mut wanted = sample.min(others);
+    let mut left = others;
+    let first = random(count);
     let mut best: Option<(f64, usize)> = None;
     for offset in 0..count {
         let index = (first + offset) % count;
-        let cost = cost(&candidates[index]);
+        let candidate = &candidates[index];
+        let mut cost = cost(candidate);
+        if candidate.home_slots == 0 {
+            let sampled = random(left) < wanted;
+            left -= 1;
+            if !sampled {
+                continue;
+            }
+            wanted -= 1;
+            cost += unseen_per_server;
+        }
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, index));
         }
@@ -46,6 +91,28 @@
     best.map(|(_, index)| index)
 }
 
+/// Returns the number of home slots of an entry at a server.
+///
+/// The slots of `servers` servers with `slots` slots each are dealt out evenly to
+/// `entries` entries, at most one slot of each server to the same entry before
+/// its second one. `entry` and `server` are the positions of both in orders that
+/// all entries agree on.
+///
+/// ```
+/// use berylgw_core::group::selection::home_slots;
+///
+/// let at = |entry| (0..4).map(|server| home_slots(entry, 3, server, 4, 3)).collect::<Vec<_>>();
+/// assert_eq!([at(0), at(1), at(2)], [[1, 1, 1, 1]; 3].map(Vec::from));
+/// ```
+pub fn home_slots(entry: usize, entries: usize, server: usize, servers: usize, slots: u32) -> u32 {
+    let total = servers * slots as usize;
+    let begin = entry * total / entries.max(1);
+    let end = (entry + 1) * total / entries.max(1);
+    // The slots are numbered across the servers: slot 0 of each server first.
+    let before = |bound: usize| (bound + servers - 1 - server) / servers;
+    (before(end) - before(begin)) as u32
+}
+
 fn cost(candidate: &Candidate) -> f64 {
     let in_flight = f64::from(candidate.in_flight);
     let slots = f64::from(candidate.slots.max(1));
--- a/crates/core/tests/group.rs
+++ b/crates/core/tests/group.rs
@@ -159,11 +159,14 @@
         slots: 12,
         same_domain: true,
         recovering: false,
+        home_slots: 0,
     };
     let candidates = [candidate; 4];
-    let chosen: Vec<_> = (0..4).map(|turn| choose(&candidates, turn)).collect();
+    let chosen: Vec<_> = (0..4)
+        .map(|turn| choose(&candidates, 0.0, |below| turn % below))
+        .collect();
     assert_eq!(chosen, [Some(0), Some(1), Some(2), Some(3)]);
-    assert_eq!(choose(&[], 3), None);
+    assert_eq!(choose(&[], 0.0, |_| 0), None);
 }
 
 /// Guards against choosing a server in another failure domain without need, and
@@ -175,17 +178,21 @@
         slots: 12,
         same_domain: true,
         recovering: false,
+        home_slots: 0,
     };
     let cross_domain = Candidate {
         same_domain: false,
         ..same_domain
     };
-    assert_eq!(choose(&[cross_domain, same_domain], 0), Some(1));
+    assert_eq!(choose(&[cross_domain, same_domain], 0.0, |_| 0), Some(1));
     let full = Candidate {
         in_flight: 12,
         ..same_domain
     };
-    assert_eq!(choose(&[cross_domain, full], 1), Some(0));
+    assert_eq!(
+        choose(&[cross_domain, full], 0.0, |below| 1 % below),
+        Some(0)
+    );
 }
 
 /// Guards against a cold server that all entries together overload.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,6 +1,7 @@
 //! The process: a traffic thread that serves requests, and a control thread,
 //! the one that runs [`Entry::run`].
 
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -258,6 +259,8 @@
             views: self.views.clone(),
             observing: self.observing,
             pulls: self.pulls,
+            sequence: Cell::new(0),
+            rounds: Cell::new(0),
         });
         let (close, closing) = watch::channel(false);
         tokio::task::spawn_local(follow_view(gateway.clone(), self.views.subscribe()));
@@ -266,6 +269,10 @@
         tokio::task::spawn_local(async move { receiving.receive().await });
         let sending = gossip.clone();
         tokio::task::spawn_local(async move { sending.send().await });
+        let evaluating = gossip.clone();
+        tokio::task::spawn_local(async move { evaluating.evaluate().await });
+        let announcing = gossip.clone();
+        tokio::task::spawn_local(async move { announcing.announce().await });
         let mut leaving = self.leaving;
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return Err(Error::new("traffic thread", "control thread ended"));
@@ -294,7 +301,7 @@
             domains,
             "view in force"
         );
-        // Sends the new revisions to the other entries.
+        gateway.view_changed.notify_one();
         gateway.state_changed.notify_one();
         if views.changed().await.is_err() {
             return;
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -29,6 +29,9 @@
     /// Signalled when the load or the view changes or the entry begins to drain,
     /// so that other entries receive a datagram.
     pub state_changed: Notify,
+    /// Signalled when a new view is in force, so that it is announced to other
+    /// entries at once.
+    pub view_changed: Notify,
     state: RefCell<State>,
     leaving_since: Cell<Option<Instant>>,
     reserved_bytes: Cell<usize>,
@@ -49,6 +52,7 @@
             metrics,
             clock,
             state_changed: Notify::new(),
+            view_changed: Notify::new(),
             leaving_since: Cell::new(None),
             reserved_bytes: Cell::new(0),
             in_progress: Cell::new(0),
@@ -58,7 +62,9 @@
     /// Calls `decide` with the state and the current time.
     pub fn with_state<T>(&self, decide: impl FnOnce(&mut State, Instant) -> T) -> T {
         let now = self.clock.now();
-        decide(&mut self.state.borrow_mut(), now)
+        let mut state = self.state.borrow_mut();
+        state.peers.expire(now);
+        decide(&mut state, now)
     }
 
     /// Begins to drain: the directory no longer lists this entry.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Gossip between entries: datagrams with the load, limits and view revisions
 //! of the sender.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -23,6 +24,15 @@
 /// domains, where traffic costs more.
 const CROSS_DOMAIN_EVERY: u64 = 2;
 
+/// Live entries of the same failure domain to which an entry announces a new
+/// view at once. With four, the announcement reaches hundreds of entries in a
+/// few steps, and some of its datagrams may be lost.
+const SAME_DOMAIN_ANNOUNCEMENTS: usize = 4;
+
+/// Live entries of other failure domains to which an entry announces a new view
+/// at once.
+const CROSS_DOMAIN_ANNOUNCEMENTS: usize = 2;
+
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -46,6 +56,10 @@
     pub observing: watch::Sender<bool>,
     /// Queue of the addresses of entries to pull a newer view from.
     pub pulls: mpsc::Sender<SocketAddr>,
+    /// Sequence number of the last datagram.
+    pub sequence: Cell<u64>,
+    /// Rounds of load datagrams so far.
+    pub rounds: Cell<u64>,
 }
 
 impl Gossip {
@@ -77,42 +91,84 @@
                 state.grant_permits(now);
             }
         });
-        self.request_newer_view(true);
+        self.request_newer_view();
     }
 
     /// Sends datagrams to live entries when the load changes, and to all known
-    /// entries once `INTERVAL` has passed and the load has not changed; never
-    /// returns.
+    /// entries every `INTERVAL`; never returns.
     pub async fn send(&self) {
-        let mut sequence = 0;
         let mut due = tokio::time::Instant::now();
         loop {
             let changed = self.gateway.state_changed.notified();
-            let periodic = tokio::time::timeout_at(due, changed).await.is_err();
-            sequence += 1;
-            self.send_state(sequence, periodic).await;
+            let timed_out = tokio::time::timeout_at(due, changed).await.is_err();
+            // In a large fleet the spacing exceeds `INTERVAL`, and the load has
+            // always changed when it ends. The deadline decides even then.
+            let periodic = timed_out || tokio::time::Instant::now() >= due;
+            self.send_load(periodic);
             if periodic {
                 due = tokio::time::Instant::now() + INTERVAL;
-                self.request_newer_view(false);
-                self.update_observer_role();
-                self.publish_status();
             }
-            let spacing = self
-                .gateway
-                .with_state(|state, now| state.gossip_spacing(now));
+            let spacing = self.gateway.with_state(|state, _| state.gossip_spacing());
             tokio::time::sleep(spacing).await;
         }
     }
 
-    async fn send_state(&self, sequence: u64, to_all: bool) {
+    /// Re-evaluates the other entries every `INTERVAL`, however long sending
+    /// takes; never returns.
+    pub async fn evaluate(&self) {
+        loop {
+            self.request_newer_view();
+            self.update_observer_role();
+            self.publish_status();
+            tokio::time::sleep(INTERVAL).await;
+        }
+    }
+
+    /// Announces each new view to a few entries at once, which take it over and
+    /// announce it in turn; never returns.
+    pub async fn announce(&self) {
+        loop {
+            self.gateway.view_changed.notified().await;
+            let near = &self.gateway.settings.domain;
+            let mut live = self.gateway.with_state(|state, now| {
+                let live = state.peers.live(now);
+                let live = live.map(|peer| (peer.domain == *near, rand::random(), peer.address));
+                live.collect::<Vec<(bool, u32, SocketAddr)>>()
+            });
+            live.sort_unstable();
+            let same_domain = live.partition_point(|(near, ..)| !near);
+            let (other, same) = live.split_at(same_domain);
+            let targets = same.iter().take(SAME_DOMAIN_ANNOUNCEMENTS);
+            let targets = targets.chain(other.iter().take(CROSS_DOMAIN_ANNOUNCEMENTS));
+            self.send_beat(targets.map(|(.., address)| *address).collect());
+        }
+    }
+
+    fn send_load(&self, to_all: bool) {
         let settings = &self.gateway.settings;
-        let cross_domain = to_all || sequence.is_multiple_of(CROSS_DOMAIN_EVERY);
-        let (loads, limits, revisions, live) = self.gateway.with_state(|state, now| {
-            let (loads, limits) = state.load_report();
+        let rounds = self.rounds.get() + 1;
+        self.rounds.set(rounds);
+        let cross_domain = to_all || rounds.is_multiple_of(CROSS_DOMAIN_EVERY);
+        let mut targets = self.gateway.with_state(|state, now| {
             let live = state.peers.live(now);
             let live = live.filter(|peer| cross_domain || peer.domain == settings.domain);
-            let live: Vec<SocketAddr> = live.map(|peer| peer.address).collect();
-            (loads, limits, state.view.revisions(), live)
+            live.map(|peer| peer.address).collect::<Vec<_>>()
+        });
+        if to_all {
+            targets.extend(self.members.borrow().iter());
+            targets.sort_unstable();
+            targets.dedup();
+        }
+        self.send_beat(targets);
+    }
+
+    fn send_beat(&self, targets: Vec<SocketAddr>) {
+        let settings = &self.gateway.settings;
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        let (loads, limits, revisions) = self.gateway.with_state(|state, _| {
+            let (loads, limits) = state.load_report();
+            (loads, limits, state.view.revisions())
         });
         let datagram = Beat {
             name: settings.name.to_string(),
@@ -129,25 +185,24 @@
             store_lost: !self.views.store_reachable(),
         };
         let bytes = datagram.encode_to_vec();
-        let mut targets = live;
-        if to_all {
-            targets.extend(self.members.borrow().iter());
-            targets.sort_unstable();
-            targets.dedup();
-        }
+        let mut failed = 0;
         for target in targets {
             if target == settings.listen.peers {
                 continue;
             }
-            if let Err(error) = self.socket.send_to(&bytes, target).await {
+            // Does not wait for a full or blocked link, where the datagram
+            // would be outdated once it is sent.
+            if let Err(error) = self.socket.try_send_to(&bytes, target) {
                 tracing::debug!(%target, %error, "sending a datagram failed");
+                failed += 1;
             }
         }
+        self.gateway.metrics.unsent_datagrams.inc_by(failed);
     }
 
     /// Requests the view of an entry whose view is newer, preferring entries in
     /// the same failure domain.
-    fn request_newer_view(&self, same_domain_only: bool) {
+    fn request_newer_view(&self) {
         let domain = &self.gateway.settings.domain;
         let newer = self.gateway.with_state(|state, now| {
             let known = state.view.revisions();
@@ -160,12 +215,9 @@
             });
             newer.min()
         });
-        let Some((other_domain, _, address)) = newer else {
+        let Some((_, _, address)) = newer else {
             return;
         };
-        if other_domain && same_domain_only {
-            return;
-        }
         if self.pulls.try_send(address).is_err() {
             tracing::debug!("pull skipped: another one is pending");
         }
@@ -173,10 +225,12 @@
 
     /// Decides whether this entry watches the store itself.
     fn update_observer_role(&self) {
-        let name = &self.gateway.settings.name;
-        let observing = self
-            .gateway
-            .with_state(|state, now| state.peers.is_observer(now, name));
+        let settings = &self.gateway.settings;
+        let observing = self.gateway.with_state(|state, now| {
+            state
+                .peers
+                .is_observer(now, &settings.name, &settings.domain)
+        });
         if *self.observing.borrow() != observing {
             tracing::info!(observing, "following the store changed");
             self.observing.send_replace(observing);
@@ -210,7 +264,7 @@
             tracing::info!(entries, ready = status.ready, "directory changed");
             self.status.send_replace(Arc::new(status));
         }
-        gateway.with_state(|state, now| state.export_gauges(now, &gateway.metrics));
+        gateway.with_state(|state, _| state.export_gauges(&gateway.metrics));
         gateway.metrics.export_ages(&self.views.store_ages());
     }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -5,7 +5,7 @@
 use berylgw_runtime::log;
 use derive_more::Display;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
 
 /// Upper bounds of the buckets of the latency histograms in seconds, dense
@@ -104,6 +104,8 @@
     dropped_lines: IntGauge,
     /// Live entries that do not drain, without this one.
     pub peers: IntGauge,
+    /// Datagrams that the host could not send at once, and dropped.
+    pub unsent_datagrams: IntCounter,
 }
 
 /// Phases of a request with a histogram.
@@ -178,6 +180,10 @@
                 "berylgw_direct_peers",
                 "Live entries that do not drain, without this one",
             )?,
+            unsent_datagrams: IntCounter::new(
+                "berylgw_direct_unsent_datagrams_total",
+                "Datagrams to other entries that were dropped before they were sent",
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -190,6 +196,7 @@
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.dropped_lines.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
+        registry.register(Box::new(metrics.unsent_datagrams.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -20,10 +20,18 @@
 /// entry whose datagrams are lost may still send requests.
 const SHARING_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Entries that watch the store themselves; the others get the view from them,
-/// so that calls to the store do not grow with the fleet. With three, changes
-/// still arrive in time when one has failed and another is partitioned.
-const MAX_OBSERVERS: usize = 3;
+/// Least number of entries that watch the store themselves; the others get the
+/// view from them, so that calls to the store hardly grow with the fleet. With
+/// three, changes still arrive in time when one has failed and another is
+/// partitioned.
+const MIN_OBSERVERS: usize = 3;
+
+/// Entries for each observer in a large fleet, so that the others do not all
+/// take a change over from the same three links.
+const ENTRIES_PER_OBSERVER: usize = 30;
+
+/// Time between two checks for entries that have become silent.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Another entry, as of its last datagram.
 #[derive(Clone, Debug)]
@@ -51,12 +59,26 @@
     pub store_lost: bool,
     /// Arrival time of its last datagram.
     pub updated: Instant,
+    /// Whether its report is part of the sums.
+    counted: bool,
+    /// Whether it counts for the division of shared limits.
+    sharing: bool,
 }
 
-/// The other entries, sorted by name.
+/// The other entries, sorted by name, and sums of what the live ones report.
+///
+/// Each request reads the sums several times. They are updated with each
+/// datagram, so that a read does not grow with the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     peers: Vec<Peer>,
+    /// Requests in flight by server digest, sorted.
+    in_flight: Vec<(u32, u32)>,
+    /// Sum and number of the concurrency limits by service digest, sorted.
+    limits: Vec<(u32, (u64, usize))>,
+    /// Number of entries that count for the division of shared limits.
+    sharing: usize,
+    expired_at: Instant,
 }
 
 impl Peers {
@@ -85,6 +107,7 @@
             .map(|load| (load.server, load.in_flight))
             .collect();
         loads.sort_unstable();
+        loads.dedup_by_key(|load| load.0);
         let concurrency_limits = datagram
             .bounds
             .iter()
@@ -106,17 +129,93 @@
             concurrency_limits: concurrency_limits.collect(),
             store_lost: datagram.store_lost,
             updated: now,
+            counted: false,
+            sharing: false,
         };
-        match found {
-            Ok(index) => self.peers[index] = peer,
+        let index = match found {
+            Ok(index) => {
+                self.remove_from_sums(index);
+                self.sharing -= usize::from(self.peers[index].sharing);
+                self.peers[index] = peer;
+                index
+            }
             Err(index) => {
                 tracing::info!(peer = %peer.name, address = %address, "peer heard first");
                 self.peers.insert(index, peer);
+                index
             }
-        }
+        };
+        self.add_to_sums(index);
+        self.peers[index].sharing = true;
+        self.sharing += 1;
         true
     }
 
+    /// Takes entries whose last datagram is too old out of the sums.
+    pub fn expire(&mut self, now: Instant) {
+        if now.since(self.expired_at) < EXPIRY_INTERVAL {
+            return;
+        }
+        self.expired_at = now;
+        for index in 0..self.peers.len() {
+            let silent = now.since(self.peers[index].updated);
+            if silent >= FAILURE_TIMEOUT {
+                self.remove_from_sums(index);
+            }
+            if silent >= SHARING_TIMEOUT && self.peers[index].sharing {
+                self.peers[index].sharing = false;
+                self.sharing -= 1;
+            }
+        }
+    }
+
+    fn add_to_sums(&mut self, index: usize) {
+        let peer = &mut self.peers[index];
+        peer.counted = true;
+        for &(server, count) in &peer.loads {
+            match self.in_flight.binary_search_by_key(&server, |sum| sum.0) {
+                Ok(at) => self.in_flight[at].1 += count,
+                Err(at) => self.in_flight.insert(at, (server, count)),
+            }
+        }
+        for &(service, limit) in &peer.concurrency_limits {
+            let limit = u64::from(limit);
+            match self.limits.binary_search_by_key(&service, |sum| sum.0) {
+                Ok(at) => {
+                    let (sum, entries) = &mut self.limits[at].1;
+                    *sum += limit;
+                    *entries += 1;
+                }
+                Err(at) => self.limits.insert(at, (service, (limit, 1))),
+            }
+        }
+    }
+
+    fn remove_from_sums(&mut self, index: usize) {
+        let peer = &mut self.peers[index];
+        if !std::mem::take(&mut peer.counted) {
+            return;
+        }
+        for &(server, count) in &peer.loads {
+            if let Ok(at) = self.in_flight.binary_search_by_key(&server, |sum| sum.0) {
+                self.in_flight[at].1 -= count;
+                if self.in_flight[at].1 == 0 {
+                    self.in_flight.remove(at);
+                }
+            }
+        }
+        for &(service, limit) in &peer.concurrency_limits {
+            if let Ok(at) = self.limits.binary_search_by_key(&service, |sum| sum.0) {
+                let (sum, entries) = &mut self.limits[at].1;
+                *sum -= u64::from(limit);
+                *entries -= 1;
+                if *entries == 0 {
+                    self.limits.remove(at);
+                }
+            }
+        }
+    }
+
     /// Returns the entries whose last datagram is newer than
     /// [`FAILURE_TIMEOUT`].
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
@@ -125,32 +224,48 @@
             .filter(move |peer| now.since(peer.updated) < FAILURE_TIMEOUT)
     }
 
-    /// Returns whether the entry `name` watches the store itself.
+    /// Returns whether the entry `name` in `domain` watches the store itself.
     ///
-    /// True if fewer than `MAX_OBSERVERS` live entries with smaller names
-    /// reach the store and do not drain. An entry without live peers watches
-    /// the store.
-    pub fn is_observer(&self, now: Instant, name: &str) -> bool {
-        let before = self.live(now).filter(|peer| *peer.name < *name);
-        let able = before.filter(|peer| !peer.store_lost && !peer.leaving);
-        able.count() < MAX_OBSERVERS
+    /// The observers are the first live entries by name of each failure domain,
+    /// then the second ones, and so on. Entries that do not reach the store or
+    /// drain are passed over. An entry without live peers watches the store.
+    pub fn is_observer(&self, now: Instant, name: &str, domain: &str) -> bool {
+        let able = self
+            .live(now)
+            .filter(|peer| !peer.store_lost && !peer.leaving);
+        let mut able: Vec<(&str, &str)> = able.map(|peer| (&*peer.domain, &*peer.name)).collect();
+        let observers = MIN_OBSERVERS.max(able.len() / ENTRIES_PER_OBSERVER);
+        able.sort_unstable();
+        let own_turn = able
+            .iter()
+            .filter(|other| other.0 == domain && other.1 < name)
+            .count();
+        let mut before = 0;
+        let mut turn = 0;
+        for (index, other) in able.iter().enumerate() {
+            let same_domain = index > 0 && able[index - 1].0 == other.0;
+            turn = if same_domain { turn + 1 } else { 0 };
+            before += usize::from((turn, other.0) < (own_turn, domain));
+        }
+        before < observers
     }
 
     /// Returns the number of entries that may send requests, this one included.
-    pub fn sharing_entries(&self, now: Instant) -> usize {
-        let others = self
-            .peers
-            .iter()
-            .filter(|peer| now.since(peer.updated) < SHARING_TIMEOUT);
-        1 + others.count()
+    pub fn sharing_entries(&self) -> usize {
+        1 + self.sharing
     }
 
-    /// Returns the requests in flight at a server from live entries.
-    pub fn in_flight(&self, now: Instant, server: u32) -> u32 {
-        let of_peer = |peer: &Peer| {
-            let found = peer.loads.binary_search_by_key(&server, |load| load.0);
-            found.map_or(0, |index| peer.loads[index].1)
-        };
-        self.live(now).map(of_peer).sum()
+    /// Returns the requests in flight at a server from live entries, as of the
+    /// last [`Peers::expire`].
+    pub fn in_flight(&self, server: u32) -> u32 {
+        let found = self.in_flight.binary_search_by_key(&server, |sum| sum.0);
+        found.map_or(0, |index| self.in_flight[index].1)
+    }
+
+    /// Returns the sum and the number of the live entries' concurrency limits of
+    /// a service, as of the last [`Peers::expire`].
+    pub fn concurrency_limits(&self, service: u32) -> (u64, usize) {
+        let found = self.limits.binary_search_by_key(&service, |sum| sum.0);
+        found.map_or((0, 0), |index| self.limits[index].1)
     }
 }
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -79,9 +79,9 @@
             RequestKind::Stream => "stream",
             RequestKind::ResumableStream => "resumable_stream",
         };
-        let limits = |state: &mut State, now| {
-            let concurrency_limit = state.concurrency_limit(now, call.service);
-            (concurrency_limit, state.in_flight(now, call.service))
+        let limits = |state: &mut State, _| {
+            let concurrency_limit = state.concurrency_limit(call.service);
+            (concurrency_limit, state.in_flight(call.service))
         };
         (self.concurrency_limit, self.in_flight) = self.gateway.with_state(limits);
     }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -68,6 +68,29 @@
     }
 }
 
+/// Servers and entries of the own failure domain, among which the servers' slots
+/// are dealt out.
+#[derive(Debug)]
+struct Homes {
+    /// Digests of the servers, sorted.
+    servers: Vec<u32>,
+    /// Number of entries, this one included.
+    entries: usize,
+    /// Position of this entry among them.
+    entry: usize,
+}
+
+impl Homes {
+    /// Returns the home slots of this entry at a server that has `slots` slots.
+    fn slots_at(&self, server: u32, slots: u32) -> u32 {
+        let Ok(server) = self.servers.binary_search(&server) else {
+            return 0;
+        };
+        let servers = self.servers.len();
+        selection::home_slots(self.entry, self.entries, server, servers, slots)
+    }
+}
+
 /// Result of a request for a permit.
 #[derive(Debug)]
 pub enum Admission {
@@ -93,7 +116,7 @@
     servers: Vec<Option<ServerState>>,
     client_timeouts: client_timeout::Table,
     pools: Vec<Pool>,
-    /// Source of queue ids and of the rotation among equal servers.
+    /// Source of queue ids.
     counter: u64,
 }
 
@@ -222,31 +245,22 @@
     }
 
     /// Returns the requests in flight at a service from all entries.
-    pub fn in_flight(&self, now: Instant, service: ServiceKey) -> usize {
+    pub fn in_flight(&self, service: ServiceKey) -> usize {
         let pool = &self.pools[service.0];
         let servers = self.servers.iter().flatten();
         let servers = servers.filter(|server| server.listed.service == pool.name);
         let others: u32 = servers
-            .map(|server| self.peers.in_flight(now, server.digest))
+            .map(|server| self.peers.in_flight(server.digest))
             .sum();
         pool.held_permits + others as usize
     }
 
     /// Returns the concurrency limit of a service, the mean of the limits of
     /// this entry and of the live entries that reported one.
-    pub fn concurrency_limit(&self, now: Instant, service: ServiceKey) -> usize {
+    pub fn concurrency_limit(&self, service: ServiceKey) -> usize {
         let pool = &self.pools[service.0];
-        let mut sum = pool.limit.permits();
-        let mut count = 1;
-        for peer in self.peers.live(now) {
-            for &(digest, limit) in &peer.concurrency_limits {
-                if digest == pool.digest {
-                    sum += limit as usize;
-                    count += 1;
-                }
-            }
-        }
-        sum / count
+        let (sum, entries) = self.peers.concurrency_limits(pool.digest);
+        (sum as usize + pool.limit.permits()) / (entries + 1)
     }
 
     /// Returns whether a request can be answered on time.
@@ -266,8 +280,8 @@
         service: ServiceKey,
         request: Request,
     ) -> Admission {
-        let in_flight = self.in_flight(now, service);
-        let limit = self.concurrency_limit(now, service);
+        let in_flight = self.in_flight(service);
+        let limit = self.concurrency_limit(service);
         let full = in_flight >= self.usable_limit(limit, request.in_time);
         let unpaced = is_unpaced(in_flight, limit);
         let pool = &mut self.pools[service.0];
@@ -305,8 +319,8 @@
     /// Admits a request at the end of its wait if only the pacer held it back;
     /// returns whether it was admitted.
     pub fn admit_unpaced(&mut self, now: Instant, service: ServiceKey, id: Id) -> bool {
-        let limit = self.concurrency_limit(now, service);
-        let in_flight = self.in_flight(now, service);
+        let limit = self.concurrency_limit(service);
+        let in_flight = self.in_flight(service);
         let pool = &self.pools[service.0];
         let Some(waiter) = pool.waiting.iter().find(|waiter| waiter.id == id) else {
             return false;
@@ -347,8 +361,8 @@
             if self.pools[index].queue.is_empty() {
                 continue;
             }
-            let limit = self.concurrency_limit(now, key);
-            let in_flight = self.in_flight(now, key);
+            let limit = self.concurrency_limit(key);
+            let in_flight = self.in_flight(key);
             let unpaced = is_unpaced(in_flight, limit);
             let mut free = limit.saturating_sub(in_flight);
             let late_free = self.usable_limit(limit, false);
@@ -384,9 +398,9 @@
     /// Spaces the retries by the rate at which late requests have recently been
     /// admitted, or are expected to be once a group that is down runs again.
     pub fn retry_after(&mut self, now: Instant, service: ServiceKey) -> Duration {
-        let limit = self.concurrency_limit(now, service);
-        let free = limit.saturating_sub(self.in_flight(now, service));
-        let share = free / self.peers.sharing_entries(now).max(1);
+        let limit = self.concurrency_limit(service);
+        let free = limit.saturating_sub(self.in_flight(service));
+        let share = free / self.peers.sharing_entries().max(1);
         let pool = &mut self.pools[service.0];
         let late_admitted = pool.late_admitted.count(now);
         let starts = late_admitted
@@ -407,7 +421,7 @@
         target: Duration,
     ) {
         self.pools[service.0].limit.observe(pause);
-        let in_flight = self.in_flight(now, service);
+        let in_flight = self.in_flight(service);
         self.pools[service.0].limit.adjust(now, in_flight, target);
     }
 
@@ -444,7 +458,7 @@
 
     /// Takes one retry from the budget; returns whether the budget allows it.
     pub fn take_retry(&mut self, now: Instant, service: ServiceKey) -> bool {
-        let entries = self.peers.sharing_entries(now);
+        let entries = self.peers.sharing_entries();
         let allowance = self.settings.retry.allowance();
         self.pools[service.0]
             .retries
@@ -460,7 +474,8 @@
         tried: &[Arc<str>],
     ) -> Option<(ServerKey, Arc<Server>)> {
         let name = self.pools[service.0].name.clone();
-        let limit = self.arrival_limit(now, &name);
+        let limit = self.arrival_limit(&name);
+        let homes = self.home_servers(now, &name);
         let mut keys = Vec::new();
         let mut candidates = Vec::new();
         for index in 0..self.servers.len() {
@@ -477,33 +492,71 @@
             if cold || !server.health.is_available(now) {
                 continue;
             }
+            let slots = server.listed.slots;
             keys.push(index);
             candidates.push(Candidate {
-                in_flight: server.in_flight + self.peers.in_flight(now, server.digest),
-                slots: server.listed.slots,
+                in_flight: server.in_flight + self.peers.in_flight(server.digest),
+                slots,
                 same_domain: server.listed.domain == self.settings.domain,
                 recovering: server.health.is_recovering(),
+                home_slots: homes
+                    .slots_at(server.digest, slots)
+                    .saturating_sub(server.in_flight),
             });
         }
-        self.counter = self.counter.wrapping_add(1);
-        let rotation = (self.counter % candidates.len().max(1) as u64) as usize;
-        let chosen = keys[selection::choose(&candidates, rotation)?];
+        let unseen = self.unseen_begins(now, service);
+        let random = |below: usize| rand::random_range(0..below.max(1));
+        let chosen = keys[selection::choose(&candidates, unseen, random)?];
         let server = self.servers[chosen].as_mut()?;
         server.in_flight += 1;
         server.arrivals.try_acquire(now, usize::MAX);
         Some((ServerKey(chosen), server.listed.clone()))
     }
 
+    /// Returns the order of the service's servers and of the live entries in the
+    /// own failure domain, on which the entries of that domain agree.
+    fn home_servers(&self, now: Instant, service: &str) -> Homes {
+        let domain = &self.settings.domain;
+        let servers = self.servers.iter().flatten();
+        let near = servers.filter(|server| {
+            let listed = &server.listed;
+            server.accepts_requests() && *listed.service == *service && listed.domain == *domain
+        });
+        let mut servers: Vec<u32> = near.map(|server| server.digest).collect();
+        servers.sort_unstable();
+        let live = self.peers.live(now);
+        let near = live.filter(|peer| peer.domain == *domain && !peer.leaving);
+        let (mut entries, mut entry) = (1, 0);
+        for peer in near {
+            entries += 1;
+            entry += usize::from(*peer.name < *self.settings.name);
+        }
+        Homes {
+            servers,
+            entries,
+            entry,
+        }
+    }
+
+    /// Returns the number of requests that other entries are expected to have
+    /// begun since their last reports, if they begin as many as this one.
+    fn unseen_begins(&mut self, now: Instant, service: ServiceKey) -> f64 {
+        let others = self.peers.sharing_entries() - 1;
+        let recent = self.pools[service.0].admitted.count(now);
+        let per_second = recent as f64 / arrival::WINDOW.as_secs_f64();
+        per_second * others as f64 * self.gossip_spacing().as_secs_f64()
+    }
+
     /// Returns this entry's share of the arrivals per second at one server,
     /// `None` if there is no limit.
-    fn arrival_limit(&self, now: Instant, service: &str) -> Option<usize> {
+    fn arrival_limit(&self, service: &str) -> Option<usize> {
         let service = self.view.configuration.value.service(service)?;
         if service.cold_rate <= 0.0 {
             return None;
         }
         let cold = self.settings.cold;
         let allowed = service.cold_rate * cold.overshoot + cold.slack;
-        Some(arrival::share(allowed, self.peers.sharing_entries(now)))
+        Some(arrival::share(allowed, self.peers.sharing_entries()))
     }
 
     /// Records that a request is no longer in flight at a server.
@@ -541,12 +594,12 @@
     }
 
     /// Sets the gauges of concurrency limits and requests in flight.
-    pub fn export_gauges(&self, now: Instant, metrics: &Metrics) {
+    pub fn export_gauges(&self, metrics: &Metrics) {
         for index in 0..self.pools.len() {
             let key = ServiceKey(index);
             let labels = [&*self.pools[index].name];
-            let limit = self.concurrency_limit(now, key) as i64;
-            let in_flight = self.in_flight(now, key) as i64;
+            let limit = self.concurrency_limit(key) as i64;
+            let in_flight = self.in_flight(key) as i64;
             metrics
                 .concurrency_limit
                 .with_label_values(&labels)
@@ -556,8 +609,8 @@
     }
 
     /// Returns the shortest time between two rounds of datagrams of this entry.
-    pub fn gossip_spacing(&self, now: Instant) -> Duration {
-        GOSSIP_SPACING * self.peers.sharing_entries(now) as u32
+    pub fn gossip_spacing(&self) -> Duration {
+        GOSSIP_SPACING * self.peers.sharing_entries() as u32
     }
 }
 
