Send changes of a map, paced to the link, and pull urgent parts beside the configuration

Cause 1: no map was ever changed in a group of 192 ranks. A plan was the whole map, ten datagrams for each rank in one burst on a link of 6 Mbit/s, repeated after 120 ms; samples of 24 ranks took 7.5 Mbit/s of the leader's link besides. Sidecars get the map in use ahead of a switch and then only its changes (a test map with 332 copies takes less than a third of the bytes); datagrams of maps leave at 0.65 of the link's rate, a sidecar names the parts that it misses, and samples are spaced to half of the link. Tests: rank/tests/plan, core/tests/link (a burst loses more than half of its datagrams on the model link, the schedule none).

Cause 2: a server list waited behind a large configuration in one pull of plain JSON. Both are pulled at the same time, compressed and encoded once for each revision; a connection is given up after 300 ms. Tests: direct/tests/pull; direct_rank 9 of 9, direct 20 of 20, direct_fleet 1 of 1.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod identity;
 pub mod lease;
 pub mod ledger;
+pub mod link;
 pub mod member;
 pub mod order;
 pub mod outcome;
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -11,7 +11,7 @@
 use berylgw_runtime::clock::Clock;
 use berylgw_runtime::{log, metrics as endpoint};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 
 use crate::gateway::Gateway;
@@ -36,9 +36,6 @@
 /// Polling interval for the end of the last request.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Capacity of the queue of views to pull.
-const PULL_QUEUE_LENGTH: usize = 1;
-
 /// The status of this entry and the entries that callers may use.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Status {
@@ -156,7 +153,7 @@
         log::listening("callers", self.settings.listen.callers);
         log::listening("peers", self.settings.listen.peers);
         let (leave, leaving) = watch::channel(false);
-        let (pulls, pull_targets) = mpsc::channel(PULL_QUEUE_LENGTH);
+        let (pulls, pull_targets) = pull::Queues::new();
         let (ended, end) = oneshot::channel();
         let metrics_address = self.settings.listen.metrics;
         let registry = self.metrics.registry();
@@ -232,7 +229,7 @@
     status: watch::Sender<Arc<Status>>,
     observing: watch::Sender<bool>,
     leaving: watch::Receiver<bool>,
-    pulls: mpsc::Sender<SocketAddr>,
+    pulls: pull::Queues,
 }
 
 impl Traffic {
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -10,11 +10,12 @@
 use berylgw_wire::direct::Beat;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 use crate::entry::Status;
 use crate::gateway::Gateway;
-use crate::view::Publisher;
+use crate::pull::{Queues, Subject};
+use crate::view::{Publisher, Revisions};
 
 /// Time after which an entry whose load does not change sends a datagram, a
 /// sixth of [`crate::peer::FAILURE_TIMEOUT`], after which it counts as failed.
@@ -54,8 +55,8 @@
     pub views: Publisher,
     /// Publishes whether this entry watches the store itself.
     pub observing: watch::Sender<bool>,
-    /// Queue of the addresses of entries to pull a newer view from.
-    pub pulls: mpsc::Sender<SocketAddr>,
+    /// Queues of the entries to pull a newer view from.
+    pub pulls: Queues,
     /// Sequence number of the last datagram.
     pub sequence: Cell<u64>,
     /// Rounds of load datagrams so far.
@@ -200,14 +201,24 @@
         self.gateway.metrics.unsent_datagrams.inc_by(failed);
     }
 
-    /// Requests the view of an entry whose view is newer, preferring entries in
-    /// the same failure domain.
+    /// Requests the newer parts of the view from entries that have them.
     fn request_newer_view(&self) {
+        let known = self.gateway.with_state(|state, _| state.view.revisions());
+        self.request_pull(Subject::Urgent, |newer| {
+            known.servers < newer.servers || known.evacuations < newer.evacuations
+        });
+        self.request_pull(Subject::Configuration, |newer| {
+            known.configuration < newer.configuration
+        });
+    }
+
+    /// Requests a pull from a live entry whose revisions match, preferring those
+    /// in the same failure domain.
+    fn request_pull(&self, subject: Subject, is_newer: impl Fn(Revisions) -> bool) {
         let domain = &self.gateway.settings.domain;
         let newer = self.gateway.with_state(|state, now| {
-            let known = state.view.revisions();
             let newer = state.peers.live(now);
-            let newer = newer.filter(|peer| known.is_behind(peer.revisions));
+            let newer = newer.filter(|peer| is_newer(peer.revisions));
             // Picks at random, so that not all entries pull from the same one.
             let newer = newer.map(|peer| {
                 let other_domain = peer.domain != *domain;
@@ -215,11 +226,8 @@
             });
             newer.min()
         });
-        let Some((_, _, address)) = newer else {
-            return;
-        };
-        if self.pulls.try_send(address).is_err() {
-            tracing::debug!("pull skipped: another one is pending");
+        if let Some((.., address)) = newer {
+            self.pulls.request(subject, address);
         }
     }
 
--- a/crates/direct/src/pull.rs
+++ b/crates/direct/src/pull.rs
@@ -2,13 +2,17 @@
 //!
 //! An entry that cannot reach the store thus still receives changes.
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use berylgw_wire::direct as wire;
 use berylgw_wire::direct::peer_client::PeerClient;
 use berylgw_wire::direct::peer_server::{Peer, PeerServer};
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
@@ -17,18 +21,130 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
-use crate::view::{Part, Publisher, Revisions, Source};
+use crate::view::{Part, Publisher, Source};
 
-/// Timeout of a pull. A view with a thousand routes has half a megabyte. A
-/// dozen entries that pull it from one peer over links of 40 Mbit/s need more
-/// than a second; with a shorter timeout they would all start again.
-const TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time to connect to another entry. One that was cut off does not answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Timeout of a pull of the parts other than the configuration, which are small.
+const URGENT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Timeout of a pull of the configuration. Several entries that pull a large one
+/// share the link of the same host.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Largest accepted view in bytes, above the store's largest value for each
 /// part.
 const VIEW_BYTES: usize = 8 << 20;
 
-struct Service(Publisher);
+/// Capacity of a queue of entries to pull from.
+const QUEUE_LENGTH: usize = 1;
+
+/// Revision of a part that the caller does not ask for.
+const NOT_WANTED: u64 = u64::MAX;
+
+/// Parts of the view that are pulled together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Subject {
+    /// The server list and the evacuations, which must not wait for a large
+    /// configuration: leaving servers get no further requests.
+    #[display("servers")]
+    Urgent,
+    /// The configuration.
+    #[display("configuration")]
+    Configuration,
+}
+
+/// Queues of the entries to pull from, by subject.
+#[derive(Clone, Debug)]
+pub struct Queues {
+    urgent: mpsc::Sender<SocketAddr>,
+    configuration: mpsc::Sender<SocketAddr>,
+}
+
+/// Receiving ends of [`Queues`].
+#[derive(Debug)]
+pub struct Targets {
+    urgent: mpsc::Receiver<SocketAddr>,
+    configuration: mpsc::Receiver<SocketAddr>,
+}
+
+impl Queues {
+    /// Creates empty queues.
+    pub fn new() -> (Self, Targets) {
+        let (urgent, urgent_targets) = mpsc::channel(QUEUE_LENGTH);
+        let (configuration, configuration_targets) = mpsc::channel(QUEUE_LENGTH);
+        let queues = Queues {
+            urgent,
+            configuration,
+        };
+        let targets = Targets {
+            urgent: urgent_targets,
+            configuration: configuration_targets,
+        };
+        (queues, targets)
+    }
+
+    /// Requests a pull from the entry at `address`, unless one is pending.
+    pub fn request(&self, subject: Subject, address: SocketAddr) {
+        let queue = match subject {
+            Subject::Urgent => &self.urgent,
+            Subject::Configuration => &self.configuration,
+        };
+        if queue.try_send(address).is_err() {
+            tracing::debug!(%subject, "pull skipped: another one is pending");
+        }
+    }
+}
+
+/// Encoded parts of the current view, by part and whether compressed. Hundreds of
+/// entries pull the same revision.
+#[derive(Debug, Default)]
+struct Cache {
+    parts: [[Option<wire::Part>; 2]; 3],
+}
+
+impl Cache {
+    fn encode<T: Serialize>(
+        &mut self,
+        index: usize,
+        part: &Part<T>,
+        known: u64,
+        compressed: bool,
+    ) -> Result<Option<wire::Part>, Status> {
+        if part.revision <= known {
+            return Ok(None);
+        }
+        let cached = &mut self.parts[index][usize::from(compressed)];
+        if let Some(cached) = cached
+            .as_ref()
+            .filter(|cached| cached.revision == part.revision)
+        {
+            return Ok(Some(cached.clone()));
+        }
+        let internal = |error: &dyn std::fmt::Display| Status::internal(error.to_string());
+        let mut value = serde_json::to_vec(&*part.value).map_err(|error| internal(&error))?;
+        if compressed {
+            let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+            encoder
+                .write_all(&value)
+                .map_err(|error| internal(&error))?;
+            value = encoder.finish().map_err(|error| internal(&error))?;
+        }
+        let encoded = wire::Part {
+            revision: part.revision,
+            value: value.into(),
+            compressed,
+        };
+        *cached = Some(encoded.clone());
+        Ok(Some(encoded))
+    }
+}
+
+struct Service {
+    views: Publisher,
+    cache: Mutex<Cache>,
+}
 
 #[tonic::async_trait]
 impl Peer for Service {
@@ -37,65 +153,81 @@
         request: Request<wire::PullRequest>,
     ) -> Result<Response<wire::PullReply>, Status> {
         let known = request.into_inner();
-        let view = self.0.view();
+        let compressed = known.accepts_compressed;
+        let view = self.views.view();
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        let configuration = &view.configuration;
         Ok(Response::new(wire::PullReply {
-            configuration: encode(&view.configuration, known.configuration)?,
-            servers: encode(&view.servers, known.servers)?,
-            evacuations: encode(&view.evacuations, known.evacuations)?,
+            configuration: cache.encode(0, configuration, known.configuration, compressed)?,
+            servers: cache.encode(1, &view.servers, known.servers, compressed)?,
+            evacuations: cache.encode(2, &view.evacuations, known.evacuations, compressed)?,
         }))
     }
 }
 
-fn encode<T: Serialize>(part: &Part<T>, known: u64) -> Result<Option<wire::Part>, Status> {
-    if part.revision <= known {
-        return Ok(None);
-    }
-    let value = serde_json::to_vec(&*part.value);
-    let value = value.map_err(|error| Status::internal(error.to_string()))?;
-    Ok(Some(wire::Part {
-        revision: part.revision,
-        value: value.into(),
-    }))
-}
-
 /// Serves pulls of other entries; returns only on failure.
 ///
 /// # Errors
 ///
 /// Fails if the listener fails.
 pub async fn serve(listener: TcpListener, views: Publisher) -> Result<(), tonic::transport::Error> {
-    let service = PeerServer::new(Service(views));
+    let cache = Mutex::default();
+    let service = PeerServer::new(Service { views, cache });
     Server::builder()
         .add_service(service)
         .serve_with_incoming(TcpListenerStream::new(listener))
         .await
 }
 
-/// Pulls the view of each entry whose address `targets` yields.
-pub async fn follow(mut targets: mpsc::Receiver<SocketAddr>, views: Publisher) {
-    while let Some(address) = targets.recv().await {
-        match tokio::time::timeout(TIMEOUT, pull(address, views.view().revisions())).await {
-            Ok(Ok(reply)) => merge(&views, reply),
-            Ok(Err(error)) => tracing::warn!(peer = %address, %error, "pulling a view failed"),
-            Err(_) => tracing::warn!(peer = %address, "pulling a view timed out"),
+/// Pulls the view of each entry whose address `targets` yields, both subjects at
+/// the same time.
+pub async fn follow(targets: Targets, views: Publisher) {
+    let urgent = follow_subject(Subject::Urgent, targets.urgent, &views);
+    let configuration = follow_subject(Subject::Configuration, targets.configuration, &views);
+    tokio::join!(urgent, configuration);
+}
+
+async fn follow_subject(
+    subject: Subject,
+    mut targets: mpsc::Receiver<SocketAddr>,
+    views: &Publisher,
+) {
+    let timeout = match subject {
+        Subject::Urgent => URGENT_TIMEOUT,
+        Subject::Configuration => CONFIGURATION_TIMEOUT,
+    };
+    while let Some(peer) = targets.recv().await {
+        let known = views.view().revisions();
+        let request = match subject {
+            Subject::Urgent => wire::PullRequest {
+                configuration: NOT_WANTED,
+                servers: known.servers,
+                evacuations: known.evacuations,
+                accepts_compressed: true,
+            },
+            Subject::Configuration => wire::PullRequest {
+                configuration: known.configuration,
+                servers: NOT_WANTED,
+                evacuations: NOT_WANTED,
+                accepts_compressed: true,
+            },
+        };
+        match tokio::time::timeout(timeout, pull(peer, request)).await {
+            Ok(Ok(reply)) => merge(views, reply),
+            Ok(Err(error)) => tracing::warn!(%peer, %subject, %error, "pulling a view failed"),
+            Err(_) => tracing::warn!(%peer, %subject, ?timeout, "pulling a view timed out"),
         }
     }
 }
 
 async fn pull(
     address: SocketAddr,
-    known: Revisions,
+    request: wire::PullRequest,
 ) -> Result<wire::PullReply, Box<dyn std::error::Error>> {
     let endpoint: Endpoint = Channel::from_shared(format!("http://{address}"))?;
-    let channel = endpoint.connect().await?;
+    let channel = endpoint.connect_timeout(CONNECT_TIMEOUT).connect().await?;
     let mut client = PeerClient::new(channel).max_decoding_message_size(VIEW_BYTES);
-    let request = wire::PullRequest {
-        configuration: known.configuration,
-        servers: known.servers,
-        evacuations: known.evacuations,
-    };
-    let reply = client.pull(request).await?;
-    Ok(reply.into_inner())
+    Ok(client.pull(request).await?.into_inner())
 }
 
 fn merge(views: &Publisher, reply: wire::PullReply) {
@@ -112,7 +244,7 @@
 
 fn decode<T: DeserializeOwned>(part: Option<wire::Part>) -> Option<Part<T>> {
     let part = part?;
-    match serde_json::from_slice(&part.value) {
+    match read(&part) {
         Ok(value) => Some(Part {
             revision: part.revision,
             value: Arc::new(value),
@@ -123,3 +255,17 @@
         }
     }
 }
+
+fn read<T: DeserializeOwned>(part: &wire::Part) -> Result<T, Box<dyn std::error::Error>> {
+    if !part.compressed {
+        return Ok(serde_json::from_slice(&part.value)?);
+    }
+    let mut value = Vec::new();
+    // A few compressed bytes can stand for gigabytes.
+    let mut decoder = ZlibDecoder::new(&*part.value).take(VIEW_BYTES as u64 + 1);
+    decoder.read_to_end(&mut value)?;
+    if value.len() > VIEW_BYTES {
+        return Err(format!("part has more than {VIEW_BYTES} bytes").into());
+    }
+    Ok(serde_json::from_slice(&value)?)
+}
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -67,15 +67,6 @@
     pub evacuations: u64,
 }
 
-impl Revisions {
-    /// Returns whether any part of `other` is newer.
-    pub fn is_behind(self, other: Revisions) -> bool {
-        self.configuration < other.configuration
-            || self.servers < other.servers
-            || self.evacuations < other.evacuations
-    }
-}
-
 impl View {
     /// Returns the revisions of the parts.
     pub fn revisions(&self) -> Revisions {
--- a/crates/rank/src/deputy.rs
+++ b/crates/rank/src/deputy.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use berylgw_core::expert::switch::{self, Switch};
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream;
 use tokio::time::Instant;
 
 use crate::engine::{Action, State};
@@ -25,6 +27,10 @@
 /// Time between two attempts of a deputy; each one queries all ranks.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Ranks that a deputy queries at once. Hundreds of replies at the same time would
+/// overflow the link of its host.
+const MAX_QUERIES: usize = 24;
+
 /// Returns whether the sidecar of `rank` must act as deputy.
 ///
 /// The last pass began at `last_pass_at`, and the last message from the leader
@@ -55,7 +61,9 @@
             }
         }
     });
-    let replies = join_all(queries).await.into_iter().flatten();
+    let replies = stream::iter(queries).buffer_unordered(MAX_QUERIES);
+    let replies: Vec<Option<(SocketAddr, State)>> = replies.collect().await;
+    let replies = replies.into_iter().flatten();
     // The service may have other groups.
     let own_group = member.state().map(|state| state.group);
     let of_group = replies.filter(|(_, state)| Some(state.group) == own_group);
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -11,6 +11,7 @@
 use berylgw_core::expert::rebalance::{Limits, imbalance, rebalance};
 use berylgw_core::expert::switch::{self, Armed};
 use berylgw_wire::rank as wire;
+use bytes::Bytes;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -28,7 +29,7 @@
 /// datagram after which a rank stops reporting.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after which an unconfirmed plan is sent again.
+/// Time after the expected arrival at which unconfirmed maps are sent again.
 const PLAN_INTERVAL: Duration = Duration::from_millis(120);
 
 /// Time after which an unconfirmed pass number is sent again; shorter because
@@ -72,10 +73,13 @@
 /// repeated to another one.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Maximum number of ranks that get a map in one step without forwarding. More
-/// would saturate the link of a small host.
+/// Maximum number of ranks that get a map in one step without forwarding.
 const MAX_DIRECT_RANKS: usize = 16;
 
+/// Backlog of the link at which no further maps are queued, so that a newer map
+/// does not wait for long behind an older one.
+const MAX_PLAN_BACKLOG: Duration = Duration::from_millis(60);
+
 /// Leads the group while the local rank is the first.
 pub struct Leader {
     member: Rc<Member>,
@@ -85,6 +89,7 @@
     /// Port of the sidecars on all hosts.
     port: u16,
     settings: MapSettings,
+    link_mbps: f64,
     view: Option<View>,
     service_read_at: Option<Instant>,
 }
@@ -98,6 +103,7 @@
             address: settings.lead,
             port: settings.listen.port(),
             settings: settings.map,
+            link_mbps: settings.link_mbps,
             view: None,
             service_read_at: None,
         }
@@ -179,7 +185,7 @@
                     addresses = service.ranks.len(),
                     "leading the group"
                 );
-                self.view = Some(View::new(state, service));
+                self.view = Some(View::new(state, service, self.link_mbps));
             }
         }
         true
@@ -207,6 +213,7 @@
             self.decide(&mut view);
         }
         self.advance(&mut view).await;
+        self.distribute_maps(&mut view);
         self.view = Some(view);
     }
 
@@ -228,6 +235,7 @@
             let unknown_experts = rank.is_none_or(|rank| view.held_experts[rank].is_none());
             let hello = wire::Hello {
                 sample: rank.is_some_and(|rank| view.is_sampled(rank)),
+                sample_interval_ms: view.sample_interval().as_millis() as u32,
                 lists: unknown_experts && view.maps.is_none(),
                 ..self.hello(view)
             };
@@ -330,7 +338,8 @@
                 if next != version {
                     return;
                 }
-                self.send_plan(view, version, None, Some(&maps), PLAN_INTERVAL);
+                let base = view.maps.clone();
+                self.send_maps(view, version, &maps, base.as_ref());
             }
             switch::Action::Hold { .. } => {
                 // The pass depends on the current state of the rank.
@@ -397,7 +406,7 @@
     }
 
     async fn arm(&self, view: &mut View, goal: Armed) {
-        self.send_plan(view, goal.version, Some(goal.pass), None, ARM_INTERVAL);
+        self.send_pass(view, goal);
         let (epoch, now) = (view.switch.epoch(), Instant::now());
         let since = match view.arming {
             Some((current, since)) if current == goal => since,
@@ -434,88 +443,133 @@
         }
     }
 
-    /// Sends a plan to the ranks that have not confirmed it, at most once per
-    /// `interval`.
+    /// Sends the maps in use to the sidecars that do not have them, so that the
+    /// next switch takes only the changes.
+    fn distribute_maps(&self, view: &mut View) {
+        let Some((version, maps)) = view.maps.clone() else {
+            return;
+        };
+        let is_idle = view.next.is_none() && view.switch.settled_version() == Some(version);
+        if is_idle && !plan::fits_at_once(&maps) {
+            self.send_maps(view, version, &maps, None);
+        }
+    }
+
+    /// Sends maps to the sidecars that have not confirmed them, paced to the link
+    /// and at most once per [`PLAN_INTERVAL`] after their expected arrival.
     ///
-    /// Without `pass` the ranks prepare the maps; with it they arm the switch.
-    fn send_plan(
+    /// A sidecar that has the maps `base` gets the changes.
+    fn send_maps(
         &self,
         view: &mut View,
         version: u64,
-        pass: Option<u64>,
-        maps: Option<&Arc<Vec<Map>>>,
-        interval: Duration,
+        maps: &Arc<Vec<Map>>,
+        base: Option<&(u64, Arc<Vec<Map>>)>,
     ) {
-        let ranks = view.switch.ranks();
-        let mut due = Vec::new();
-        for rank in 0..ranks {
-            let Some(sidecar) = view.sidecars[rank] else {
-                continue;
-            };
-            let report = view.switch.last_report(rank);
-            let confirmed = match pass {
-                Some(_) => report.is_some_and(|report| report.armed.is_some()),
-                None => {
-                    sidecar.planned_version == version || view.switch.has_prepared(rank, version)
-                }
-            };
-            let recent = view.planned_at[rank].is_some_and(|(sent_version, sent_pass, at)| {
-                (sent_version, sent_pass) == (version, pass) && at.elapsed() < interval
-            });
-            if !confirmed && !recent {
-                due.push((rank, sidecar.address));
-            }
+        let outbox = &self.member.outbox;
+        if outbox.backlog() > MAX_PLAN_BACKLOG {
+            return;
         }
+        let confirmed = |view: &View, rank: usize, sidecar: Sidecar| {
+            sidecar.planned_version == version
+                || view.switch.has_prepared(rank, version)
+                || view.progress[rank].maps.contains(&version)
+        };
+        let due = due_ranks(view, version, None, PLAN_INTERVAL, confirmed);
         if due.is_empty() {
             return;
         }
-        let parts = match maps {
-            Some(maps) => plan::encode(version, maps),
-            None => vec![wire::Plan {
-                version,
-                pass: pass.unwrap_or(0),
-                ..Default::default()
-            }],
-        };
-        // Maps are forwarded only while no rank has confirmed them and all are
-        // due. Otherwise each due rank gets them directly, because the forwarding
-        // sidecar may be the failed one.
-        let all_are_due = due.len() == ranks && maps.is_some();
-        let fan_out = if all_are_due && ranks > MAX_DIRECT_RANKS {
-            ranks.isqrt()
-        } else {
-            1
-        };
-        let sends_maps_directly = fan_out == 1 && maps.is_some();
-        let max_ranks = if sends_maps_directly {
-            MAX_DIRECT_RANKS
+        let base = base.filter(|_| !plan::fits_at_once(maps));
+        let has_base =
+            |rank: usize| base.is_some_and(|(base, _)| view.progress[rank].maps.contains(base));
+        let (with_base, without): (Vec<_>, Vec<_>) =
+            due.into_iter().partition(|(rank, _)| has_base(*rank));
+        if let Some((base_version, base)) = base
+            && !with_base.is_empty()
+        {
+            let parts = plan::encode_changes(version, maps, *base_version, base);
+            self.send_parts(view, version, &parts, &with_base);
+        }
+        if !without.is_empty() {
+            let parts = plan::encode(version, maps);
+            self.send_parts(view, version, &parts, &without);
+        }
+    }
+
+    /// Sends parts of maps to ranks.
+    ///
+    /// Parts are forwarded only when they are sent for the first time. Later, each
+    /// due rank gets those that it misses directly, because the forwarding sidecar
+    /// may be the failed one.
+    fn send_parts(
+        &self,
+        view: &mut View,
+        version: u64,
+        parts: &[wire::Plan],
+        due: &[(usize, SocketAddr)],
+    ) {
+        let outbox = &self.member.outbox;
+        let sent = |rank: usize| view.planned_at[rank].is_some_and(|(sent, ..)| sent == version);
+        let first_time = due.iter().all(|(rank, _)| !sent(*rank));
+        let (fan_out, max_ranks) = if first_time && due.len() > MAX_DIRECT_RANKS {
+            (due.len().isqrt(), due.len())
         } else {
-            ranks
+            (1, MAX_DIRECT_RANKS)
         };
         for chunk in due[..due.len().min(max_ranks)].chunks(fan_out) {
             let (first, address) = chunk[0];
-            let others = chunk[1..]
-                .iter()
-                .filter_map(|(_, address)| match address.ip() {
-                    IpAddr::V4(ip) => Some(u32::from(ip)),
-                    IpAddr::V6(_) => None,
-                });
-            let others: Vec<u32> = others.collect();
-            for (rank, _) in chunk {
-                view.planned_at[*rank] = Some((version, pass, Instant::now()));
-            }
-            for part in &parts {
+            let others: Vec<u32> = chunk[1..].iter().filter_map(ipv4).collect();
+            let mut bytes = 0;
+            for (index, part) in parts.iter().enumerate() {
+                let end = parts
+                    .get(index + 1)
+                    .map_or(part.sets, |next| next.first_set);
+                if fan_out == 1 && !view.progress[first].needs(version, part.first_set, end) {
+                    continue;
+                }
                 let hello = wire::Hello {
                     sample: view.is_sampled(first),
+                    sample_interval_ms: view.sample_interval().as_millis() as u32,
                     plan: Some(part.clone()),
                     pass_on: others.clone(),
                     ..self.hello(view)
                 };
-                self.send(address, &hello);
+                let datagram = Bytes::from(hello.encode_to_vec());
+                bytes += datagram.len();
+                outbox.queue(address, datagram);
+            }
+            let forwarding = outbox.duration(bytes * others.len());
+            let arrival = Instant::now() + outbox.backlog() + forwarding;
+            for (rank, _) in chunk {
+                view.planned_at[*rank] = Some((version, None, arrival));
             }
         }
     }
 
+    /// Sends the pass of a switch to the ranks that are not armed for it, at most
+    /// once per [`ARM_INTERVAL`].
+    fn send_pass(&self, view: &mut View, goal: Armed) {
+        let armed = |view: &View, rank: usize, _| {
+            let report = view.switch.last_report(rank);
+            report.is_some_and(|report| report.armed.is_some())
+        };
+        let pass = Some(goal.pass);
+        for (rank, address) in due_ranks(view, goal.version, pass, ARM_INTERVAL, armed) {
+            view.planned_at[rank] = Some((goal.version, pass, Instant::now()));
+            let hello = wire::Hello {
+                sample: view.is_sampled(rank),
+                sample_interval_ms: view.sample_interval().as_millis() as u32,
+                plan: Some(wire::Plan {
+                    version: goal.version,
+                    pass: goal.pass,
+                    ..Default::default()
+                }),
+                ..self.hello(view)
+            };
+            self.send(address, &hello);
+        }
+    }
+
     fn hello(&self, view: &View) -> wire::Hello {
         wire::Hello {
             group: view.group_id,
@@ -525,3 +579,34 @@
         }
     }
 }
+
+/// Returns the ranks, with the addresses of their sidecars, that have not
+/// confirmed a plan and were not sent it within `interval`.
+fn due_ranks(
+    view: &View,
+    version: u64,
+    pass: Option<u64>,
+    interval: Duration,
+    confirmed: impl Fn(&View, usize, Sidecar) -> bool,
+) -> Vec<(usize, SocketAddr)> {
+    let mut due = Vec::new();
+    for rank in 0..view.switch.ranks() {
+        let Some(sidecar) = view.sidecars[rank] else {
+            continue;
+        };
+        let recent = view.planned_at[rank].is_some_and(|(sent_version, sent_pass, at)| {
+            (sent_version, sent_pass) == (version, pass) && at.elapsed() < interval
+        });
+        if !recent && !confirmed(view, rank, sidecar) {
+            due.push((rank, sidecar.address));
+        }
+    }
+    due
+}
+
+fn ipv4((_, address): &(usize, SocketAddr)) -> Option<u32> {
+    match address.ip() {
+        IpAddr::V4(ip) => Some(u32::from(ip)),
+        IpAddr::V6(_) => None,
+    }
+}
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -11,7 +11,8 @@
 //! behalf, and a [`deputy`] completes a switch that a failed leader left
 //! unfinished. The decisions are made in
 //! `berylgw_core::expert::{demand, rebalance, switch}`. An adapter to a platform
-//! provides the [`engine`]'s calls. [`process`] assembles the parts.
+//! provides the [`engine`]'s calls. An [`outbox`] paces the datagrams to the link.
+//! [`process`] assembles the parts.
 
 pub mod deputy;
 pub mod engine;
@@ -19,6 +20,7 @@
 pub mod leader;
 pub mod member;
 pub mod metrics;
+pub mod outbox;
 pub mod plan;
 pub mod process;
 pub mod settings;
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -9,14 +9,15 @@
 use berylgw_core::expert::Map;
 use berylgw_core::expert::switch::Armed;
 use berylgw_wire::rank as wire;
+use bytes::Bytes;
 use prost::Message;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::deputy;
 use crate::engine::{Action, Counts, Engine, Order, State};
 use crate::metrics::Metrics;
+use crate::outbox::Outbox;
 use crate::plan::{self, Parts, Plan};
 
 /// Time between two samples of the counts, about one pass of a fully loaded group.
@@ -43,6 +44,17 @@
 /// Age of the known state at which the sampling loop reads it again.
 const MAX_STATE_AGE: Duration = Duration::from_millis(180);
 
+/// Time after the last part of an incomplete map at which its missing parts are
+/// reported; several times the distance of two parts on the link.
+const REPAIR_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Maps that a member keeps: the one in use, the one that the group switches to,
+/// and an abandoned one.
+const MAX_MAPS: usize = 3;
+
+/// Largest number of sets of a map, against invalid datagrams.
+const MAX_SETS: u32 = 1_024;
+
 /// Size of the receive buffer for datagrams, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 
@@ -54,7 +66,8 @@
     /// Metrics of the sidecar.
     pub metrics: Metrics,
     rank: SocketAddr,
-    socket: UdpSocket,
+    /// Sends to the other hosts; also receives the datagrams of leaders.
+    pub outbox: Outbox,
     inner: RefCell<Inner>,
     plan_changed: Notify,
     /// Notified after each read of the rank's state.
@@ -70,20 +83,65 @@
     /// Whether the leader requests the experts that the rank holds.
     experts_requested: bool,
     counts: Option<Counts>,
+    sample_interval: Duration,
     parts: Option<Parts>,
-    maps: Option<(u64, Arc<Vec<Map>>)>,
+    /// Whether the missing parts were reported since the last part arrived.
+    missing_reported: bool,
+    /// Epoch of `maps`.
+    map_epoch: u64,
+    /// Maps that are known whole, by version, newest last.
+    maps: Vec<(u64, Arc<Vec<Map>>)>,
     plan: Option<Plan>,
 }
 
+impl Inner {
+    fn map(&self, version: u64) -> Option<Arc<Vec<Map>>> {
+        let found = self.maps.iter().find(|(known, _)| *known == version);
+        found.map(|(_, maps)| maps.clone())
+    }
+
+    fn add_part(&mut self, part: &wire::Plan) {
+        if self.map(part.version).is_some() {
+            return;
+        }
+        let base = part.base.map(|version| (version, self.map(version)));
+        let base = match base {
+            None => None,
+            Some((_, Some(maps))) => Some(maps),
+            Some((base, None)) => {
+                tracing::info!(version = part.version, base, "base of the map not known");
+                return;
+            }
+        };
+        let known = self.parts.take();
+        let known = known.filter(|parts| parts.version == part.version);
+        let mut parts = known.unwrap_or_else(|| Parts::new(part));
+        self.missing_reported = false;
+        match parts.add(part, base.as_ref().map(|maps| maps.as_slice())) {
+            Ok(Some(maps)) => {
+                if self.maps.len() >= MAX_MAPS {
+                    self.maps.remove(0);
+                }
+                self.maps.push((part.version, Arc::new(maps)));
+            }
+            Ok(None) => self.parts = Some(parts),
+            Err(error) => {
+                tracing::warn!(%error, version = part.version, "map not decoded");
+                self.parts = Some(parts);
+            }
+        }
+    }
+}
+
 impl Member {
     /// Creates a member for the rank at address `rank` that receives messages on
-    /// `socket`.
-    pub fn new(engine: Rc<Engine>, metrics: Metrics, rank: SocketAddr, socket: UdpSocket) -> Self {
+    /// the socket of `outbox`.
+    pub fn new(engine: Rc<Engine>, metrics: Metrics, rank: SocketAddr, outbox: Outbox) -> Self {
         Member {
             engine,
             metrics,
             rank,
-            socket,
+            outbox,
             inner: RefCell::default(),
             plan_changed: Notify::new(),
             observed: Notify::new(),
@@ -146,7 +204,15 @@
     pub async fn receive(&self) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
-            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+            let receive = self.outbox.socket.recv_from(&mut buffer);
+            let received = match timeout(REPAIR_INTERVAL, receive).await {
+                Ok(received) => received,
+                Err(_) => {
+                    self.request_missing_parts().await;
+                    continue;
+                }
+            };
+            let (length, from) = match received {
                 Ok(received) => received,
                 Err(error) => {
                     tracing::debug!(%error, "no datagram received");
@@ -161,6 +227,20 @@
         }
     }
 
+    /// Reports the missing parts of a map if no further part has arrived for
+    /// [`REPAIR_INTERVAL`].
+    async fn request_missing_parts(&self) {
+        let incomplete = {
+            let mut inner = self.inner.borrow_mut();
+            let incomplete = inner.parts.is_some() && !inner.missing_reported;
+            inner.missing_reported = true;
+            incomplete
+        };
+        if incomplete {
+            self.send_status(None).await;
+        }
+    }
+
     async fn handle_hello(&self, from: SocketAddr, hello: wire::Hello) {
         // The group of a rank does not change while the rank responds.
         if self.state().is_some_and(|state| state.group != hello.group) {
@@ -171,6 +251,10 @@
         if !self.state().is_some_and(is_current) && !self.observe().await.is_some_and(is_current) {
             return;
         }
+        if hello.plan.as_ref().is_some_and(|plan| plan.sets > MAX_SETS) {
+            tracing::warn!(%from, "map with too many sets");
+            return;
+        }
         let Ok(leader) = hello.leader.parse() else {
             tracing::warn!(%from, leader = hello.leader, "invalid address of the leader");
             return;
@@ -180,6 +264,8 @@
             let mut inner = self.inner.borrow_mut();
             inner.leader = Some((leader, Instant::now()));
             inner.sample_requested = hello.sample;
+            let interval = Duration::from_millis(hello.sample_interval_ms.into());
+            inner.sample_interval = interval.max(SAMPLE_INTERVAL);
             inner.experts_requested |= hello.lists;
         }
         match hello.plan {
@@ -194,7 +280,7 @@
         if hello.pass_on.is_empty() {
             return;
         }
-        let port = match self.socket.local_addr() {
+        let port = match self.outbox.socket.local_addr() {
             Ok(address) => address.port(),
             Err(error) => {
                 tracing::warn!(%error, "local address not available");
@@ -205,31 +291,29 @@
             pass_on: Vec::new(),
             ..hello.clone()
         };
-        let bytes = copy.encode_to_vec();
+        let bytes = Bytes::from(copy.encode_to_vec());
         for ip in &hello.pass_on {
             let address = SocketAddr::new(Ipv4Addr::from(*ip).into(), port);
-            if let Err(error) = self.socket.try_send_to(&bytes, address) {
-                tracing::debug!(%address, %error, "datagram not forwarded");
-            }
+            self.outbox.queue(address, bytes.clone());
         }
     }
 
     fn accept_plan(&self, epoch: u64, part: wire::Plan) {
         let mut inner = self.inner.borrow_mut();
-        if !part.held.is_empty() {
-            let known = inner.parts.take();
-            let known = known.filter(|parts| parts.version == part.version);
-            let mut parts = known.unwrap_or_else(|| Parts::new(&part));
-            match parts.add(&part) {
-                Ok(Some(maps)) => inner.maps = Some((part.version, Arc::new(maps))),
-                Ok(None) => {}
-                Err(error) => tracing::warn!(%error, version = part.version, "map not decoded"),
-            }
-            inner.parts = Some(parts);
+        let newer = |plan: &Plan| plan.epoch == epoch && plan.version > part.version;
+        if inner.plan.as_ref().is_some_and(newer) {
+            // A part of an abandoned map, which arrives late.
+            return;
+        }
+        if inner.map_epoch != epoch {
+            inner.map_epoch = epoch;
+            inner.maps.clear();
+            inner.parts = None;
         }
-        let maps = inner.maps.clone();
-        let maps = maps.filter(|(version, _)| *version == part.version);
-        let maps = maps.map(|(_, maps)| maps);
+        if !part.held.is_empty() || part.base.is_some() {
+            inner.add_part(&part);
+        }
+        let maps = inner.map(part.version);
         let pass = Some(part.pass).filter(|pass| *pass > 0);
         // A restarted sidecar can arm its rank without the map.
         if maps.is_none() && pass.is_none() {
@@ -317,7 +401,7 @@
     pub async fn report_samples(&self) {
         loop {
             let interval = if self.has_leader() {
-                SAMPLE_INTERVAL
+                self.inner.borrow().sample_interval.max(SAMPLE_INTERVAL)
             } else {
                 IDLE_INTERVAL
             };
@@ -398,15 +482,17 @@
         let (Some((state, _)), Some((leader, _))) = (&inner.state, inner.leader) else {
             return;
         };
+        let incoming = inner.parts.as_ref();
         let status = wire::Status {
             planned: inner.plan.as_ref().map_or(0, |plan| plan.version),
+            maps: inner.maps.iter().map(|(version, _)| *version).collect(),
+            incoming: incoming.map_or(0, |parts| parts.version),
+            missing: incoming.map_or_else(Vec::new, |parts| parts.missing().collect()),
             lists,
             sample,
             ..plan::status(state)
         };
-        if let Err(error) = self.socket.try_send_to(&status.encode_to_vec(), leader) {
-            tracing::debug!(%leader, %error, "status not sent");
-        }
+        self.outbox.send(leader, &status.encode_to_vec());
     }
 
     async fn held_experts(&self) -> Vec<wire::Set> {
--- a/crates/rank/src/metrics.rs
+++ b/crates/rank/src/metrics.rs
@@ -18,6 +18,8 @@
     pub skew: Gauge,
     /// Ranks whose sidecars reported recently.
     pub ranks: IntGauge,
+    /// Datagrams dropped before they were sent.
+    pub dropped: IntCounter,
 }
 
 impl Metrics {
@@ -41,6 +43,10 @@
                 "Load of the most loaded rank over the mean",
             )?,
             ranks: IntGauge::new("berylgw_rank_members", "Ranks heard lately")?,
+            dropped: IntCounter::new(
+                "berylgw_rank_unsent_datagrams_total",
+                "Datagrams to other ranks that were dropped before they were sent",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.orders.clone()))?;
@@ -49,6 +55,7 @@
         registry.register(Box::new(metrics.shifts.clone()))?;
         registry.register(Box::new(metrics.skew.clone()))?;
         registry.register(Box::new(metrics.ranks.clone()))?;
+        registry.register(Box::new(metrics.dropped.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/rank/src/plan.rs
+++ b/crates/rank/src/plan.rs
@@ -47,18 +47,141 @@
 
     /// Adds a part and returns the maps of all sets once they are complete.
     ///
+    /// `base` is the map that the part's changes refer to, if it has changes.
+    ///
     /// # Errors
     ///
     /// Fails if the part is invalid or has more sets than the first part announced.
-    pub fn add(&mut self, part: &wire::Plan) -> Result<Option<Vec<Map>>, Failure> {
+    pub fn add(
+        &mut self,
+        part: &wire::Plan,
+        base: Option<&[Map]>,
+    ) -> Result<Option<Vec<Map>>, Failure> {
         let first = part.first_set as usize;
-        for (set, map) in decode(part)?.into_iter().enumerate() {
+        let maps = match base {
+            Some(base) => decode_changes(part, base)?,
+            None => decode(part)?,
+        };
+        for (set, map) in maps.into_iter().enumerate() {
             let slot = self.sets.get_mut(first + set);
             let slot = slot.ok_or_else(|| Failure("more sets than announced".to_owned()))?;
             *slot = Some(map);
         }
         Ok(self.sets.iter().cloned().collect())
     }
+
+    /// Returns the sets of which no part has arrived.
+    pub fn missing(&self) -> impl Iterator<Item = u32> {
+        let sets = self.sets.iter().enumerate();
+        sets.filter(|(_, map)| map.is_none())
+            .map(|(set, _)| set as u32)
+    }
+}
+
+/// Returns whether whole maps take only a few datagrams, so that changes would
+/// save nothing.
+pub fn fits_at_once(maps: &[Map]) -> bool {
+    let of_set = |map: &Map| {
+        let layout = map.layout();
+        layout.ranks() * layout.slots() * slot_bytes(layout.experts())
+    };
+    maps.iter().map(of_set).sum::<usize>() <= MAX_PART_BYTES * 2
+}
+
+/// Encodes the changes from `base` to `maps` into messages of one datagram each.
+///
+/// A group of hundreds of ranks changes a tenth of its map after a shift of
+/// demand, so that the changes take a few datagrams instead of dozens.
+pub fn encode_changes(
+    version: u64,
+    maps: &[Map],
+    base_version: u64,
+    base: &[Map],
+) -> Vec<wire::Plan> {
+    let mut parts: Vec<wire::Plan> = Vec::new();
+    let mut bytes: Vec<u8> = Vec::new();
+    let mut first_set = 0;
+    for (set, (map, old)) in maps.iter().zip(base).enumerate() {
+        let changes = encode_set_changes(map, old);
+        if !bytes.is_empty() && bytes.len() + changes.len() > MAX_PART_BYTES {
+            let full = std::mem::take(&mut bytes);
+            parts.push(changes_part(version, maps, base_version, first_set, full));
+            first_set = set;
+        }
+        bytes.extend(changes);
+    }
+    if !bytes.is_empty() {
+        parts.push(changes_part(version, maps, base_version, first_set, bytes));
+    }
+    parts
+}
+
+fn changes_part(
+    version: u64,
+    maps: &[Map],
+    base_version: u64,
+    first_set: usize,
+    changes: Vec<u8>,
+) -> wire::Plan {
+    wire::Plan {
+        version,
+        sets: maps.len() as u32,
+        first_set: first_set as u32,
+        base: Some(base_version),
+        changes: changes.into(),
+        ..Default::default()
+    }
+}
+
+fn encode_set_changes(map: &Map, base: &Map) -> Vec<u8> {
+    let layout = map.layout();
+    let changed = Rank::all(layout).filter(|rank| map.experts(*rank) != base.experts(*rank));
+    let changed: Vec<Rank> = changed.collect();
+    let mut numbers = vec![changed.len() as u16];
+    for rank in changed {
+        numbers.push(rank.index() as u16);
+        let experts = map.experts(rank);
+        let slot = |slot| {
+            experts
+                .get(slot)
+                .map_or(u16::MAX, |&expert| u16::from(expert))
+        };
+        numbers.extend((0..layout.slots()).map(slot));
+    }
+    numbers.into_iter().flat_map(u16::to_le_bytes).collect()
+}
+
+fn decode_changes(part: &wire::Plan, base: &[Map]) -> Result<Vec<Map>, Failure> {
+    let truncated = || Failure("changes of a map are truncated".to_owned());
+    let mut numbers = part.changes.chunks(2).map(|bytes| {
+        bytes
+            .iter()
+            .rev()
+            .fold(0, |sum, byte| sum << 8 | u16::from(*byte))
+    });
+    let mut maps = Vec::new();
+    while let Some(changed) = numbers.next() {
+        let set = part.first_set as usize + maps.len();
+        let old = base.get(set);
+        let old = old.ok_or_else(|| Failure(format!("base has no set {set}")))?;
+        let layout = old.layout();
+        let experts = |rank| old.experts(rank).to_vec();
+        let mut ranks: Vec<Vec<Expert>> = Rank::all(layout).map(experts).collect();
+        for _ in 0..changed {
+            let rank = numbers.next().ok_or_else(truncated)?;
+            let mut slots = Vec::new();
+            for _ in 0..layout.slots() {
+                slots.push(numbers.next().ok_or_else(truncated)?);
+            }
+            let held = slots.into_iter().filter(|expert| *expert != u16::MAX);
+            let of_rank = ranks.get_mut(usize::from(rank));
+            let of_rank = of_rank.ok_or_else(|| Failure(format!("group has no rank {rank}")))?;
+            *of_rank = held.map(Expert::from).collect();
+        }
+        let map = Map::from_ranks(layout, &ranks).map_err(|error| Failure(error.to_string()))?;
+        maps.push(map);
+    }
+    Ok(maps)
 }
 
 /// Encodes the maps of all sets into messages of one datagram each.
@@ -77,7 +200,7 @@
         sets: maps.len() as u32,
         first_set: (index * sets_per_part) as u32,
         held: sets.iter().flat_map(encode_set).collect::<Vec<u8>>().into(),
-        pass: 0,
+        ..Default::default()
     };
     maps.chunks(sets_per_part).enumerate().map(part).collect()
 }
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -10,6 +10,7 @@
 use crate::leader::Leader;
 use crate::member::Member;
 use crate::metrics::Metrics;
+use crate::outbox::Outbox;
 use crate::settings::Settings;
 
 /// Error that prevents the sidecar from starting.
@@ -45,7 +46,8 @@
     let lead = bind("leader", &mut settings.lead).await?;
     let registry = metrics.registry();
     let engine = Rc::new(engine);
-    let member = Rc::new(Member::new(engine, metrics, settings.engine, socket));
+    let outbox = Outbox::new(socket, settings.link_mbps, metrics.clone());
+    let member = Rc::new(Member::new(engine, metrics, settings.engine, outbox));
     let leader = Leader::new(member.clone(), lead, &settings);
     let metrics = async {
         let served = endpoint::serve(settings.metrics, registry, std::future::pending()).await;
@@ -56,6 +58,7 @@
     };
     tokio::select! {
         () = member.receive() => {}
+        () = member.outbox.run() => {}
         () = member.execute_plans() => {}
         () = member.report_samples() => {}
         () = leader.run() => {}
--- a/crates/rank/src/settings.rs
+++ b/crates/rank/src/settings.rs
@@ -20,11 +20,18 @@
     pub lead: SocketAddr,
     /// Listen address of the metrics endpoint.
     pub metrics: SocketAddr,
+    /// Rate of the host's link, in megabits per second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Conditions for a change of the map.
     #[serde(default)]
     pub map: Map,
 }
 
+fn default_link_mbps() -> f64 {
+    100.0
+}
+
 /// Conditions for a change of the map.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -56,6 +63,7 @@
         };
         let listeners = self.listen != self.lead || self.listen.port() == 0;
         require("lead", listeners, "must differ from listen");
+        require("link_mbps", self.link_mbps > 0.0, "must be above 0");
         require("map.target", self.map.target >= 1.0, "must be at least 1");
         require("map.gain", self.map.gain > 0.0, "must be above 0");
         findings
--- a/crates/rank/src/view.rs
+++ b/crates/rank/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use berylgw_core::expert::demand::Demand;
 use berylgw_core::expert::switch::{Armed, Switch};
@@ -10,14 +11,24 @@
 use tokio::time::Instant;
 
 use crate::engine::{Service, State};
+use crate::member::SAMPLE_INTERVAL;
 use crate::metrics::Metrics;
 use crate::plan;
 
 /// Maximum number of ranks that report samples. In a group with more ranks every
-/// n-th one reports, so 13 to 24 do. Samples of 16 ranks over 100 ms suffice to
-/// estimate the demand with the required accuracy.
+/// n-th one reports. Samples of 16 ranks over 100 ms suffice to estimate the
+/// demand with the required accuracy.
 const MAX_SAMPLED_RANKS: usize = 24;
 
+/// Number of ranks that report samples however slow the leader's link is.
+const MIN_SAMPLED_RANKS: usize = 12;
+
+/// Share of the leader's link that samples may take up.
+const SAMPLE_LINK_SHARE: f64 = 0.5;
+
+/// Bytes of a sample in addition to the counts.
+const SAMPLE_OVERHEAD_BYTES: usize = 200;
+
 /// Minimum distance between the highest reported map version and the first
 /// version of a new leader, both without their random low bits: a higher version
 /// may have been ordered but not yet reported. The leader adds a random increase
@@ -37,8 +48,12 @@
     /// Short identifier of the group.
     pub(crate) group_id: u32,
     pub(crate) service: Service,
+    /// Rate of the leader's link.
+    pub(crate) link_mbps: f64,
     /// Sidecar of each rank, by position, once it has reported.
     pub(crate) sidecars: Vec<Option<Sidecar>>,
+    /// Maps that each sidecar has, by position.
+    pub(crate) progress: Vec<Progress>,
     /// Experts that each rank holds, by set; collected until the maps are known.
     pub(crate) held_experts: Vec<Option<ExpertsOfRank>>,
     /// Version and maps in use.
@@ -91,15 +106,34 @@
     pub(crate) planned_version: u64,
 }
 
+/// Maps that a sidecar has, as of its last status.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Progress {
+    /// Versions of the maps that it has whole.
+    pub(crate) maps: Vec<u64>,
+    /// Version of which some parts have arrived, and the sets that have not.
+    pub(crate) incoming: (u64, Vec<u32>),
+}
+
+impl Progress {
+    /// Returns whether the sidecar needs a part, given the sets of the part.
+    pub(crate) fn needs(&self, version: u64, first_set: u32, end: u32) -> bool {
+        let (incoming, missing) = &self.incoming;
+        *incoming != version || missing.iter().any(|set| (first_set..end).contains(set))
+    }
+}
+
 impl View {
-    pub(crate) fn new(state: State, service: Service) -> Self {
+    pub(crate) fn new(state: State, service: Service, link_mbps: f64) -> Self {
         let mut switch = Switch::new(state.report.epoch, state.size);
         switch.report(0, state.report);
         View {
             switch,
             group_id: state.group,
             service,
+            link_mbps,
             sidecars: vec![None; state.size],
+            progress: vec![Progress::default(); state.size],
             held_experts: vec![None; state.size],
             maps: None,
             next: None,
@@ -136,8 +170,24 @@
 
     /// Returns whether a rank reports samples.
     pub(crate) fn is_sampled(&self, rank: usize) -> bool {
-        let stride = self.switch.ranks().div_ceil(MAX_SAMPLED_RANKS);
-        rank.is_multiple_of(stride)
+        let limit = (self.samples_per_second() * SAMPLE_INTERVAL.as_secs_f64()) as usize;
+        let limit = limit.clamp(MIN_SAMPLED_RANKS, MAX_SAMPLED_RANKS);
+        rank.is_multiple_of(self.switch.ranks().div_ceil(limit))
+    }
+
+    /// Returns the time between two samples of a rank, at which all samples
+    /// together fit the leader's link.
+    pub(crate) fn sample_interval(&self) -> Duration {
+        let ranks = 0..self.switch.ranks();
+        let sampled = ranks.filter(|rank| self.is_sampled(*rank)).count();
+        let interval = Duration::from_secs_f64(sampled as f64 / self.samples_per_second());
+        interval.max(SAMPLE_INTERVAL)
+    }
+
+    fn samples_per_second(&self) -> f64 {
+        let sets = self.maps.as_ref().map_or(0, |(_, maps)| maps.len());
+        let bytes = sets * usize::from(self.service.experts) + SAMPLE_OVERHEAD_BYTES;
+        self.link_mbps * 1e6 / 8.0 * SAMPLE_LINK_SHARE / bytes as f64
     }
 
     /// Records the status of a rank; ignores other groups and epochs.
@@ -153,6 +203,10 @@
             reported_at: Instant::now(),
             planned_version: status.planned,
         });
+        self.progress[rank] = Progress {
+            maps: status.maps.clone(),
+            incoming: (status.incoming, status.missing.clone()),
+        };
         self.switch.report(rank, plan::report(&status));
         self.paces[rank] = f64::from(status.pace).max(MIN_PACE);
         if !status.lists.is_empty() && self.maps.is_none() {
@@ -228,7 +282,11 @@
 
     /// Returns a version above all reported ones.
     pub(crate) fn next_version(&mut self) -> u64 {
-        let highest = self.switch.highest_version() >> RANDOM_VERSION_BITS;
+        // A plan that no rank has prepared is known from the sidecars only.
+        let planned = self.sidecars.iter().flatten();
+        let planned = planned.map(|sidecar| sidecar.planned_version).max();
+        let highest = self.switch.highest_version().max(planned.unwrap_or(0));
+        let highest = highest >> RANDOM_VERSION_BITS;
         let mut number = highest + 1;
         if !self.issued_version {
             self.issued_version = true;
