Bound the answers and events that an entry buffers

A server in trouble may send bytes without end. Heads were bounded by the HTTP library, but a body without length and a stream without an event were collected until the request's time was over (504 after 2 s, memory at the rate of the link). An answer now has 8 MiB at most, an event 256 KiB, and all buffered bodies together 48 MiB; the request ends with 502 and the server is marked. The path of entry and agent is not covered yet.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -30,6 +30,30 @@
 /// Shortest `Retry-After` when no server can take the request.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Largest answer that is read as a whole, twice the largest request body that
+/// the users allow.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Largest incomplete event of a stream. Events hold a few tokens.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Reason why an answer could not be read to its end.
+#[derive(Debug, thiserror::Error)]
+pub enum Malformed {
+    /// The connection failed.
+    #[error("connection failed: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The body is longer than any sound answer.
+    #[error("answer has more than {MAX_ANSWER_BYTES} bytes")]
+    AnswerTooLong,
+    /// An event is longer than any sound one.
+    #[error("event has more than {MAX_EVENT_BYTES} bytes")]
+    EventTooLong,
+    /// Too many bytes of bodies are buffered already.
+    #[error("no memory is left for the answer")]
+    NoMemory,
+}
+
 /// A stream whose first events have arrived.
 #[derive(Debug)]
 pub struct Opened {
@@ -270,7 +294,7 @@
     if call.kind().streams() && status.is_success() {
         return open_stream(exchange, assignment).await;
     }
-    match read_response(exchange).await {
+    match read_response(gateway, exchange).await {
         Ok(buffered) if buffered.status.is_server_error() => {
             assignment.report(|health, now| health.failed(now));
             // To the caller, a 503 means that the request has not run. A
@@ -288,22 +312,37 @@
             assignment.report(|health, now| health.failed(now));
             tracing::info!(
                 server = %assignment.server.id, %error,
-                "connection failed while reading the answer"
+                "answer could not be read"
             );
             Outcome::Lost(End::AnswerLost)
         }
     }
 }
 
-async fn read_response(mut exchange: Exchange) -> Result<Buffered, hyper::Error> {
+async fn read_response(
+    gateway: &Rc<Gateway>,
+    mut exchange: Exchange,
+) -> Result<Buffered, Malformed> {
     let status = exchange.response.status();
     let mut headers = exchange.response.headers().clone();
     strip_connection_headers(&mut headers);
-    let body = exchange.response.body_mut().collect().await?.to_bytes();
+    let mut body = BytesMut::new();
+    let mut reservations = Vec::new();
+    while let Some(frame) = exchange.response.body_mut().frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if body.len() + data.len() > MAX_ANSWER_BYTES {
+            return Err(Malformed::AnswerTooLong);
+        }
+        let reservation = gateway.reserve_body(data.len());
+        reservations.push(reservation.ok_or(Malformed::NoMemory)?);
+        body.extend_from_slice(&data);
+    }
     Ok(Buffered {
         status,
         headers,
-        body,
+        body: body.freeze(),
     })
 }
 
@@ -341,11 +380,11 @@
 ///
 /// # Errors
 ///
-/// Fails if the stream breaks off.
+/// Fails if the stream breaks off or an event is too long.
 pub async fn next_events(
     response: &mut Response<Incoming>,
     splitter: &mut Splitter,
-) -> Result<Option<Bytes>, hyper::Error> {
+) -> Result<Option<Bytes>, Malformed> {
     while let Some(frame) = response.body_mut().frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
@@ -353,6 +392,9 @@
         if let Some(events) = splitter.push(&data) {
             return Ok(Some(events));
         }
+        if splitter.incomplete_bytes() > MAX_EVENT_BYTES {
+            return Err(Malformed::EventTooLong);
+        }
     }
     let rest = splitter.take_incomplete();
     Ok(Some(rest).filter(|rest| !rest.is_empty()))
--- a/crates/direct/src/event.rs
+++ b/crates/direct/src/event.rs
@@ -39,9 +39,9 @@
         self.buffer.split().freeze()
     }
 
-    /// Discards the bytes of an incomplete event.
-    pub fn clear(&mut self) {
-        self.buffer.clear();
+    /// Returns the number of bytes of the incomplete event.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.buffer.len()
     }
 
     fn record_id(&mut self, events: &[u8]) {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -38,8 +38,8 @@
     in_progress: Cell<usize>,
 }
 
-/// Most bytes of request bodies that an entry buffers at once, below the memory
-/// of the smallest hosts.
+/// Most bytes of bodies that an entry buffers at once, below the memory of the
+/// smallest hosts.
 const MAX_BODY_BYTES: usize = 48 << 20;
 
 impl Gateway {
@@ -101,7 +101,7 @@
         self.with_state(State::grant_permits);
     }
 
-    /// Reserves memory for a request body of `bytes`, `None` if too much is
+    /// Reserves memory for `bytes` of a body, `None` if too much is
     /// reserved already.
     pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
         let reserved = self.reserved_bytes.get() + bytes;
@@ -116,7 +116,7 @@
     }
 }
 
-/// Memory reserved for a request body, released on drop.
+/// Memory reserved for a body, released on drop.
 #[derive(Debug)]
 pub struct BodyReservation {
     gateway: Rc<Gateway>,
