--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -30,6 +30,10 @@
 /// take a change over from the same three links.
 const ENTRIES_PER_OBSERVER: usize = 30;
 
+/// Entries that may watch the store for each observer, if those before them do
+/// not reach it.
+const CANDIDATES_PER_OBSERVER: usize = 4;
+
 /// Time between two checks for entries that have become silent.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -227,27 +231,29 @@
     /// Returns whether the entry `name` in `domain` watches the store itself.
     ///
     /// The observers are the first live entries by name of each failure domain,
-    /// then the second ones, and so on. Entries that do not reach the store or
-    /// drain are passed over. An entry without live peers watches the store.
+    /// then the second ones, and so on. Entries that do not reach the store are
+    /// passed over, up to a limit: in an outage of the whole store, all others
+    /// would take a turn. An entry without live peers watches the store.
     pub fn is_observer(&self, now: Instant, name: &str, domain: &str) -> bool {
-        let able = self
-            .live(now)
-            .filter(|peer| !peer.store_lost && !peer.leaving);
-        let mut able: Vec<(&str, &str)> = able.map(|peer| (&*peer.domain, &*peer.name)).collect();
-        let observers = MIN_OBSERVERS.max(able.len() / ENTRIES_PER_OBSERVER);
-        able.sort_unstable();
-        let own_turn = able
-            .iter()
-            .filter(|other| other.0 == domain && other.1 < name)
-            .count();
-        let mut before = 0;
+        let live = self.live(now).filter(|peer| !peer.leaving);
+        let mut live: Vec<(&str, &str, bool)> = live
+            .map(|peer| (&*peer.domain, &*peer.name, peer.store_lost))
+            .collect();
+        live.sort_unstable();
+        let observers = MIN_OBSERVERS.max(live.len() / ENTRIES_PER_OBSERVER);
+        let is_before = |other: &&(&str, &str, bool)| other.0 == domain && other.1 < name;
+        let own_turn = live.iter().filter(is_before).count();
+        let (mut before, mut able_before) = (0, 0);
         let mut turn = 0;
-        for (index, other) in able.iter().enumerate() {
-            let same_domain = index > 0 && able[index - 1].0 == other.0;
+        for (index, &(of_domain, _, store_lost)) in live.iter().enumerate() {
+            let same_domain = index > 0 && live[index - 1].0 == of_domain;
             turn = if same_domain { turn + 1 } else { 0 };
-            before += usize::from((turn, other.0) < (own_turn, domain));
+            if (turn, of_domain) < (own_turn, domain) {
+                before += 1;
+                able_before += usize::from(!store_lost);
+            }
         }
-        before < observers
+        able_before < observers && before < observers * CANDIDATES_PER_OBSERVER
     }
 
     /// Returns the number of entries that may send requests, this one included.
