--- a/crates/testkit/src/direct/store.rs
+++ b/crates/testkit/src/direct/store.rs
@@ -219,6 +219,16 @@
     }
 }
 
+/// Waits until a call is no longer answered; returns whether it then gets no
+/// answer at all.
+async fn became_silent(treatment: &mut watch::Receiver<Treatment>) -> bool {
+    let changed = treatment.wait_for(|treatment| *treatment != Treatment::Open);
+    // The sender ends with the test.
+    changed
+        .await
+        .is_ok_and(|treatment| *treatment == Treatment::Silent)
+}
+
 async fn kind(
     State(access): State<Access>,
     Path(kind): Path<String>,
@@ -237,9 +247,11 @@
         let mut treatment = access.treatment.clone();
         return tokio::select! {
             answer = access.store.watch(&kind, after, wait) => answer,
-            _ = treatment.wait_for(|treatment| *treatment != Treatment::Open) => {
-                StatusCode::SERVICE_UNAVAILABLE.into_response()
-            }
+            silent = became_silent(&mut treatment) => match silent {
+                // Nothing is sent on the connection, not even an error.
+                true => std::future::pending().await,
+                false => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+            },
         };
     }
     let inner = access.store.lock();
--- a/crates/testkit/tests/direct_fleet.rs
+++ b/crates/testkit/tests/direct_fleet.rs
@@ -9,7 +9,7 @@
 use berylgw_testkit::direct::backend::{Reply, Server};
 use berylgw_testkit::direct::caller::{Call, send};
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration, register};
-use berylgw_testkit::direct::store::Store;
+use berylgw_testkit::direct::store::{Store, Treatment};
 use berylgw_wire::direct::Beat;
 use prost::Message;
 use serde_json::json;
@@ -26,6 +26,10 @@
 /// the time without contact that the users allow (3 s at least).
 const GONE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time within which a change is in force, of the users' smaller fleets, with the
+/// time in which a store that falls silent does not count as stable.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(3);
+
 fn beat(number: u64, sequence: u64) -> Beat {
     Beat {
         name: format!("edge-{number:03}"),
@@ -117,3 +121,44 @@
     );
     Ok(())
 }
+
+/// Guards against a change that arrives after the timeout of a watch because the
+/// store fell silent to just those entries that watch it.
+#[tokio::test]
+async fn silent_watches_noticed_in_time() -> Result {
+    let store = Store::default();
+    store.put("config", "main", configuration(3, &[KEY]));
+    let server = Server::start("i-0", Reply::Complete).await?;
+    register(&store, "yard", &[&server]);
+    let mut entries = Vec::new();
+    for (name, domain) in [
+        ("edge-1", "a"),
+        ("edge-2", "b"),
+        ("edge-3", "c"),
+        ("edge-4", "c"),
+    ] {
+        let entry = Entry::start(&store, name, domain).await?;
+        entry.wait_for_view(&[("configuration", json!(3))]).await?;
+        entries.push(entry);
+    }
+    let last = entries.pop().ok_or("no entries")?;
+    last.wait_for_line(
+        "following the store changed",
+        &[("observing", json!(false))],
+    )
+    .await?;
+    // Ends the watch that the last entry began before it heard the others.
+    store.put("config", "main", configuration(4, &[KEY]));
+    last.wait_for_view(&[("configuration", json!(4))]).await?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for entry in &entries {
+        entry.treatment.send_replace(Treatment::Silent);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let changed = Instant::now();
+    store.put("config", "main", configuration(5, &["another key"]));
+    last.wait_for_view(&[("configuration", json!(5))]).await?;
+    let time = changed.elapsed();
+    assert!(time < CONFIGURATION_TIMEOUT, "in force after {time:?}");
+    Ok(())
+}
