--- a/crates/core/tests/blame.rs
+++ b/crates/core/tests/blame.rs
@@ -358,3 +358,38 @@
     alone.record_crash(now, SERVICE, SERVER, &deadly);
     assert_eq!(alone.quarantine(now, &deadly), None);
 }
+
+/// Guards against a request that is sent to one server after the other, because
+/// their crashes within half a second count as one.
+#[test]
+fn request_crashes_servers_in_quick_succession() {
+    let mut table = warm_table();
+    let deadly = Content::new([], 1);
+    for (time, server) in [(1_000, 1), (1_070, 2)] {
+        let now = Instant::from_millis(time);
+        let other = Content::new([], 100 + u64::from(server));
+        table.record_crash(now, SERVICE, server, &deadly);
+        table.record_crash(now, SERVICE, server, &other);
+    }
+    let now = Instant::from_millis(1_100);
+    assert!(table.quarantine(now, &deadly).is_some());
+    // In flight at one of the crashes only.
+    assert_eq!(table.quarantine(now, &Content::new([], 101)), None);
+}
+
+/// Guards against two requests that crash the same servers and are each other's
+/// excuse.
+#[test]
+fn two_requests_crash_servers_together() {
+    let mut table = warm_table();
+    let deadly = [Content::new([], 1), Content::new([], 2)];
+    for (time, server) in [(1_000, 1), (5_000, 2)] {
+        for content in &deadly {
+            table.record_crash(Instant::from_millis(time), SERVICE, server, content);
+        }
+    }
+    for content in &deadly {
+        let left = table.quarantine(Instant::from_millis(5_100), content);
+        assert!(left.is_some());
+    }
+}
--- a/crates/testkit/tests/direct_crash.rs
+++ b/crates/testkit/tests/direct_crash.rs
@@ -2,9 +2,9 @@
 //! a request with a certain part.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use berylgw_testkit::direct::caller::{Answer, Call, send_with};
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration};
@@ -32,23 +32,33 @@
     address: SocketAddr,
     /// Time until it begins to answer.
     delay: Duration,
+    /// Time for which it is down after a crash.
+    restart: Duration,
     crashes: Arc<AtomicUsize>,
+    /// Arrivals of deadly requests, also those that it did not begin to answer.
+    deadly: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Fragile {
     async fn start(delay: Duration) -> Result<Self> {
+        Self::start_with(delay, RESTART).await
+    }
+
+    async fn start_with(delay: Duration, restart: Duration) -> Result<Self> {
         let mut listener = TcpListener::bind("127.0.0.1:0").await?;
         let server = Fragile {
             address: listener.local_addr()?,
             delay,
+            restart,
             crashes: Arc::default(),
+            deadly: Arc::default(),
         };
         let running = server.clone();
         tokio::spawn(async move {
             loop {
                 running.serve(listener).await;
                 running.crashes.fetch_add(1, Ordering::SeqCst);
-                tokio::time::sleep(RESTART).await;
+                tokio::time::sleep(running.restart).await;
                 listener = match TcpListener::bind(running.address).await {
                     Ok(listener) => listener,
                     Err(_) => return,
@@ -72,7 +82,7 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => drop(connections.spawn(answer(stream, self.delay))),
+                    Ok((stream, _)) => drop(connections.spawn(self.clone().answer(stream))),
                     Err(_) => return,
                 },
                 Some(ended) = connections.join_next() => {
@@ -85,35 +95,40 @@
             }
         }
     }
-}
 
-/// Answers a request, or returns its connection if it crashes the server instead.
-async fn answer(mut stream: TcpStream, delay: Duration) -> Result<Option<TcpStream>> {
-    let mut request = Vec::new();
-    while !request.windows(4).any(|four| four == b"\r\n\r\n") {
-        if stream.read_buf(&mut request).await? == 0 {
-            return Ok(None);
+    /// Answers a request, or returns its connection if it crashes the server instead.
+    async fn answer(self, mut stream: TcpStream) -> Result<Option<TcpStream>> {
+        let mut request = Vec::new();
+        while !request.windows(4).any(|four| four == b"\r\n\r\n") {
+            if stream.read_buf(&mut request).await? == 0 {
+                return Ok(None);
+            }
+        }
+        let head = String::from_utf8_lossy(&request);
+        let is_deadly = head.contains(DEADLY);
+        if is_deadly {
+            let mut deadly = self.deadly.lock().unwrap_or_else(PoisonError::into_inner);
+            deadly.push(Instant::now());
         }
+        tokio::select! {
+            () = tokio::time::sleep(self.delay) => {}
+            // The caller has closed the connection, which cancels the request.
+            () = until_closed(&mut stream) => return Ok(None),
+        }
+        if is_deadly {
+            return Ok(Some(stream));
+        }
+        let id = head
+            .lines()
+            .find_map(|line| line.strip_prefix("berylgw-attempt-id: "));
+        let id = id.unwrap_or("none");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBerylgw-Attempt-Id: {id}\r\n\
+             Berylgw-Server-Seal: s\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n"
+        );
+        stream.write_all(answer.as_bytes()).await?;
+        Ok(None)
     }
-    let head = String::from_utf8_lossy(&request);
-    tokio::select! {
-        () = tokio::time::sleep(delay) => {}
-        // The caller has closed the connection, which cancels the request.
-        () = until_closed(&mut stream) => return Ok(None),
-    }
-    if head.contains(DEADLY) {
-        return Ok(Some(stream));
-    }
-    let id = head
-        .lines()
-        .find_map(|line| line.strip_prefix("berylgw-attempt-id: "));
-    let id = id.unwrap_or("none");
-    let answer = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBerylgw-Attempt-Id: {id}\r\n\
-         Berylgw-Server-Seal: s\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n"
-    );
-    stream.write_all(answer.as_bytes()).await?;
-    Ok(None)
 }
 
 async fn until_closed(stream: &mut TcpStream) {
@@ -252,3 +267,90 @@
     assert_eq!(crashes(&servers), 1);
     Ok(())
 }
+
+async fn fragile_service(store: &Store, count: usize, delay: Duration) -> Result<Vec<Fragile>> {
+    store.put("config", "main", configuration(3, &[KEY]));
+    let mut servers = Vec::new();
+    for index in 0..count {
+        let server = Fragile::start_with(delay, Duration::from_secs(3)).await?;
+        server.register(store, "yard", index);
+        servers.push(server);
+    }
+    Ok(servers)
+}
+
+async fn start_entries(store: &Store, count: usize, servers: usize) -> Result<Vec<Entry>> {
+    let mut entries = Vec::new();
+    for number in 0..count {
+        let entry = Entry::start(store, &format!("edge-{number}"), "shed").await?;
+        entry.wait_for_view(&[("servers", json!(servers))]).await?;
+        entries.push(entry);
+    }
+    for entry in &entries {
+        let all = [("entries", json!(count))];
+        entry.wait_for_line("directory changed", &all).await?;
+    }
+    Ok(entries)
+}
+
+/// Guards against a request that crashes each server of a service within half a
+/// second, so that nothing is left for sound requests.
+#[tokio::test]
+async fn repeated_request_crashes_all_servers() -> Result {
+    let store = Store::default();
+    let servers = fragile_service(&store, 3, Duration::from_millis(10)).await?;
+    let entries = start_entries(&store, 2, 3).await?;
+    let deadly = format!("{DEADLY}:9");
+    let answer = ask_at(entries[0].callers, "/stock/1", "d0", &deadly).await?;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let answer = ask_at(entries[1].callers, "/stock/1", "d1", &deadly).await?;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+    assert_eq!(crashes(&servers), 2);
+    let answer = ask_at(entries[1].callers, "/stock/2", "s0", "a:9").await?;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    Ok(())
+}
+
+/// Guards against two requests that crash all servers of a service, are each other's
+/// excuse, and are sent again by several entries at once as the servers run again.
+#[tokio::test]
+async fn two_requests_crash_servers_again() -> Result {
+    const CONTACT: Duration = Duration::from_secs(3);
+    let store = Store::default();
+    let servers = fragile_service(&store, 3, Duration::from_millis(60)).await?;
+    let entries = start_entries(&store, 4, 3).await?;
+    let mut answers = JoinSet::new();
+    for round in 0..100 {
+        for (number, entry) in entries.iter().enumerate() {
+            let callers = entry.callers;
+            // The second request follows while the first one crashes servers.
+            let path = if round % 2 == 0 {
+                "/stock/1"
+            } else {
+                "/pickup/1"
+            };
+            let id = format!("d{round}-{number}");
+            answers.spawn(async move { ask_at(callers, path, &id, &format!("{DEADLY}:9")).await });
+        }
+        tokio::time::sleep(Duration::from_millis(75)).await;
+    }
+    while let Some(answer) = answers.join_next().await {
+        assert_ne!(answer??.status, StatusCode::OK);
+    }
+    let mut arrivals: Vec<Instant> = Vec::new();
+    for server in &servers {
+        arrivals.extend(&*server.deadly.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+    arrivals.sort_unstable();
+    let first = arrivals[0];
+    let late = arrivals
+        .iter()
+        .filter(|at| at.duration_since(first) >= CONTACT)
+        .count();
+    assert!(
+        late <= 3,
+        "sent {late} times after the service was down once"
+    );
+    Ok(())
+}
