Quarantine a whole request once two servers crashed under it

Callers saw: a request that crashes servers took all three servers of a plain service within 210 ms, sent on by the entry that had seen the crash and then by others; for 3 s nothing of the service ran.

Cause: crashes within half a second counted as one whatever the server, so that three crashes were one on the request's account; and the case needed a sole common suspect, so that two such requests excused each other, or other crashes half a second later. At least three servers at once also excused every suspect that was seen at one of them only, though two of the three were explained.

Change: in berylgw_core::group::blame a whole request that no entry has seen answered is quarantined after two servers, at once and beside other suspects. Unlike a part it stands for itself: a wrong quarantine costs one request, a crash all requests of a server. Answers to whole requests are remembered too (512, apart from the parts), so that a sound one that many clients repeat is no suspect. A crash that such a request explains no longer counts towards the number of servers at once that excuses others. The list of such requests is made when the crashes change, not for each request.

request_crashes_servers_in_quick_succession, two_requests_crash_servers_together, repeated_request_crashes_all_servers and two_requests_crash_servers_again failed before (assertion failed; 502 for 503 and a third crash; 5 to 8 late sends where 3 are allowed) and pass now.

--- a/crates/core/src/group/blame.rs
+++ b/crates/core/src/group/blame.rs
@@ -11,6 +11,11 @@
 //! rare that few requests hold it. Parts that were answered before need three
 //! crashes, and answers to other requests meanwhile. Entries exchange their
 //! crashes, and merge those that they have both seen.
+//!
+//! A whole request that comes again is quarantined once two servers crashed under
+//! it. It has suspects in common with others that crash the same servers, so it need
+//! not be the only one: a quarantine that is wrong costs a single request, a server
+//! that crashes costs all of its requests.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,9 +45,13 @@
 const MAX_SAME_TIME: usize = 8;
 
 /// Crashes after which the only suspect of all of them is quarantined if it was
-/// never answered: a whole request, or a part in a fleet that has just started.
+/// never answered: a part in a fleet that has just started.
 const SUSPECT_CRASHES: u32 = 2;
 
+/// Servers that crashed under a whole request which was never answered, from which
+/// on it is quarantined.
+const WHOLE_CRASHES: u32 = 2;
+
 /// Answers that an entry has seen from which on a part that it has not seen is rare.
 const MANY_ANSWERS: u64 = 20;
 
@@ -67,6 +76,10 @@
 /// Parts whose last answer is remembered.
 const MAX_ANSWERED: usize = 2_048;
 
+/// Whole requests whose last answer is remembered. Those that come often are among
+/// the newest.
+const MAX_ANSWERED_WHOLES: usize = 512;
+
 /// Crashes in one report; several reports cover all.
 const MAX_REPORTED: usize = 8;
 
@@ -183,9 +196,13 @@
 pub struct Table {
     /// Sorted by time.
     crashes: Vec<Known>,
-    /// Last time at which an answer to a request with the part began, sorted by
-    /// part.
-    answered: Vec<(u64, Time)>,
+    /// Last time at which an answer to a request with the part began.
+    answered: Answered,
+    /// Last time at which an answer to a whole request began. Most come only once;
+    /// apart, so that they do not displace the parts.
+    answered_wholes: Answered,
+    /// Whole requests under which [`WHOLE_CRASHES`] servers or more crashed, sorted.
+    repeated: Vec<u64>,
     /// Number of answers so far.
     answers: u64,
     /// Last time at which the crashes changed.
@@ -211,10 +228,15 @@
                 }
             }
         }
+        if self.changed == now {
+            self.update_repeated();
+        }
         for &digest in content.digests() {
-            // Whole requests are too many to remember, and most come only once.
-            if digest & WHOLE == 0 {
-                self.remember_answer(now, digest);
+            match digest & WHOLE {
+                0 => self.answered.remember(now, digest, MAX_ANSWERED),
+                _ => self
+                    .answered_wholes
+                    .remember(now, digest, MAX_ANSWERED_WHOLES),
             }
         }
     }
@@ -272,6 +294,7 @@
             let answers = 0;
             self.crashes.insert(index, Known { at, answers, crash });
             self.changed = now;
+            self.update_repeated();
             return;
         };
         if crash.confirmed && !known.confirmed {
@@ -290,6 +313,9 @@
                 }
             }
         }
+        if self.changed == now {
+            self.update_repeated();
+        }
     }
 
     /// Returns the rest of the quarantine of a request, `None` if it may be sent.
@@ -322,7 +348,29 @@
         }
         let same_time = || self.same_time(known.crash.service, known.at);
         let shared = || same_time().filter(|other| other.crash.is_prime_suspect(digest));
-        same_time().count() < MANY_SERVERS || shared().count() > 1
+        let unexplained = same_time().filter(|other| !self.is_explained(&other.crash, digest));
+        unexplained.count() < MANY_SERVERS || shared().count() > 1
+    }
+
+    /// Returns whether a whole request other than `digest` has crashed several
+    /// servers, this one among them.
+    fn is_explained(&self, crash: &Crash, digest: u64) -> bool {
+        let others = self.repeated.iter().filter(|other| **other != digest);
+        others
+            .into_iter()
+            .any(|other| crash.is_prime_suspect(*other))
+    }
+
+    fn update_repeated(&mut self) {
+        let suspects = self.crashes.iter().flat_map(|known| {
+            let unanswered = known.crash.unanswered.iter().copied();
+            unanswered.filter(|digest| digest & WHOLE != 0 && known.crash.is_prime_suspect(*digest))
+        });
+        let mut suspects: Vec<u64> = suspects.collect();
+        suspects.sort_unstable();
+        let groups = suspects.chunk_by(|a, b| a == b);
+        let repeated = groups.filter(|group| group.len() >= WHOLE_CRASHES as usize);
+        self.repeated = repeated.map(|group| group[0]).collect();
     }
 
     /// Returns the crashes of a service at the same time.
@@ -386,7 +434,7 @@
             let recent = now.since(known.at) < MEMORY;
             recent && crash.is_suspect(digest) && !contains(&crash.cleared, digest)
         });
-        let (mut crashes, mut answers) = (0, 0);
+        let (mut crashes, mut prime, mut answers) = (0, 0, 0);
         let mut counted: Option<Time> = None;
         let mut is_rare_suspect = false;
         // Suspects that no crash so far rules out, if `digest` is a prime suspect.
@@ -397,6 +445,7 @@
                 counted = Some(known.at);
             }
             answers = answers.max(known.answers);
+            prime += u32::from(known.crash.is_prime_suspect(digest));
             is_rare_suspect |= known.crash.confirmed && self.may_be_cause(known, digest);
             let suspects = known.crash.prime_suspects(digest);
             match &mut common {
@@ -407,6 +456,7 @@
         let alone = common.is_some_and(|common| *common == [digest]);
         let is_part = digest & WHOLE == 0;
         let sufficient = (is_part && is_rare_suspect)
+            || (!is_part && prime >= WHOLE_CRASHES)
             || (crashes >= SUSPECT_CRASHES && alone)
             || (crashes >= CERTAIN_CRASHES && answers >= MIN_ANSWERS);
         let Some(last) = counted.filter(|_| sufficient) else {
@@ -418,25 +468,41 @@
     }
 
     fn last_answer(&self, digest: u64) -> Option<Time> {
-        let found = self.answered.binary_search_by_key(&digest, |known| known.0);
-        found.ok().map(|index| self.answered[index].1)
+        let answered = match digest & WHOLE {
+            0 => &self.answered,
+            _ => &self.answered_wholes,
+        };
+        answered.last(digest)
+    }
+}
+
+/// Last answers by digest, sorted by digest.
+#[derive(Clone, Debug, Default)]
+struct Answered {
+    times: Vec<(u64, Time)>,
+}
+
+impl Answered {
+    fn last(&self, digest: u64) -> Option<Time> {
+        let found = self.times.binary_search_by_key(&digest, |known| known.0);
+        found.ok().map(|index| self.times[index].1)
     }
 
-    fn remember_answer(&mut self, now: Time, digest: u64) {
-        let found = self.answered.binary_search_by_key(&digest, |known| known.0);
+    fn remember(&mut self, now: Time, digest: u64, most: usize) {
+        let found = self.times.binary_search_by_key(&digest, |known| known.0);
         if let Ok(index) = found {
-            self.answered[index].1 = now;
+            self.times[index].1 = now;
             return;
         }
-        if self.answered.len() >= MAX_ANSWERED {
+        if self.times.len() >= most {
             // Drops the older half at once, so that this is rare.
-            let mut times: Vec<Time> = self.answered.iter().map(|known| known.1).collect();
-            let (_, median, _) = times.select_nth_unstable(MAX_ANSWERED / 2);
+            let mut times: Vec<Time> = self.times.iter().map(|known| known.1).collect();
+            let (_, median, _) = times.select_nth_unstable(most / 2);
             let median = *median;
-            self.answered.retain(|known| known.1 > median);
+            self.times.retain(|known| known.1 > median);
         }
-        let index = self.answered.partition_point(|known| known.0 < digest);
-        self.answered.insert(index, (digest, now));
+        let index = self.times.partition_point(|known| known.0 < digest);
+        self.times.insert(index, (digest, now));
     }
 }
 
