Send a suspect of a crash again from one entry at a time, and not everywhere

Callers saw: after two requests had crashed all servers of a service, the first servers that were back crashed again within milliseconds, since all entries sent the request under which one had crashed at the same moment. In a service of two servers the entry that had seen the crash of one sent the request to the other.

Cause: a request with one crash on its account was treated like any other until the second. Entries learn of a crash within tens of milliseconds, a request crashes a server within 60, and clients repeat it at all entries.

Change: such a suspect is sent again in turns (berylgw_core::group::blame, Table::hold): after the crash each entry has a turn of 400 ms, twice the gossip spacing in a large fleet, in an order by request on which entries agree, and sends it once in its turn. A turn of another entry, or a service of which one server runs, refuses it at once with 503 `suspected` and the time to wait. All entries choose the same server for suspects, so that two of them share one crash. The entry that saw the crash may still send what may run again at once, as long as two servers run: most suspects are sound. A request that was not in flight at a crash is not affected.

suspect_crashes_last_server (the second server gone, 503 for a sound request) and suspect_tried_by_all_entries_at_once (4 crashes for 2) failed before and pass now.

--- a/crates/core/src/group/blame.rs
+++ b/crates/core/src/group/blame.rs
@@ -15,7 +15,8 @@
 //! A whole request that comes again is quarantined once two servers crashed under
 //! it. It has suspects in common with others that crash the same servers, so it need
 //! not be the only one: a quarantine that is wrong costs a single request, a server
-//! that crashes costs all of its requests.
+//! that crashes costs all of its requests. After one crash it is sent again by one
+//! entry at a time, and never to the last server that runs.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +81,9 @@
 /// the newest.
 const MAX_ANSWERED_WHOLES: usize = 512;
 
+/// Trials of suspects that are remembered.
+const MAX_TRIALS: usize = 64;
+
 /// Crashes in one report; several reports cover all.
 const MAX_REPORTED: usize = 8;
 
@@ -109,6 +113,12 @@
     pub fn digests(&self) -> &[u64] {
         &self.digests
     }
+
+    /// Returns the digest of the request as a whole.
+    pub fn whole(&self) -> u64 {
+        // The mark is the highest bit, so that it is the last one.
+        self.digests.last().copied().unwrap_or(WHOLE)
+    }
 }
 
 /// A crash of a server, as known to one or more entries. All lists are sorted.
@@ -175,6 +185,34 @@
     crash: Crash,
 }
 
+/// The place of an entry in the order in which the entries of a fleet may send a
+/// suspect again.
+#[derive(Clone, Copy, Debug)]
+pub struct Turn {
+    /// Position of the entry, below `entries`.
+    pub position: usize,
+    /// Entries that may send requests.
+    pub entries: usize,
+    /// Length of a turn: the time in which a request crashes a server and the other
+    /// entries learn of it.
+    pub length: Duration,
+}
+
+impl Turn {
+    /// Returns the time until the turn of the entry, `age` after the crash.
+    fn left(&self, age: Duration) -> Duration {
+        let length = self.length.as_millis().max(1);
+        let cycle = length * self.entries.max(1) as u128;
+        let begin = length * self.position as u128;
+        let at = age.as_millis() % cycle;
+        let left = match at < begin + length {
+            true => begin.saturating_sub(at),
+            false => begin + cycle - at,
+        };
+        Duration::from_millis(left as u64)
+    }
+}
+
 /// The crashes and answers that an entry knows.
 ///
 /// ```
@@ -201,6 +239,8 @@
     /// Last time at which an answer to a whole request began. Most come only once;
     /// apart, so that they do not displace the parts.
     answered_wholes: Answered,
+    /// Suspects that this entry has sent again in its turn.
+    trials: Vec<(u64, Time)>,
     /// Whole requests under which [`WHOLE_CRASHES`] servers or more crashed, sorted.
     repeated: Vec<u64>,
     /// Number of answers so far.
@@ -373,6 +413,67 @@
         self.repeated = repeated.map(|group| group[0]).collect();
     }
 
+    /// Decides whether a request under which a server crashed is sent again; returns
+    /// the time to wait if not. `has_spare` states whether a server would be left if
+    /// it crashed one more.
+    ///
+    /// A request that was not in flight at a crash is never held. One of which it is
+    /// not known whether it was the cause is sent by one entry at a time, and once in
+    /// its turn.
+    pub fn hold(
+        &mut self,
+        now: Instant,
+        content: &Content,
+        turn: Turn,
+        has_spare: bool,
+    ) -> Option<Duration> {
+        let whole = content.whole();
+        let suspected = self.crashes.iter().rev();
+        let at = suspected
+            .filter(|known| self.may_be_cause(known, whole))
+            .map(|known| known.at)
+            .next()?;
+        let now = Time::ago(now, Duration::ZERO);
+        let left = turn.left(now.since(at));
+        if !left.is_zero() {
+            return Some(left);
+        }
+        if !has_spare {
+            return Some(turn.length);
+        }
+        self.trials.retain(|trial| now.since(trial.1) < turn.length);
+        if let Some(trial) = self.trials.iter().find(|trial| trial.0 == whole) {
+            return Some(turn.length.saturating_sub(now.since(trial.1)));
+        }
+        if self.trials.len() >= MAX_TRIALS {
+            return Some(turn.length);
+        }
+        self.trials.push((whole, now));
+        None
+    }
+
+    /// Returns whether a crash is known.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
+    /// Returns whether a server crashed under this very request, and it may have been
+    /// the cause.
+    pub fn is_whole_suspect(&self, content: &Content) -> bool {
+        let whole = content.whole();
+        let mut crashes = self.crashes.iter();
+        crashes.any(|known| self.may_be_cause(known, whole))
+    }
+
+    /// Returns the time since the last known crash of a server.
+    pub fn last_crash(&self, now: Instant, service: u32, server: u32) -> Option<Duration> {
+        let crashes = self.crashes.iter().rev();
+        let mut of_server =
+            crashes.filter(|known| known.crash.service == service && known.crash.server == server);
+        let last = of_server.next()?;
+        Some(Time::ago(now, Duration::ZERO).since(last.at))
+    }
+
     /// Returns the crashes of a service at the same time.
     fn same_time(&self, service: u32, at: Time) -> impl Iterator<Item = &Known> {
         self.crashes.iter().filter(move |known| {
--- a/crates/core/tests/blame.rs
+++ b/crates/core/tests/blame.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_core::group::blame::{Content, Table};
+use berylgw_core::group::blame::{Content, Table, Turn};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -393,3 +393,49 @@
         assert!(left.is_some());
     }
 }
+
+/// Guards against turns that overlap, leave a gap or end, and against a request that
+/// is held though no server crashed under it.
+#[test]
+fn suspect_sent_in_turns() {
+    const ENTRIES: usize = 5;
+    let suspect = Content::new([], 1_000);
+    let mut tables: Vec<Table> = (0..ENTRIES).map(|_| warm_table()).collect();
+    tables[0].record_crash(Instant::from_millis(1_000), SERVICE, SERVER, &suspect);
+    let now = Instant::from_millis(1_000);
+    for crash in tables[0].report(now) {
+        for table in &mut tables[1..] {
+            table.merge(now, crash.clone());
+        }
+    }
+    let mut sent = Vec::new();
+    for time in (1_000..9_000).step_by(10) {
+        let now = Instant::from_millis(time);
+        for (position, table) in tables.iter_mut().enumerate() {
+            let turn = Turn {
+                position,
+                entries: ENTRIES,
+                length: Duration::from_millis(400),
+            };
+            let other = Content::new([], 2_000);
+            assert_eq!(table.hold(now, &other, turn, false), None);
+            assert!(table.hold(now, &suspect, turn, false).is_some());
+            match table.hold(now, &suspect, turn, true) {
+                None => sent.push((time, position)),
+                Some(left) => assert!(left <= Duration::from_secs(2), "{left:?}"),
+            }
+        }
+    }
+    let expected: Vec<(u64, usize)> = (0..20)
+        .map(|turn| (1_000 + 400 * turn, turn as usize % ENTRIES))
+        .collect();
+    assert_eq!(sent, expected);
+    let now = Instant::from_millis(9_000);
+    tables[0].record_answer(now, &suspect);
+    let turn = Turn {
+        position: 4,
+        entries: ENTRIES,
+        length: Duration::from_millis(400),
+    };
+    assert_eq!(tables[0].hold(now, &suspect, turn, false), None);
+}
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -220,9 +220,12 @@
                 Outcome::Broken => {
                     self.may_have_run = true;
                     end = Some(End::AnswerLost);
-                    record_crash(gateway, call, &server).await;
-                    let suspect = gateway.with_state(|state, _| state.is_suspect(&call.content));
-                    if suspect || !call.kind().repeatable() {
+                    let crashed = record_crash(gateway, call, &server).await;
+                    let must_not_retry = gateway.with_state(|state, now| {
+                        state.is_suspect(&call.content)
+                            || (crashed && !state.has_spare_server(now, call.service))
+                    });
+                    if must_not_retry || !call.kind().repeatable() {
                         break;
                     }
                     record.retried(Retry::AnswerLost);
@@ -242,7 +245,7 @@
         if call.time_left(gateway).is_zero() {
             return None;
         }
-        let assignment = Assignment::choose(gateway, call.service, &self.tried)?;
+        let assignment = Assignment::choose(gateway, call.service, &self.tried, &call.content)?;
         let retry = self.attempts_connected > 0;
         if retry && !gateway.with_state(|state, now| state.take_retry(now, call.service)) {
             return None;
@@ -264,11 +267,12 @@
     }
 }
 
-/// Records a crash if the server that broke off the answer is gone.
-async fn record_crash(gateway: &Rc<Gateway>, call: &Call, server: &Server) {
+/// Records a crash if the server that broke off the answer is gone; returns whether
+/// it is.
+async fn record_crash(gateway: &Rc<Gateway>, call: &Call, server: &Server) -> bool {
     let broken_at = gateway.clock.now();
     if !send::refuses_connections(server.address).await {
-        return;
+        return false;
     }
     let record =
         |state: &mut State, _| state.record_crash(broken_at, call.service, server, &call.content);
@@ -287,6 +291,14 @@
         request = ?call.id, server = %server.id, service = %call.service_name,
         content = content.join(","), "server crashed before it answered a request"
     );
+    true
+}
+
+/// Returns the refusal of a request under which a server crashed, while it is the
+/// turn of another entry to send it again or no server would be left.
+pub fn hold(gateway: &Gateway, call: &Call) -> Option<Refusal> {
+    let left = gateway.with_state(|state, now| state.hold(now, call.service, &call.content))?;
+    Some(Refusal::new(End::Suspected).with_retry_after(left))
 }
 
 /// Returns the refusal of a request that holds what crashes servers.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use berylgw_core::clock::Instant;
+use berylgw_core::group::blame::Content;
 use berylgw_core::group::health;
 use berylgw_runtime::clock::Clock;
 use tokio::sync::Notify;
@@ -173,8 +174,14 @@
 
 impl Assignment {
     /// Chooses a server that is not in `tried`.
-    pub fn choose(gateway: &Rc<Gateway>, service: ServiceKey, tried: &[Arc<str>]) -> Option<Self> {
-        let chosen = gateway.with_state(|state, now| state.choose_server(now, service, tried));
+    pub fn choose(
+        gateway: &Rc<Gateway>,
+        service: ServiceKey,
+        tried: &[Arc<str>],
+        content: &Content,
+    ) -> Option<Self> {
+        let chosen =
+            gateway.with_state(|state, now| state.choose_server(now, service, tried, content));
         let (key, server) = chosen?;
         gateway.state_changed.notify_one();
         Some(Assignment {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -50,6 +50,9 @@
     /// It holds what crashes servers.
     #[display("quarantined")]
     Quarantined,
+    /// A server crashed under it, and it is not sent again now.
+    #[display("suspected")]
+    Suspected,
     /// The entry drains.
     #[display("leaving")]
     Leaving,
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -39,6 +39,14 @@
 /// limit.
 const RATE_LIMIT_END_REPORTED: Duration = Duration::from_secs(5);
 
+/// Time for which a server that crashed counts as down when it is decided whether a
+/// suspect may be sent: other entries have not tried it themselves.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+
+/// Shortest turn of an entry to send a suspect again: the time in which a request
+/// crashes a server and all entries learn of it.
+const SUSPECT_TURN: Duration = Duration::from_millis(400);
+
 /// Index of a server in [`State`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerKey(usize);
@@ -491,6 +499,45 @@
         self.update_quarantine(now)
     }
 
+    /// Returns the time for which a request must not be sent because a server crashed
+    /// under it, and it is the turn of another entry or no server would be left.
+    pub fn hold(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        content: &Content,
+    ) -> Option<Duration> {
+        if !self.blame.has_crashes() {
+            return None;
+        }
+        let entries = self.peers.sharing_entries();
+        let whole = content.whole() as u32;
+        let turn = blame::Turn {
+            position: self.peers.position(self.digest, whole),
+            entries,
+            length: SUSPECT_TURN.max(self.gossip_spacing() * 2),
+        };
+        let has_spare = self.has_spare_server(now, service);
+        self.blame.hold(now, content, turn, has_spare)
+    }
+
+    /// Returns whether a server of the service would still run if one crashed. A
+    /// service with a single server has none to spare at any time.
+    pub fn has_spare_server(&self, now: Instant, service: ServiceKey) -> bool {
+        let pool = &self.pools[service.0];
+        let servers = self.servers.iter().flatten();
+        let servers = servers
+            .filter(|server| server.accepts_requests() && server.listed.service == pool.name);
+        let (mut listed, mut running) = (0, 0);
+        for server in servers {
+            listed += 1;
+            let crashed = self.blame.last_crash(now, pool.digest, server.digest);
+            let restarting = crashed.is_some_and(|age| age < RESTART_TIME);
+            running += usize::from(!restarting && server.health.is_available(now));
+        }
+        listed <= 1 || running > 1
+    }
+
     /// Returns whether a request may have crashed the server that it was sent to.
     pub fn is_suspect(&self, content: &Content) -> bool {
         self.blame.is_suspect(content)
@@ -571,13 +618,16 @@
     }
 
     /// Chooses a server of a service that is not in `tried`, and counts the
-    /// request as in flight there.
+    /// request as in flight there. All entries choose the same server for suspects
+    /// of crashes, so that these do not crash several at once.
     pub fn choose_server(
         &mut self,
         now: Instant,
         service: ServiceKey,
         tried: &[Arc<str>],
+        content: &Content,
     ) -> Option<(ServerKey, Arc<Server>)> {
+        let confined = self.blame.is_whole_suspect(content);
         let name = self.pools[service.0].name.clone();
         let limit = self.arrival_limit(&name);
         let homes = self.home_servers(now, &name);
@@ -618,7 +668,13 @@
         }
         let unseen = self.unseen_begins(now, service);
         let random = |below: usize| rand::random_range(0..below.max(1));
-        let chosen = keys[selection::choose(&candidates, unseen, random)?];
+        let chosen = match confined {
+            false => keys[selection::choose(&candidates, unseen, random)?],
+            true => *keys.iter().min_by_key(|index| {
+                let server = self.servers[**index].as_ref();
+                server.map(|server| server.digest)
+            })?,
+        };
         let server = self.servers[chosen].as_mut()?;
         server.in_flight += 1;
         server.arrivals.try_acquire(now, usize::MAX);
--- a/crates/testkit/tests/direct_crash.rs
+++ b/crates/testkit/tests/direct_crash.rs
@@ -350,3 +350,53 @@
     assert!(late <= 3, "sent {late} times after three servers crashed");
     Ok(())
 }
+
+/// Guards against a suspect that is tried again at the last server that runs.
+#[tokio::test]
+async fn suspect_crashes_last_server() -> Result {
+    let store = Store::default();
+    let servers = fragile_service(&store, 2, Duration::from_millis(10)).await?;
+    let entries = start_entries(&store, 2, 2).await?;
+    let deadly = format!("{DEADLY}:9");
+    let answer = ask_at(entries[0].callers, "/stock/1", "d0", &deadly).await?;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for (number, entry) in entries.iter().enumerate() {
+        let answer = ask_at(entry.callers, "/stock/1", &format!("e{number}"), &deadly).await?;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+        let answer = ask_at(entry.callers, "/stock/2", &format!("s{number}"), "a:9").await?;
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    }
+    assert_eq!(crashes(&servers), 1);
+    Ok(())
+}
+
+/// Guards against a suspect that all entries try again at the same moment, so that it
+/// crashes several servers before any entry knows.
+#[tokio::test]
+async fn suspect_tried_by_all_entries_at_once() -> Result {
+    let store = Store::default();
+    let servers = fragile_service(&store, 6, Duration::from_millis(60)).await?;
+    let entries = start_entries(&store, 4, 6).await?;
+    let deadly = format!("{DEADLY}:9");
+    // Runs at most once, so that the entry does not try it again itself.
+    let answer = ask_at(entries[0].callers, "/pickup/1", "d0", &deadly).await?;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+    // All entries know of the crash.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for round in 0..40 {
+        let mut answers = JoinSet::new();
+        for (number, entry) in entries.iter().enumerate() {
+            let (callers, deadly) = (entry.callers, deadly.clone());
+            let id = format!("e{round}-{number}");
+            answers.spawn(async move { ask_at(callers, "/pickup/1", &id, &deadly).await });
+        }
+        while let Some(answer) = answers.join_next().await {
+            assert_ne!(answer??.status, StatusCode::OK);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(crashes(&servers), 2);
+    Ok(())
+}
