--- a/crates/testkit/src/direct/site.rs
+++ b/crates/testkit/src/direct/site.rs
@@ -156,6 +156,19 @@
         self.wait_for_line("view in force", fields).await?;
         Ok(())
     }
+
+    /// Returns the log fields of the view in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no view is in force yet.
+    pub fn last_view(&self) -> Result<Value, Failure> {
+        let lines = self.process.recent();
+        let lines = lines.iter().rev();
+        let mut lines = lines.flat_map(|line| serde_json::from_str::<Value>(line));
+        let last = lines.find(|line| line["message"] == "view in force");
+        last.ok_or_else(|| "no view in force".into())
+    }
 }
 
 /// Registers servers in the store.
--- a/crates/testkit/src/direct/store.rs
+++ b/crates/testkit/src/direct/store.rs
@@ -6,8 +6,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use axum::extract::{Path, Query, State};
+use axum::extract::{Path, Query, Request, State};
 use axum::http::{Method, StatusCode};
+use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::any;
 use axum::{Json, Router};
@@ -34,8 +35,18 @@
     changed: Arc<watch::Sender<u64>>,
 }
 
+/// A state of the store that it may return to.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+    history: Vec<Change>,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
+    /// Number of times that it returned from a copy.
+    era: u64,
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
     history: Vec<Change>,
@@ -85,6 +96,7 @@
         let router = Router::new()
             .route("/v1/objects/{kind}", any(kind))
             .route("/v1/objects/{kind}/{name}", any(object))
+            .layer(middleware::from_fn_with_state(self.clone(), name_era))
             .with_state(access);
         tokio::spawn(async move {
             if let Err(error) = axum::serve(listener, router).await {
@@ -126,6 +138,29 @@
         self.changed.send_replace(revision);
     }
 
+    /// Copies the objects, for [`Store::restore`].
+    pub fn copy(&self) -> Copy {
+        let inner = self.lock();
+        Copy {
+            revision: inner.revision,
+            objects: inner.objects.clone(),
+            history: inner.history.clone(),
+        }
+    }
+
+    /// Returns to the state of a copy. All changes since are lost, and their
+    /// revisions are given again.
+    pub fn restore(&self, copy: Copy) {
+        let mut inner = self.lock();
+        inner.era += 1;
+        inner.revision = copy.revision;
+        inner.objects = copy.objects;
+        inner.history = copy.history;
+        let revision = inner.revision;
+        drop(inner);
+        self.changed.send_replace(revision);
+    }
+
     /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let inner = self.lock();
@@ -148,7 +183,8 @@
         loop {
             let stalled = {
                 let inner = self.lock();
-                if !inner.stalled && after < inner.forgotten {
+                let missing = after < inner.forgotten || after > inner.revision;
+                if !inner.stalled && missing {
                     return StatusCode::GONE.into_response();
                 }
                 let events = inner.events(kind, after);
@@ -207,6 +243,14 @@
     }
 }
 
+/// Adds the era to each answer.
+async fn name_era(State(store): State<Store>, request: Request, next: Next) -> Response {
+    let mut response = next.run(request).await;
+    let era = store.lock().era;
+    response.headers_mut().insert("store-era", era.into());
+    response
+}
+
 async fn intercept(access: &Access) -> Option<Response> {
     let treatment = *access.treatment.borrow();
     match treatment {
