Order what the store says by its era, not by its revision alone

Cause: each part of the view was replaced by a higher revision only, wherever it came from. A store that comes back from a copy gives lower revisions again, so its lists were ignored until its counter had passed the old one; with equal numbers different values went unnoticed (view, cache of pulls, datagrams). The class: a number that orders only as long as its source does not start over. The raised revision at the end of a grace period was of the same kind: a number that the store gave to something else next.

Change: a position (berylgw_core::revision) is era, revision and a step for changes that are not in the store; the era comes with each answer of the store and travels with each part, datagram and pull. The configuration is ordered by its version first: versions only grow, so that a copy takes back neither a route nor a revoked key, and a version that the operator writes again is no change.

What a copy says of servers and evacuations is older than what is known: for a grace period (berylgw_core::group::grace, which also has the former one after outages) what was known is kept and what was not known is ignored until it changes. A server that was seen to drain stays so by id and start time (berylgw_core::group::drained), as a copy lists it as ready. Log lines have the era; a line says that an older configuration is ignored.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -15,11 +15,15 @@
 //! - [`retry_after`]: retry times of refused clients.
 //! - [`outage`]: outage and recovery of a group.
 //! - [`blame`]: quarantine of what crashes servers.
+//! - [`grace`]: what holds of a list while its store is incomplete.
+//! - [`drained`]: servers that have begun to leave.
 
 pub mod arrival;
 pub mod blame;
 pub mod client_timeout;
 pub mod concurrency;
+pub mod drained;
+pub mod grace;
 pub mod health;
 pub mod outage;
 pub mod pace;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! - Configuration: [`sheet`] parses the operators' CSV, [`config`] holds
 //!   versioned objects and resolves them into a [`config::Snapshot`] of
 //!   [`client`], [`failure`], [`backend`], [`service`] and [`host`] values.
+//!   [`revision`] orders changes of a store that may come back from a copy.
 //! - Request handling in an entry: [`directory`], [`route`], [`retry`],
 //!   [`ledger`], [`stream`] and [`buffer`]; [`outcome`] classifies the result.
 //! - Request handling in an agent: [`admission`], [`fair`], [`ticket`],
@@ -42,6 +43,7 @@
 pub mod outcome;
 pub mod quarantine;
 pub mod retry;
+pub mod revision;
 pub mod route;
 pub mod service;
 pub mod sheet;
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -14,7 +14,7 @@
 
 use crate::entry::Status;
 use crate::gateway::Gateway;
-use crate::pull::{Queues, Subject};
+use crate::pull::{Queues, Subject, to_wire};
 use crate::view::{Publisher, Revisions};
 
 /// Time after which an entry whose load does not change sends a datagram, a
@@ -195,9 +195,12 @@
             callers: settings.listen.callers.to_string(),
             domain: settings.domain.to_string(),
             leaving: self.gateway.leaving_since().is_some(),
-            configuration: revisions.configuration,
-            servers: revisions.servers,
-            evacuations: revisions.evacuations,
+            configuration: revisions.configuration.number(),
+            servers: revisions.servers.number(),
+            evacuations: revisions.evacuations.number(),
+            configuration_at: Some(to_wire(revisions.configuration)),
+            servers_at: Some(to_wire(revisions.servers)),
+            evacuations_at: Some(to_wire(revisions.evacuations)),
             loads,
             bounds: limits,
             store_lost: !self.views.store_reachable(),
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_wire::direct::Beat;
+use berylgw_core::revision::Revision;
+use berylgw_wire::direct::{self as wire, Beat};
 
 use crate::backend;
+use crate::pull::from_wire;
 use crate::view::Revisions;
 
 /// Time without a datagram after which an entry counts as failed: callers are
@@ -129,9 +131,9 @@
             domain: datagram.domain.into(),
             leaving: datagram.leaving,
             revisions: Revisions {
-                configuration: datagram.configuration,
-                servers: datagram.servers,
-                evacuations: datagram.evacuations,
+                configuration: revision(datagram.configuration_at, datagram.configuration),
+                servers: revision(datagram.servers_at, datagram.servers),
+                evacuations: revision(datagram.evacuations_at, datagram.evacuations),
             },
             loads,
             concurrency_limits: concurrency_limits.collect(),
@@ -290,6 +292,10 @@
     }
 }
 
+fn revision(at: Option<wire::Revision>, number: u64) -> Revision {
+    at.map_or(number.into(), from_wire)
+}
+
 /// Mixes the digests of an entry and a server, so that the order of the entries
 /// differs by server.
 fn order(entry: u32, server: u32) -> (u64, u32) {
--- a/crates/direct/src/pull.rs
+++ b/crates/direct/src/pull.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use berylgw_core::revision::Revision;
 use berylgw_wire::direct as wire;
 use berylgw_wire::direct::peer_client::PeerClient;
 use berylgw_wire::direct::peer_server::{Peer, PeerServer};
@@ -41,7 +42,7 @@
 const QUEUE_LENGTH: usize = 1;
 
 /// Revision of a part that the caller does not ask for.
-const NOT_WANTED: u64 = u64::MAX;
+const NOT_WANTED: Revision = Revision::new(u64::MAX, u64::MAX).with_version(u64::MAX);
 
 /// Parts of the view that are pulled together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -97,11 +98,49 @@
     }
 }
 
-/// Encoded parts of the current view, by part and whether compressed. Hundreds of
-/// entries pull the same revision.
+/// Encoded parts of the current view with their revision, by part and whether
+/// compressed. Hundreds of entries pull the same revision.
 #[derive(Debug, Default)]
 struct Cache {
-    parts: [[Option<wire::Part>; 2]; 3],
+    parts: [[Option<(Revision, wire::Part)>; 2]; 3],
+}
+
+/// What a caller knows of a part.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    at: Option<Revision>,
+    /// Number of the change, all that some callers tell.
+    number: u64,
+}
+
+impl Known {
+    fn new(at: Option<wire::Revision>, number: u64) -> Self {
+        let at = at.map(from_wire);
+        Known { at, number }
+    }
+
+    fn is_older(self, revision: Revision) -> bool {
+        match self.at {
+            Some(at) => at < revision,
+            None => self.number < revision.number(),
+        }
+    }
+}
+
+/// Returns a revision as other entries send it.
+pub fn from_wire(at: wire::Revision) -> Revision {
+    let revision = Revision::new(at.era, at.number);
+    revision.with_version(at.version).with_step(at.step)
+}
+
+/// Returns a revision as it is sent to other entries.
+pub fn to_wire(revision: Revision) -> wire::Revision {
+    wire::Revision {
+        version: revision.version(),
+        era: revision.era(),
+        number: revision.number(),
+        step: revision.step(),
+    }
 }
 
 impl Cache {
@@ -109,17 +148,17 @@
         &mut self,
         index: usize,
         part: &Part<T>,
-        known: u64,
+        known: Known,
         compressed: bool,
     ) -> Result<Option<wire::Part>, Status> {
-        if part.revision <= known {
+        if !known.is_older(part.revision) {
             return Ok(None);
         }
         let cached = &mut self.parts[index][usize::from(compressed)];
-        if let Some(cached) = cached
+        let current = cached
             .as_ref()
-            .filter(|cached| cached.revision == part.revision)
-        {
+            .filter(|(revision, _)| *revision == part.revision);
+        if let Some((_, cached)) = current {
             return Ok(Some(cached.clone()));
         }
         let internal = |error: &dyn std::fmt::Display| Status::internal(error.to_string());
@@ -132,11 +171,12 @@
             value = encoder.finish().map_err(|error| internal(&error))?;
         }
         let encoded = wire::Part {
-            revision: part.revision,
+            revision: part.revision.number(),
             value: value.into(),
             compressed,
+            at: Some(to_wire(part.revision)),
         };
-        *cached = Some(encoded.clone());
+        *cached = Some((part.revision, encoded.clone()));
         Ok(Some(encoded))
     }
 }
@@ -156,11 +196,13 @@
         let compressed = known.accepts_compressed;
         let view = self.views.view();
         let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
-        let configuration = &view.configuration;
+        let configuration = Known::new(known.configuration_at, known.configuration);
+        let servers = Known::new(known.servers_at, known.servers);
+        let evacuations = Known::new(known.evacuations_at, known.evacuations);
         Ok(Response::new(wire::PullReply {
-            configuration: cache.encode(0, configuration, known.configuration, compressed)?,
-            servers: cache.encode(1, &view.servers, known.servers, compressed)?,
-            evacuations: cache.encode(2, &view.evacuations, known.evacuations, compressed)?,
+            configuration: cache.encode(0, &view.configuration, configuration, compressed)?,
+            servers: cache.encode(1, &view.servers, servers, compressed)?,
+            evacuations: cache.encode(2, &view.evacuations, evacuations, compressed)?,
         }))
     }
 }
@@ -198,19 +240,18 @@
     };
     while let Some(peer) = targets.recv().await {
         let known = views.view().revisions();
-        let request = match subject {
-            Subject::Urgent => wire::PullRequest {
-                configuration: NOT_WANTED,
-                servers: known.servers,
-                evacuations: known.evacuations,
-                accepts_compressed: true,
-            },
-            Subject::Configuration => wire::PullRequest {
-                configuration: known.configuration,
-                servers: NOT_WANTED,
-                evacuations: NOT_WANTED,
-                accepts_compressed: true,
-            },
+        let (configuration, servers, evacuations) = match subject {
+            Subject::Urgent => (NOT_WANTED, known.servers, known.evacuations),
+            Subject::Configuration => (known.configuration, NOT_WANTED, NOT_WANTED),
+        };
+        let request = wire::PullRequest {
+            configuration: configuration.number(),
+            servers: servers.number(),
+            evacuations: evacuations.number(),
+            accepts_compressed: true,
+            configuration_at: Some(to_wire(configuration)),
+            servers_at: Some(to_wire(servers)),
+            evacuations_at: Some(to_wire(evacuations)),
         };
         match tokio::time::timeout(timeout, pull(peer, request)).await {
             Ok(Ok(reply)) => merge(views, reply),
@@ -246,7 +287,7 @@
     let part = part?;
     match read(&part) {
         Ok(value) => Some(Part {
-            revision: part.revision,
+            revision: part.at.map_or(part.revision.into(), from_wire),
             value: Arc::new(value),
         }),
         Err(error) => {
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -177,8 +177,8 @@
             longest_pause_ms = millis(self.longest_pause),
             events = self.events,
             whole_ms = millis(total),
-            configuration = revisions.configuration,
-            server_list = revisions.servers,
+            configuration = revisions.configuration.number(),
+            server_list = revisions.servers.number(),
             "request"
         );
     }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -4,18 +4,19 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use berylgw_core::group::drained;
+use berylgw_core::revision::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::backend::Server;
 use crate::config::Configuration;
 
-/// A part of the view and the store revision of its newest change.
+/// A part of the view and the position of its newest change.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Part<T> {
-    /// Store revision, 0 if nothing is known yet. That of the server list is
-    /// one higher after a change of the list without a change in the store.
-    pub revision: u64,
+    /// Position of the newest change. That of the configuration has its version.
+    pub revision: Revision,
     /// The value as of this revision.
     pub value: Arc<T>,
 }
@@ -34,7 +35,7 @@
         if newer.revision <= self.revision {
             return Change::None;
         }
-        let change = if self.revision > 0 && self.value == newer.value {
+        let change = if self.revision.is_known() && self.value == newer.value {
             Change::Revision
         } else {
             Change::Value
@@ -60,11 +61,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Revisions {
     /// Revision of the configuration.
-    pub configuration: u64,
+    pub configuration: Revision,
     /// Revision of the server list.
-    pub servers: u64,
+    pub servers: Revision,
     /// Revision of the evacuations.
-    pub evacuations: u64,
+    pub evacuations: Revision,
 }
 
 impl View {
@@ -80,7 +81,18 @@
     /// Returns whether a configuration is known, so that requests can be
     /// routed.
     pub fn is_ready(&self) -> bool {
-        self.configuration.revision > 0
+        self.configuration.revision.is_known()
+    }
+
+    /// Returns the highest era of the store that a part is from.
+    pub fn era(&self) -> u64 {
+        let revisions = self.revisions();
+        let eras = [
+            revisions.configuration.era(),
+            revisions.servers.era(),
+            revisions.evacuations.era(),
+        ];
+        eras.into_iter().max().unwrap_or(0)
     }
 }
 
@@ -115,15 +127,16 @@
 /// use std::sync::Arc;
 ///
 /// let views = Publisher::default();
-/// let newer = Part { revision: 7, value: Arc::new(vec!["dock".into()]) };
-/// let older = Part { revision: 6, value: Arc::new(vec![]) };
+/// let newer = Part { revision: 7.into(), value: Arc::new(vec!["dock".into()]) };
+/// let older = Part { revision: 6.into(), value: Arc::new(vec![]) };
 /// assert!(views.set_evacuations(newer, Source::Store));
 /// assert!(!views.set_evacuations(older, Source::Peer));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Publisher {
     sender: Arc<watch::Sender<Arc<View>>>,
-    write_lock: Arc<Mutex<()>>,
+    /// Servers that were seen to drain; locked while the view is written.
+    drained: Arc<Mutex<drained::Table>>,
     store_calls: Arc<Mutex<Vec<StoreCalls>>>,
 }
 
@@ -131,7 +144,7 @@
     fn default() -> Self {
         Publisher {
             sender: Arc::new(watch::Sender::new(Arc::default())),
-            write_lock: Arc::default(),
+            drained: Arc::default(),
             store_calls: Arc::default(),
         }
     }
@@ -191,31 +204,33 @@
         self.sender.subscribe()
     }
 
-    /// Replaces the configuration if the revision of `part` is higher and its
-    /// version is not lower; returns whether its value changed.
-    pub fn set_configuration(&self, part: Part<Configuration>, source: Source) -> bool {
+    /// Replaces the configuration if the revision of `part`, with its version, is
+    /// higher; returns whether its value changed. A version is thus never replaced by
+    /// a lower one, which a store that comes back from a copy may have for a while.
+    pub fn set_configuration(&self, mut part: Part<Configuration>, source: Source) -> bool {
         let version = part.value.version;
-        let set = self.change(|view| {
-            if version < view.configuration.value.version {
-                return Change::None;
-            }
-            view.configuration.replace(&part)
-        });
+        part.revision = part.revision.with_version(version);
+        let set = self.change("configuration", &part, |view| &mut view.configuration);
         if set {
-            let (revision, routes) = (part.revision, part.value.routes.len());
-            tracing::info!(%source, revision, version, routes, "configuration in force");
+            let (revision, era) = (part.revision.number(), part.revision.era());
+            let routes = part.value.routes.len();
+            tracing::info!(%source, revision, era, version, routes, "configuration in force");
         }
         set
     }
 
     /// Replaces the backend servers if `part` is newer; returns whether their
-    /// value changed.
-    pub fn set_servers(&self, part: Part<Vec<Server>>, source: Source) -> bool {
-        let set = self.change(|view| view.servers.replace(&part));
+    /// value changed. Servers that were seen to drain still do.
+    pub fn set_servers(&self, mut part: Part<Vec<Server>>, source: Source) -> bool {
+        if self.any_drained(&part.value) {
+            self.mark_drained(Arc::make_mut(&mut part.value).as_mut_slice());
+        }
+        let set = self.change("servers", &part, |view| &mut view.servers);
         if set {
             let draining = part.value.iter().filter(|server| server.draining).count();
-            let (revision, servers) = (part.revision, part.value.len());
-            tracing::info!(%source, revision, servers, draining, "servers changed");
+            let (revision, era) = (part.revision.number(), part.revision.era());
+            let servers = part.value.len();
+            tracing::info!(%source, revision, era, servers, draining, "servers changed");
         }
         set
     }
@@ -223,21 +238,57 @@
     /// Replaces the evacuated failure domains if `part` is newer; returns
     /// whether their value changed.
     pub fn set_evacuations(&self, part: Part<Vec<Arc<str>>>, source: Source) -> bool {
-        let set = self.change(|view| view.evacuations.replace(&part));
+        let set = self.change("evacuations", &part, |view| &mut view.evacuations);
         if set {
+            let (revision, era) = (part.revision.number(), part.revision.era());
             let domains = part.value.join(",");
-            tracing::info!(%source, revision = part.revision, domains, "evacuations changed");
+            tracing::info!(%source, revision, era, domains, "evacuations changed");
         }
         set
     }
 
-    fn change(&self, apply: impl FnOnce(&mut View) -> Change) -> bool {
-        let _guard = self
-            .write_lock
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+    /// Marks the servers as draining that were seen to drain before.
+    pub fn mark_drained(&self, servers: &mut [Server]) {
+        let drained = self.drained.lock().unwrap_or_else(PoisonError::into_inner);
+        for server in servers {
+            server.draining |= drained.contains(&server.id, server.born);
+        }
+    }
+
+    fn any_drained(&self, servers: &[Server]) -> bool {
+        let drained = self.drained.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ready = servers.iter().filter(|server| !server.draining);
+        ready.any(|server| drained.contains(&server.id, server.born))
+    }
+
+    fn change<T: PartialEq>(
+        &self,
+        name: &'static str,
+        newer: &Part<T>,
+        part: impl FnOnce(&mut View) -> &mut Part<T>,
+    ) -> bool {
+        let mut drained = self.drained.lock().unwrap_or_else(PoisonError::into_inner);
         let mut view = View::clone(&self.view());
-        let change = apply(&mut view);
+        let era = view.era();
+        let part = part(&mut view);
+        let change = part.replace(newer);
+        if newer.revision.era() > part.revision.era() {
+            // The copy has an older version than the one in force.
+            let (kept, revision) = (part.revision.version(), newer.revision.version());
+            tracing::info!(
+                part = name,
+                kept,
+                listed = revision,
+                "older version ignored"
+            );
+        }
+        if view.era() > era {
+            let era = view.era();
+            tracing::warn!(part = name, era, "store came back from a copy");
+        }
+        for server in view.servers.value.iter().filter(|server| server.draining) {
+            drained.record(server.id.clone(), server.born);
+        }
         if change != Change::None {
             self.sender.send_replace(Arc::new(view));
         }
--- a/crates/direct/tests/pull.rs
+++ b/crates/direct/tests/pull.rs
@@ -47,6 +47,7 @@
             revision: 9,
             value: value.into(),
             compressed: false,
+            at: None,
         };
         Ok(Response::new(wire::PullReply {
             servers: Some(servers),
@@ -98,9 +99,10 @@
     let plain = serde_json::to_vec(&*value)
         .expect("servers can be encoded")
         .len();
-    views.set_servers(Part { revision: 5, value }, Source::Store);
+    let revision = 5.into();
+    views.set_servers(Part { revision, value }, Source::Store);
     let evacuations = Part {
-        revision: 6,
+        revision: 6.into(),
         value: Arc::new(vec!["shed".into()]),
     };
     views.set_evacuations(evacuations, Source::Store);
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, IF_MATCH, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderMap, IF_MATCH, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client as HttpClient;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -167,11 +167,28 @@
         body: Bytes,
         extra_timeout: Duration,
     ) -> Result<(StatusCode, Bytes)> {
+        let answer = self.request_with_headers(method, path, body, extra_timeout);
+        answer.await.map(|(status, _, body)| (status, body))
+    }
+
+    /// Sends a request like [`Client::request`], and also returns the headers of the
+    /// response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses the call or does not answer in time.
+    pub async fn request_with_headers(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        extra_timeout: Duration,
+    ) -> Result<(StatusCode, HeaderMap, Bytes)> {
         let client = Client {
             timeout: self.timeout + extra_timeout,
             ..self.clone()
         };
-        client.call(method, path, None, body).await
+        client.call_with_headers(method, path, None, body).await
     }
 
     async fn update(&self, method: Method, path: &str, expected: u64, body: Bytes) -> Update {
@@ -196,15 +213,27 @@
         expected: Option<u64>,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes)> {
+        let answer = self.call_with_headers(method, path, expected, body);
+        answer.await.map(|(status, _, body)| (status, body))
+    }
+
+    async fn call_with_headers(
+        &self,
+        method: Method,
+        path: &str,
+        expected: Option<u64>,
+        body: Bytes,
+    ) -> Result<(StatusCode, HeaderMap, Bytes)> {
         let answer = async {
             let response = self.send(method, path, expected, body).await?;
             let status = response.status();
             if let Some(error) = refusal_error(path, status, &response) {
                 return Err(error);
             }
-            let body = response.into_body().collect().await;
+            let (parts, body) = response.into_parts();
+            let body = body.collect().await;
             let body = body.map_err(|error| Error::new(Kind::NoAnswer, path, error))?;
-            Ok((status, body.to_bytes()))
+            Ok((status, parts.headers, body.to_bytes()))
         };
         let timed_out = |_| {
             Error::new(
