Act on what servers say of themselves in their answers

Callers saw: requests kept going to a server that had said it leaves, for as long as the store listed it as ready, or the store was away; and to servers that had refused a request and asked for a pause. One Server-Limit that could not be read ended the limit in force.

Cause: neither header was read. A rate limit had two states, a number and none, so that a value which was no number counted as none, without a line.

Change: the adapter names the header, the head of each answer that belongs to its request is read once (whole, stream or refusal), also if the caller has left. Leaving binds for the process of the server, by id and start time, as a server that leaves ends; other entries are told in datagrams, 128 servers at most, all of them in periodic ones only. What was chosen before is chosen anew if it has not been sent when the connection is made. Where no server may get requests, or all pause, the request is refused before it waits for a place, with the shortest rest. A limit that cannot be read leaves the one in force. A line and a counter for each change, with source and age. No message per request; reports grow with the servers that leave, not with the fleet.

The path of entries and agents is not changed: its interface has neither header.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -11,6 +11,7 @@
 //! - [`selection`]: choice of the backend server for a request.
 //! - [`arrival`]: rate limit of a server in cold start.
 //! - [`rate`]: rate limit that a server names.
+//! - [`pause`]: pause that a server asks for.
 //! - [`health`]: outlier detection from the outcomes of requests.
 //! - [`retry_after`]: retry times of refused clients.
 //! - [`outage`]: outage and recovery of a group.
@@ -27,6 +28,7 @@
 pub mod health;
 pub mod outage;
 pub mod pace;
+pub mod pause;
 pub mod queue;
 pub mod rate;
 pub mod retry_after;
--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -135,6 +135,7 @@
             | End::NoServer
             | End::ServersRefused
             | End::Quarantined
+            | End::ServersPause
             | End::Suspected
             | End::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 use crate::answer::{Buffered, Refusal, strip_connection_headers};
@@ -19,7 +19,7 @@
 use crate::metrics::{End, Retry};
 use crate::record::Record;
 use crate::send::{self, Exchange, Failure};
-use crate::state::State;
+use crate::state::{Notice, Readiness, State, Value};
 
 /// Servers tried for one request, including those that could not be connected
 /// to.
@@ -113,6 +113,8 @@
     /// request.
     Replaced,
     Unreachable,
+    /// The request was not sent, since the server has said that it leaves or pauses.
+    Withheld,
     /// The server may have run the request.
     Lost(End),
     /// The connection ended before the first event or the end of the answer.
@@ -165,7 +167,7 @@
             let server = assignment.server.clone();
             let outcome = attempt(gateway, call, assignment, last_event, may_retry).await;
             match outcome {
-                Outcome::Unreachable => {}
+                Outcome::Unreachable | Outcome::Withheld => {}
                 Outcome::Replaced => self.attempts_connected += 1,
                 _ => {
                     self.attempts_connected += 1;
@@ -204,6 +206,7 @@
                 }
                 Outcome::Replaced => record.retried(Retry::Replaced),
                 Outcome::Unreachable => record.retried(Retry::Unreachable),
+                Outcome::Withheld => record.retried(Retry::Withheld),
                 Outcome::Lost(reason) => {
                     self.may_have_run = true;
                     end = Some(reason);
@@ -257,6 +260,9 @@
         if self.may_have_run {
             return Refusal::new(end.unwrap_or(End::AnswerLost));
         }
+        if let (None, Some(refusal)) = (end, unservable(gateway, call)) {
+            return refusal;
+        }
         let time = gateway.with_state(|state, now| state.retry_after(now, call.service));
         let end = match end {
             Some(end) => end,
@@ -307,6 +313,20 @@
     Some(Refusal::new(End::Quarantined).with_retry_after(left))
 }
 
+/// Returns the refusal of a request whose service has no server that takes requests,
+/// or only such that have asked for a pause.
+pub fn unservable(gateway: &Gateway, call: &Call) -> Option<Refusal> {
+    gateway.with_state(|state, now| match state.readiness(now, call.service) {
+        Readiness::Ready => None,
+        Readiness::Pausing(left) => Some(Refusal::new(End::ServersPause).with_retry_after(left)),
+        Readiness::NoServer => {
+            let time = state.retry_after(now, call.service);
+            let time = time.max(NO_SERVER_RETRY_AFTER);
+            Some(Refusal::new(End::NoServer).with_retry_after(time))
+        }
+    })
+}
+
 async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
@@ -323,8 +343,10 @@
     let server = assignment.server.id.clone();
     let request = call.request(gateway, &server, last_event);
     let exchange = async {
-        let exchange = match send::send(assignment.server.address, request).await {
+        let address = assignment.server.address;
+        let exchange = match send::send(address, request, || assignment.may_send()).await {
             Ok(exchange) => exchange,
+            Err(Failure::Withheld) => return Outcome::Withheld,
             Err(Failure::Unreachable(error)) => {
                 assignment.report(|health, now| health.unreachable(now));
                 tracing::info!(server = %assignment.server.id, %error, "server unreachable");
@@ -383,7 +405,12 @@
         return Outcome::Replaced;
     }
     if header(&names.attempt_id).is_some_and(|id| *id == call.id) {
-        assignment.record_rate_limit(header(&names.rate_limit).and_then(per_second));
+        let refused = status == StatusCode::SERVICE_UNAVAILABLE;
+        assignment.record_notice(Notice {
+            leaving: header(&names.server_leaving).is_some_and(|value| value == "1"),
+            rate_limit: number(header(&names.rate_limit)),
+            pause: number(header(&RETRY_AFTER).filter(|_| refused)),
+        });
     }
     if header(&names.not_run).is_some() || status == StatusCode::MISDIRECTED_REQUEST {
         let group_broken = header(&names.failed_server).is_some();
@@ -433,10 +460,18 @@
     }
 }
 
-/// Reads a rate limit in requests per second.
-fn per_second(value: &HeaderValue) -> Option<f64> {
-    let number: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    Some(number).filter(|number| number.is_finite() && *number >= 0.0)
+fn number(value: Option<&HeaderValue>) -> Value {
+    let Some(value) = value else {
+        return Value::Absent;
+    };
+    let number = value
+        .to_str()
+        .ok()
+        .and_then(|value| value.trim().parse().ok());
+    match number {
+        Some(number) if f64::is_finite(number) => Value::Number(number),
+        _ => Value::Unreadable,
+    }
 }
 
 async fn read_response(
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -14,7 +14,7 @@
 use crate::header::Names;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::state::{ServerKey, ServiceKey, State};
+use crate::state::{Notice, ServerKey, ServiceKey, State};
 
 /// State and resources shared by all requests of an entry.
 #[derive(Debug)]
@@ -197,10 +197,20 @@
             .with_state(|state, now| state.mark_replaced(now, self.key));
     }
 
-    /// Records the rate limit that an answer of the server names.
-    pub fn record_rate_limit(&self, per_second: Option<f64>) {
+    /// Records what an answer of the server says of the server.
+    pub fn record_notice(&self, notice: Notice) {
+        self.gateway.with_state(|state, now| {
+            for subject in state.record_notice(now, self.key, notice) {
+                self.gateway.metrics.count_notice(subject, "answer", 1);
+            }
+        });
+    }
+
+    /// Returns whether the request may still be sent: the server may have said
+    /// meanwhile that it leaves or pauses.
+    pub fn may_send(&self) -> bool {
         self.gateway
-            .with_state(|state, now| state.record_rate_limit(now, self.key, per_second));
+            .with_state(|state, now| state.may_send(now, self.key))
     }
 
     /// Records an outcome of the server.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -90,6 +90,9 @@
         let more_quarantined = self.gateway.with_state(|state, now| {
             let more_quarantined = state.merge_crashes(now, &datagram.crashes);
             state.merge_rate_limits(now, &datagram.rate_limits);
+            let left = state.merge_leaving(&datagram.leaving_servers);
+            let metrics = &self.gateway.metrics;
+            metrics.count_notice("leaving", "peer", left);
             if state.peers.apply(now, address, datagram) {
                 state.grant_permits(now);
             }
@@ -147,7 +150,11 @@
             let (other, same) = live.split_at(same_domain);
             let targets = same.iter().take(SAME_DOMAIN_ANNOUNCEMENTS);
             let targets = targets.chain(other.iter().take(CROSS_DOMAIN_ANNOUNCEMENTS));
-            self.send_beat(targets.map(|(.., address)| *address).collect(), false);
+            self.send_beat(
+                targets.map(|(.., address)| *address).collect(),
+                false,
+                false,
+            );
         }
     }
 
@@ -170,14 +177,14 @@
         let news = self
             .gateway
             .with_state(|state, now| state.has_crash_news(now));
-        self.send_beat(targets, to_all || news);
+        self.send_beat(targets, to_all || news, to_all);
     }
 
-    fn send_beat(&self, targets: Vec<SocketAddr>, with_crashes: bool) {
+    fn send_beat(&self, targets: Vec<SocketAddr>, with_crashes: bool, periodic: bool) {
         let settings = &self.gateway.settings;
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
-        let (loads, limits, crashes, rate_limits, revisions) =
+        let (loads, limits, crashes, rate_limits, leaving_servers, revisions) =
             self.gateway.with_state(|state, now| {
                 let (loads, limits) = state.load_report();
                 let crashes = if with_crashes {
@@ -186,7 +193,9 @@
                     Vec::new()
                 };
                 let rate_limits = state.rate_limit_report(now);
-                (loads, limits, crashes, rate_limits, state.view.revisions())
+                let leaving = state.leaving_report(now, periodic);
+                let revisions = state.view.revisions();
+                (loads, limits, crashes, rate_limits, leaving, revisions)
             });
         let datagram = Beat {
             name: settings.name.to_string(),
@@ -206,6 +215,7 @@
             store_lost: !self.views.store_reachable(),
             crashes,
             rate_limits,
+            leaving_servers,
         };
         let bytes = datagram.encode_to_vec();
         let mut failed = 0;
--- a/crates/direct/src/header.rs
+++ b/crates/direct/src/header.rs
@@ -28,6 +28,8 @@
     pub token_count: HeaderName,
     /// Requests per second that a server takes from all entries together.
     pub rate_limit: HeaderName,
+    /// `1` in all answers of a server that leaves.
+    pub server_leaving: HeaderName,
     /// Parts of the prompt in order, as `id:tokens` separated by commas. The last
     /// one belongs to the request itself.
     pub prompt_parts: HeaderName,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -44,6 +44,9 @@
     /// No server is eligible.
     #[display("no_server")]
     NoServer,
+    /// All servers have asked for a pause.
+    #[display("servers_pause")]
+    ServersPause,
     /// All servers that were tried refused it.
     #[display("servers_refused")]
     ServersRefused,
@@ -91,6 +94,9 @@
     /// The stream broke off.
     #[display("broken_off")]
     BrokenOff,
+    /// The server has said that it leaves or pauses before the request was sent.
+    #[display("withheld")]
+    Withheld,
 }
 
 /// The metrics of one entry.
@@ -114,6 +120,7 @@
     pub unsent_datagrams: IntCounter,
     /// Requests whose server crashed before it answered them.
     pub crashes: IntCounter,
+    notices: IntCounterVec,
 }
 
 /// Phases of a request with a histogram.
@@ -196,6 +203,11 @@
                 "berylgw_direct_crashes_total",
                 "Requests whose server crashed before it answered them",
             )?,
+            notices: counter(
+                "berylgw_direct_server_notices_total",
+                "Changes that servers have named in their answers, by subject and source",
+                &["subject", "source"],
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -210,6 +222,7 @@
         registry.register(Box::new(metrics.peers.clone()))?;
         registry.register(Box::new(metrics.unsent_datagrams.clone()))?;
         registry.register(Box::new(metrics.crashes.clone()))?;
+        registry.register(Box::new(metrics.notices.clone()))?;
         Ok(metrics)
     }
 
@@ -239,6 +252,13 @@
         self.retries.with_label_values(&[&reason]).inc();
     }
 
+    /// Counts changes that a server has named in its answers.
+    pub fn count_notice(&self, subject: &str, source: &str, count: u64) {
+        self.notices
+            .with_label_values(&[subject, source])
+            .inc_by(count);
+    }
+
     /// Records the duration of a phase.
     pub fn record(&self, phase: Phase, kind: &str, domain: &str, time: Duration) {
         let phase = phase.to_string();
--- a/crates/direct/src/send.rs
+++ b/crates/direct/src/send.rs
@@ -41,6 +41,9 @@
     /// No connection was made; the request has not run.
     #[error("cannot connect: {0}")]
     Unreachable(io::Error),
+    /// The server must not get the request any more; it was not sent.
+    #[error("not sent")]
+    Withheld,
     /// The connection failed after the request was sent; it may have run.
     #[error("connection failed: {0}")]
     Broken(#[from] hyper::Error),
@@ -56,13 +59,22 @@
     }
 }
 
-/// Sends a request to `address` over a new connection.
+/// Sends a request to `address` over a new connection, if `may_send` still allows it
+/// once the connection is made.
 ///
 /// # Errors
 ///
-/// Fails if no connection can be made or it ends before the response's head.
-pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Exchange, Failure> {
+/// Fails if no connection can be made, the request may not be sent or the connection
+/// ends before the response's head.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    may_send: impl Fn() -> bool,
+) -> Result<Exchange, Failure> {
     let stream = connect(address).await.map_err(Failure::Unreachable)?;
+    if !may_send() {
+        return Err(Failure::Withheld);
+    }
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -15,7 +15,7 @@
 
 use crate::admit::admit;
 use crate::answer::{Body, Refusal};
-use crate::attempt::{Answer, Attempts, hold, quarantine};
+use crate::attempt::{Answer, Attempts, hold, quarantine, unservable};
 use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::metrics::End;
@@ -99,7 +99,10 @@
     record.routed(&call);
     gateway.with_state(|state, now| state.count_request(now, call.service));
     // Refused at once, as a wait for a permit would be in vain.
-    if let Some(refusal) = quarantine(gateway, &call).or_else(|| hold(gateway, &call)) {
+    let refusal = quarantine(gateway, &call)
+        .or_else(|| hold(gateway, &call))
+        .or_else(|| unservable(gateway, &call));
+    if let Some(refusal) = refusal {
         return refuse(&mut record, refusal);
     }
     let permit = match admit(gateway, &call).await {
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -9,7 +9,9 @@
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::queue::{Id, Queue, Request};
 use berylgw_core::group::selection::{self, Candidate};
-use berylgw_core::group::{arrival, client_timeout, health, outage, rate, retry_after};
+use berylgw_core::group::{
+    arrival, client_timeout, drained, health, outage, pause, rate, retry_after,
+};
 use berylgw_core::retry::Window;
 use berylgw_wire::direct as wire;
 use tokio::sync::oneshot;
@@ -35,6 +37,12 @@
 /// Time after which a group that is down is tried again.
 const GROUP_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Servers that one datagram names as leaving, the last ones that were heard.
+const MAX_LEAVING_REPORTED: usize = 128;
+
+/// Time after which a server that leaves is named in periodic datagrams only.
+const LEAVING_NEWS: Duration = Duration::from_secs(1);
+
 /// Time for which other entries are told that a server no longer names a rate
 /// limit.
 const RATE_LIMIT_END_REPORTED: Duration = Duration::from_secs(5);
@@ -78,11 +86,17 @@
     rate_limit: rate::Limit,
     /// Last time at which this entry itself heard of its rate limit.
     rate_limit_heard: Option<Instant>,
+    /// Whether an answer has said that it leaves. It binds for the rest of the
+    /// process, whatever the store says.
+    leaving: bool,
+    /// Time at which this entry itself heard that it leaves.
+    leaving_heard: Option<Instant>,
+    pause: pause::Pause,
 }
 
 impl ServerState {
     fn accepts_requests(&self) -> bool {
-        self.eligible && !self.superseded
+        self.eligible && !self.superseded && !self.leaving
     }
 }
 
@@ -109,6 +123,39 @@
     }
 }
 
+/// A number in a header of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Value {
+    /// The answer does not have the header.
+    Absent,
+    /// The header has a finite number.
+    Number(f64),
+    /// The header has something else.
+    Unreadable,
+}
+
+/// What an answer says of its server beside the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Notice {
+    /// Whether the server leaves.
+    pub leaving: bool,
+    /// Requests per second that it takes from all entries.
+    pub rate_limit: Value,
+    /// Seconds for which it wants no request from this entry.
+    pub pause: Value,
+}
+
+/// Whether a service can take requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// A server takes requests.
+    Ready,
+    /// All servers have asked this entry for a pause; the shortest rest of one.
+    Pausing(Duration),
+    /// No server may get new requests.
+    NoServer,
+}
+
 /// Result of a request for a permit.
 #[derive(Debug)]
 pub enum Admission {
@@ -138,6 +185,8 @@
     blame: blame::Table,
     /// Digests in quarantine, as logged last.
     quarantined: Vec<u64>,
+    /// Servers that said they leave, as the store may list them again.
+    left: drained::Table,
     pools: Vec<Pool>,
     /// Source of queue ids.
     counter: u64,
@@ -155,6 +204,7 @@
             client_timeouts: client_timeout::Table::default(),
             blame: blame::Table::default(),
             quarantined: Vec::new(),
+            left: drained::Table::default(),
             pools: Vec::new(),
             counter: rand::random(),
         }
@@ -194,6 +244,9 @@
                 process: backend::digest(&format!("{} {:?}", server.id, server.born)),
                 rate_limit: rate::Limit::default(),
                 rate_limit_heard: None,
+                leaving: self.left.contains(&server.id, server.born),
+                leaving_heard: None,
+                pause: pause::Pause::default(),
             };
             match self.servers.iter_mut().find(|known| known.is_none()) {
                 Some(free) => *free = Some(added),
@@ -201,6 +254,12 @@
             }
         }
         self.mark_superseded();
+        self.update_ceilings();
+    }
+
+    /// Limits the requests at each service to the slots of its servers.
+    fn update_ceilings(&mut self) {
+        let view = self.view.clone();
         for index in 0..view.configuration.value.services.len() {
             let name = view.configuration.value.services[index].name.clone();
             let key = self.service_key(&name);
@@ -644,7 +703,8 @@
                 continue;
             }
             let cold = limit.is_some_and(|limit| !server.arrivals.allows(now, limit));
-            if cold || !server.health.is_available(now) {
+            let pausing = server.pause.left(now).is_some();
+            if cold || pausing || !server.health.is_available(now) {
                 continue;
             }
             let entries = self.peers.sharing_entries();
@@ -682,19 +742,153 @@
         Some((ServerKey(chosen), server.listed.clone()))
     }
 
-    /// Records the rate limit that an answer of a server names, `None` if none.
-    pub fn record_rate_limit(&mut self, now: Instant, key: ServerKey, per_second: Option<f64>) {
+    /// Records what an answer of a server says of the server; returns the subjects of
+    /// which something changed, for the metrics.
+    pub fn record_notice(
+        &mut self,
+        now: Instant,
+        key: ServerKey,
+        notice: Notice,
+    ) -> Vec<&'static str> {
+        let mut changed = Vec::new();
+        if self.record_rate_limit(now, key, notice.rate_limit) {
+            changed.push("limit");
+        }
+        if self.extend_pause(now, key, notice.pause) {
+            changed.push("pause");
+        }
+        if notice.leaving && self.mark_leaving(key, "answer", Duration::ZERO) {
+            changed.push("leaving");
+        }
+        if let Some(server) = &mut self.servers[key.0]
+            && notice.leaving
+        {
+            server.leaving_heard.get_or_insert(now);
+        }
+        changed
+    }
+
+    fn record_rate_limit(&mut self, now: Instant, key: ServerKey, value: Value) -> bool {
         let Some(server) = &mut self.servers[key.0] else {
-            return;
+            return false;
+        };
+        let per_second = match value {
+            Value::Absent => None,
+            Value::Number(number) if number >= 0.0 => Some(number),
+            Value::Number(_) | Value::Unreadable => {
+                let in_force = server.rate_limit.per_second(now);
+                let server = &server.listed.id;
+                tracing::warn!(%server, ?value, in_force, "rate limit ignored: not a rate");
+                return false;
+            }
         };
         if per_second.is_none() && server.rate_limit.per_second(now).is_none() {
-            return;
+            return false;
         }
         server.rate_limit_heard = Some(now);
-        if server.rate_limit.hear(now, per_second) {
+        let changed = server.rate_limit.hear(now, per_second);
+        if changed {
             let server = &server.listed.id;
             tracing::info!(%server, per_second, source = "answer", "rate limit changed");
         }
+        changed
+    }
+
+    fn extend_pause(&mut self, now: Instant, key: ServerKey, value: Value) -> bool {
+        let Some(server) = &mut self.servers[key.0] else {
+            return false;
+        };
+        let seconds = match value {
+            Value::Absent => return false,
+            Value::Number(seconds) => seconds,
+            Value::Unreadable => f64::NAN,
+        };
+        let change = server.pause.extend(now, seconds);
+        let left_ms = server.pause.left(now).map(|left| left.as_millis() as u64);
+        let server = &server.listed.id;
+        match change {
+            pause::Change::Extended => tracing::info!(%server, seconds, "server pauses"),
+            pause::Change::None => {}
+            pause::Change::Implausible => {
+                tracing::warn!(%server, ?value, left_ms, "pause ignored: implausible")
+            }
+        }
+        change == pause::Change::Extended
+    }
+
+    /// Marks a server as leaving; returns whether it was not before.
+    fn mark_leaving(&mut self, key: ServerKey, source: &str, age: Duration) -> bool {
+        let Some(server) = &mut self.servers[key.0] else {
+            return false;
+        };
+        if std::mem::replace(&mut server.leaving, true) {
+            return false;
+        }
+        let Server {
+            id, born, draining, ..
+        } = &*server.listed;
+        let (in_flight, age_ms) = (server.in_flight, age.as_millis() as u64);
+        tracing::info!(server = %id, source, age_ms, draining, in_flight, "server leaves");
+        self.left.record(id.clone(), *born);
+        self.update_ceilings();
+        true
+    }
+
+    /// Applies what another entry has heard of servers that leave; returns how many
+    /// were not known to.
+    pub fn merge_leaving(&mut self, processes: &[u32]) -> u64 {
+        let mut marked = 0;
+        for process in processes {
+            let of_process = |server: &Option<ServerState>| {
+                server
+                    .as_ref()
+                    .is_some_and(|server| server.process == *process)
+            };
+            let Some(index) = self.servers.iter().position(of_process) else {
+                continue;
+            };
+            marked += u64::from(self.mark_leaving(ServerKey(index), "peer", Duration::ZERO));
+        }
+        marked
+    }
+
+    /// Returns the servers that have told this entry that they leave, for the
+    /// datagrams to other entries: all in periodic ones, else those that they may not
+    /// know.
+    pub fn leaving_report(&self, now: Instant, periodic: bool) -> Vec<u32> {
+        let servers = self.servers.iter().flatten();
+        let mut leaving: Vec<(Duration, u32)> = servers
+            .filter_map(|server| Some((now.since(server.leaving_heard?), server.process)))
+            .filter(|(age, _)| periodic || *age < LEAVING_NEWS)
+            .collect();
+        leaving.sort_unstable();
+        leaving.truncate(MAX_LEAVING_REPORTED);
+        leaving.into_iter().map(|(_, process)| process).collect()
+    }
+
+    /// Returns whether a request that was assigned to a server may still be sent.
+    pub fn may_send(&self, now: Instant, key: ServerKey) -> bool {
+        let server = self.servers[key.0].as_ref();
+        server.is_some_and(|server| !server.leaving && server.pause.left(now).is_none())
+    }
+
+    /// Returns whether a service can take requests.
+    pub fn readiness(&self, now: Instant, service: ServiceKey) -> Readiness {
+        let name = &self.pools[service.0].name;
+        let servers = self.servers.iter().flatten();
+        let servers =
+            servers.filter(|server| server.accepts_requests() && server.listed.service == *name);
+        let mut shortest: Option<Duration> = None;
+        for server in servers {
+            let Some(left) = server.pause.left(now) else {
+                return Readiness::Ready;
+            };
+            shortest = Some(shortest.map_or(left, |shortest| shortest.min(left)));
+        }
+        match shortest {
+            Some(left) => Readiness::Pausing(left),
+            None => Readiness::NoServer,
+        }
     }
 
     /// Applies the rate limits that another entry has heard.
--- a/crates/testkit/src/direct/backend.rs
+++ b/crates/testkit/src/direct/backend.rs
@@ -84,7 +84,9 @@
     /// Ids of the requests that ran, once for each run.
     ran: Vec<String>,
     disconnects: usize,
-    rate_limit: Option<f64>,
+    rate_limit: Option<String>,
+    /// Further header lines of all answers.
+    notice: String,
 }
 
 impl Server {
@@ -106,6 +108,7 @@
                 ran: Vec::new(),
                 disconnects: 0,
                 rate_limit: None,
+                notice: String::new(),
             })),
             changed: Arc::default(),
         };
@@ -130,7 +133,22 @@
 
     /// Sets the requests per second that the server names in its answers.
     pub fn set_rate_limit(&self, per_second: Option<f64>) {
-        self.lock().rate_limit = per_second;
+        self.lock().rate_limit = per_second.map(|per_second| per_second.to_string());
+    }
+
+    /// Sets a rate limit as it stands in the header, which need not be a number.
+    pub fn set_rate_limit_text(&self, text: &str) {
+        self.lock().rate_limit = Some(text.to_owned());
+    }
+
+    /// Adds a header line to all answers, instead of an earlier one.
+    pub fn set_notice(&self, name: &str, value: &str) {
+        self.lock().notice = format!("{name}: {value}\r\n");
+    }
+
+    /// Sets the reply to all requests for which none is queued.
+    pub fn set_reply(&self, reply: Reply) {
+        self.lock().default_reply = reply;
     }
 
     /// Returns the requests received so far.
@@ -217,14 +235,17 @@
         id: &str,
         from: u32,
     ) -> io::Result<()> {
-        let limit = self.lock().rate_limit;
+        let (limit, notice) = {
+            let script = self.lock();
+            (script.rate_limit.clone(), script.notice.clone())
+        };
         let limit = limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
-        let signature = format!("Berylgw-Server-Seal: {}.{id}\r\n{limit}", self.id);
+        let signature = format!("Berylgw-Server-Seal: {}.{id}\r\n{limit}{notice}", self.id);
         match reply {
             Reply::Complete => write_response(stream, "200 OK", id, &signature).await,
             Reply::NotRun => {
-                let header = "Berylgw-Not-Executed: 1\r\n";
-                write_response(stream, "503 Service Unavailable", id, header).await
+                let header = format!("Berylgw-Not-Executed: 1\r\n{limit}{notice}");
+                write_response(stream, "503 Service Unavailable", id, &header).await
             }
             Reply::Unavailable => {
                 write_response(stream, "503 Service Unavailable", id, &signature).await
