Answer requests on connections that are accepted while an entry stops

For one that may run once, a closed connection says nothing.

Cause: once idle connections are closed, a graceful shutdown was requested for each new connection at once. The HTTP library closes a connection that has seen no byte yet. The process also ended when no request was in progress: an answer that was complete here but not yet written, and connections in the backlog of the listener, were lost with it.

Change: while the entry stops, a new connection has 300 ms for its first request and closes after the answer.

Ruled out: requests between the last check and the exit; one thread runs both.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -18,6 +18,7 @@
 use crate::gossip::Gossip;
 use crate::header::Names;
 use crate::metrics::Metrics;
+use crate::serve::Stopping;
 use crate::settings::Settings;
 use crate::view::Publisher;
 use crate::{pull, serve};
@@ -260,8 +261,14 @@
             rounds: Cell::new(0),
         });
         let (close, closing) = watch::channel(false);
+        let (end, ending) = watch::channel(false);
+        let stopping = Stopping {
+            close: closing,
+            end: ending,
+        };
         tokio::task::spawn_local(follow_view(gateway.clone(), self.views.subscribe()));
-        tokio::task::spawn_local(serve::accept(gateway.clone(), listener, closing));
+        let accepting = serve::accept(gateway.clone(), listener, stopping);
+        let accepting = tokio::task::spawn_local(accepting);
         let receiving = gossip.clone();
         tokio::task::spawn_local(async move { receiving.receive().await });
         let sending = gossip.clone();
@@ -275,6 +282,11 @@
             return Err(Error::new("traffic thread", "control thread ended"));
         }
         leave(&gateway, &gossip, &close).await;
+        end.send_replace(true);
+        accepting
+            .await
+            .map_err(|error| Error::new("accepting connections", error))?;
+        finish(&gateway).await;
         Ok(())
     }
 }
@@ -306,17 +318,37 @@
     }
 }
 
+/// Drains until no request is in progress and callers have refreshed the directory.
 async fn leave(gateway: &Gateway, gossip: &Gossip, close: &watch::Sender<bool>) {
     gateway.leave();
     gossip.publish_status();
     let started = tokio::time::Instant::now();
-    let kill = Duration::from_secs_f64(gateway.settings.stop_s);
-    let end = started + kill.saturating_sub(STOP_MARGIN);
+    let end = stop_end(gateway);
     tokio::time::sleep_until(end.min(started + IDLE_CLOSE_DELAY)).await;
     close.send_replace(true);
     tokio::time::sleep_until(end.min(started + MIN_STOP_TIME)).await;
     while gateway.in_progress() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    tracing::info!(in_progress = gateway.in_progress(), "stopped");
+}
+
+/// Waits for the last connections: an answer that is complete here may not have been
+/// sent yet.
+async fn finish(gateway: &Gateway) {
+    let end = stop_end(gateway);
+    while gateway.connections() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    let (in_progress, connections) = (gateway.in_progress(), gateway.connections());
+    tracing::info!(in_progress, connections, "stopped");
+}
+
+/// Returns the latest time at which the process ends by itself.
+fn stop_end(gateway: &Gateway) -> tokio::time::Instant {
+    let kill = Duration::from_secs_f64(gateway.settings.stop_s);
+    let time = kill.saturating_sub(STOP_MARGIN);
+    let passed = gateway
+        .leaving_since()
+        .map_or(Duration::ZERO, |since| gateway.clock.now().since(since));
+    tokio::time::Instant::now() + time.saturating_sub(passed)
 }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -40,6 +40,7 @@
     leaving_since: Cell<Option<Instant>>,
     reserved_bytes: Cell<usize>,
     in_progress: Cell<usize>,
+    connections: Cell<usize>,
 }
 
 /// Most bytes of bodies that an entry buffers at once, below the memory of the
@@ -61,6 +62,7 @@
             leaving_since: Cell::new(None),
             reserved_bytes: Cell::new(0),
             in_progress: Cell::new(0),
+            connections: Cell::new(0),
         }
     }
 
@@ -101,6 +103,17 @@
         self.in_progress.get()
     }
 
+    /// Returns the number of open connections of callers.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Counts a connection of a caller as open until the guard is dropped.
+    pub fn open_connection(self: &Rc<Self>) -> OpenConnection {
+        self.connections.set(self.connections.get() + 1);
+        OpenConnection(self.clone())
+    }
+
     /// Grants free permits to queued requests.
     pub fn grant_permits(&self) {
         self.with_state(State::grant_permits);
@@ -121,6 +134,17 @@
     }
 }
 
+/// An open connection of a caller.
+#[derive(Debug)]
+pub struct OpenConnection(Rc<Gateway>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let connections = self.0.connections.get();
+        self.0.connections.set(connections.saturating_sub(1));
+    }
+}
+
 /// Memory reserved for a body, released on drop.
 #[derive(Debug)]
 pub struct BodyReservation {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -1,5 +1,6 @@
 //! Accepting and serving the connections of callers.
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,21 +29,63 @@
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections; never returns. Once `closing` is true, each connection
-/// is closed after the answer in progress.
-pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, closing: watch::Receiver<bool>) {
+/// Time for which a new connection may be without a request while the entry stops.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Signals for the end of an entry's service.
+#[derive(Clone, Debug)]
+pub struct Stopping {
+    /// Whether connections are closed, each after the answer in progress.
+    pub close: watch::Receiver<bool>,
+    /// Whether no more connections are accepted.
+    pub end: watch::Receiver<bool>,
+}
+
+/// Accepts connections until the end is signalled, and then those that callers have
+/// made already: they would be reset with the listener.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, mut stopping: Stopping) {
+    let start = |stream, closing: &watch::Receiver<bool>| {
+        let open = gateway.open_connection();
+        let connection = connect(gateway.clone(), stream, closing.clone());
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(open);
+        });
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = connect(gateway.clone(), stream, closing.clone());
-                tokio::task::spawn_local(connection);
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.end.wait_for(|end| *end) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => start(stream, &stopping.close),
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    let waiting = listener.into_std().and_then(|listener| {
+        let mut waiting = Vec::new();
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    waiting.push(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(waiting),
+                Err(error) => return Err(error),
+            }
+        }
+    });
+    match waiting {
+        Ok(waiting) => {
+            for stream in waiting {
+                start(stream, &stopping.close);
+            }
+        }
+        Err(error) => tracing::warn!(%error, "cannot accept the last connections"),
+    }
 }
 
 async fn connect(gateway: Rc<Gateway>, stream: TcpStream, closing: watch::Receiver<bool>) {
@@ -58,7 +101,9 @@
 ) -> Result<(), Box<dyn std::error::Error>> {
     stream.set_nodelay(true)?;
     let limits = gateway.with_state(|state, _| state.view.configuration.value.limits);
+    let requested = Cell::new(false);
     let service = service_fn(|request| {
+        requested.set(true);
         let gateway = gateway.clone();
         async move { Ok::<_, io::Error>(answer(gateway, request).await) }
     });
@@ -72,9 +117,17 @@
     let mut connection = std::pin::pin!(connection);
     let closes = closing.wait_for(|closing| *closing);
     tokio::select! {
+        biased;
         ended = connection.as_mut() => return Ok(ended?),
         _ = closes => {}
     }
+    if !requested.get() {
+        // Its first request may be on its way; the connection closes after the answer.
+        let first = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, connection.as_mut());
+        if let Ok(ended) = first.await {
+            return Ok(ended?);
+        }
+    }
     connection.as_mut().graceful_shutdown();
     Ok(connection.await?)
 }
