Take no number of a datagram that decisions cannot bear

A datagram with a load near the largest number, or a rate limit that is infinite, ended the task that receives datagrams in a debug build; in a release build sums wrapped around, so that a server looked busy by four billion requests or a limit let nothing or anything through.

Cause: numbers of other entries were added and multiplied as they came; the rate limit of a server's own answer was checked, that of a datagram was not.

Change: berylgw_core::group::rate takes no limit that is negative or not finite, whoever names it, and does not overflow; the load of one entry at one server counts as 65,536 at most, and sums over servers are as wide as the counts.

unsound_datagram_ends_nothing (256 cases, overflow in peer and rate) and unsound_rate_limit_ignored failed before and pass now; cut_datagram_ends_nothing passed before.

--- a/crates/core/src/group/rate.rs
+++ b/crates/core/src/group/rate.rs
@@ -51,9 +51,11 @@
 
 impl Limit {
     /// Records the limit of an answer sent at `heard`, `None` if it names none;
-    /// returns whether the limit changed. An older answer is ignored.
+    /// returns whether the limit changed. An older answer is ignored, and so is a limit
+    /// that is negative or no number.
     pub fn hear(&mut self, heard: Instant, per_second: Option<f64>) -> bool {
-        if heard < self.heard {
+        let is_rate = |rate: f64| rate.is_finite() && rate >= 0.0;
+        if heard < self.heard || !per_second.is_none_or(is_rate) {
             return false;
         }
         self.heard = heard;
@@ -94,7 +96,9 @@
 /// Returns the requests per second that the entry at `position` of `entries` may
 /// send to a server that takes `per_second` from all.
 pub fn share(per_second: f64, entries: usize, position: usize) -> f64 {
-    let sharers = (per_second as usize + MORE_SHARERS).min(entries.max(1));
+    let sharers = (per_second as usize)
+        .saturating_add(MORE_SHARERS)
+        .min(entries.max(1));
     if position < sharers {
         per_second / sharers as f64
     } else {
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -37,6 +37,10 @@
 /// not reach it.
 const CANDIDATES_PER_OBSERVER: usize = 4;
 
+/// Most requests in flight at one server that one entry is taken to have. Sums of all
+/// entries thus fit their type, whatever a datagram says.
+const MAX_IN_FLIGHT: u32 = 1 << 16;
+
 /// Time between two checks for entries that have become silent.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -113,7 +117,7 @@
         let mut loads: Vec<(u32, u32)> = datagram
             .loads
             .iter()
-            .map(|load| (load.server, load.in_flight))
+            .map(|load| (load.server, load.in_flight.min(MAX_IN_FLIGHT)))
             .collect();
         loads.sort_unstable();
         loads.dedup_by_key(|load| load.0);
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -337,10 +337,8 @@
         let pool = &self.pools[service.0];
         let servers = self.servers.iter().flatten();
         let servers = servers.filter(|server| server.listed.service == pool.name);
-        let others: u32 = servers
-            .map(|server| self.peers.in_flight(server.digest))
-            .sum();
-        pool.held_permits + others as usize
+        let others = servers.map(|server| self.peers.in_flight(server.digest) as usize);
+        pool.held_permits + others.sum::<usize>()
     }
 
     /// Returns the concurrency limit of a service, the mean of the limits of
--- /dev/null
+++ b/crates/direct/tests/datagram.rs
@@ -0,0 +1,237 @@
+//! Datagrams that no sound entry sends, and what decisions they leave.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::group::blame::Content;
+use berylgw_direct::Settings;
+use berylgw_direct::backend::{self, Server};
+use berylgw_direct::state::State;
+use berylgw_direct::view::{Part, View};
+use berylgw_wire::direct as wire;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use prost::Message;
+use serde_json::json;
+
+const SERVICE: &str = "yard";
+
+/// Numbers among which are the least, the largest and the known digests.
+fn number() -> impl Strategy<Value = u32> {
+    let server = backend::digest("i-1");
+    let process = backend::digest(&format!("i-1 {:?}", Some(7_u64)));
+    let service = backend::digest(SERVICE);
+    prop_oneof![
+        Just(0),
+        Just(u32::MAX),
+        Just(server),
+        Just(process),
+        Just(service),
+        any::<u32>()
+    ]
+}
+
+fn crash() -> impl Strategy<Value = wire::Crash> {
+    let digests = || vec(prop_oneof![any::<u64>(), 0_u64..8], 0..70);
+    let parts = (
+        number(),
+        number(),
+        number(),
+        any::<bool>(),
+        digests(),
+        digests(),
+        digests(),
+    );
+    parts.prop_map(
+        |(service, age_ms, server, confirmed, unanswered, answered, cleared)| wire::Crash {
+            service,
+            age_ms,
+            server,
+            confirmed,
+            unanswered,
+            answered,
+            cleared,
+        },
+    )
+}
+
+fn rate() -> impl Strategy<Value = Option<f64>> {
+    prop_oneof![
+        Just(None),
+        any::<f64>().prop_map(Some),
+        Just(Some(f64::NAN)),
+        Just(Some(f64::INFINITY)),
+        Just(Some(-1.0)),
+        Just(Some(f64::MAX)),
+    ]
+}
+
+fn datagram() -> impl Strategy<Value = wire::Beat> {
+    let loads = vec((number(), number()), 0..6);
+    let bounds = vec((number(), number()), 0..6);
+    let limits = vec((number(), number(), rate()), 0..6);
+    let identity = (
+        0_u8..6,
+        any::<u64>(),
+        any::<u64>(),
+        any::<[u64; 4]>(),
+        any::<bool>(),
+    );
+    let callers = prop_oneof![Just("10.0.0.1:80"), Just("nonsense"), Just("")];
+    let leaving = vec(number(), 0..4);
+    (
+        identity,
+        callers,
+        loads,
+        bounds,
+        vec(crash(), 0..4),
+        limits,
+        leaving,
+    )
+        .prop_map(
+            |(identity, callers, loads, bounds, crashes, limits, leaving_servers)| {
+                let (name, incarnation, sequence, [version, era, number, _], leaving) = identity;
+                let at = wire::Revision {
+                    version,
+                    era,
+                    number,
+                    step: u32::MAX,
+                };
+                wire::Beat {
+                    name: format!("edge-{name}"),
+                    incarnation: incarnation % 2,
+                    sequence,
+                    callers: callers.to_owned(),
+                    domain: "shed".to_owned(),
+                    leaving,
+                    configuration: number,
+                    servers: number,
+                    evacuations: number,
+                    loads: loads
+                        .into_iter()
+                        .map(|(server, in_flight)| wire::Load { server, in_flight })
+                        .collect(),
+                    bounds: bounds
+                        .into_iter()
+                        .map(|(service, places)| wire::Bound { service, places })
+                        .collect(),
+                    store_lost: leaving,
+                    crashes,
+                    rate_limits: limits
+                        .into_iter()
+                        .map(|(process, age_ms, per_second)| wire::RateLimit {
+                            process,
+                            age_ms,
+                            per_second,
+                        })
+                        .collect(),
+                    configuration_at: Some(at),
+                    servers_at: None,
+                    evacuations_at: Some(at),
+                    leaving_servers,
+                }
+            },
+        )
+}
+
+fn state() -> State {
+    let address = "127.0.0.1:1";
+    let settings: Settings = serde_json::from_value(json!({
+        "name": "edge-own", "domain": "shed",
+        "listen": { "callers": address, "peers": address, "metrics": address },
+        "retry": { "window_s": 10, "ratio": 0.2, "extra": 90.0 },
+        "cold": { "overshoot": 1.5, "slack": 5.0 }, "stop_s": 8.0,
+    }))
+    .expect("the settings are valid");
+    let mut state = State::new(settings);
+    let server = Server {
+        id: "i-1".into(),
+        born: Some(7),
+        service: SERVICE.into(),
+        address: ([10, 0, 0, 9], 80).into(),
+        domain: "shed".into(),
+        slots: 6,
+        draining: false,
+    };
+    let mut view = View::default();
+    let (revision, value) = (1.into(), Arc::new(vec![server]));
+    view.servers = Part { revision, value };
+    state.update_view(Arc::new(view));
+    state
+}
+
+/// Applies datagrams as an entry does, and makes each decision after each of them.
+fn apply(state: &mut State, datagrams: Vec<wire::Beat>) {
+    let address: SocketAddr = ([10, 0, 0, 2], 80).into();
+    let content = Content::new([1, 2], 3);
+    for (number, datagram) in datagrams.into_iter().enumerate() {
+        let now = Instant::from_millis(number as u64 * 700);
+        state.merge_crashes(now, &datagram.crashes);
+        state.merge_rate_limits(now, &datagram.rate_limits);
+        state.merge_leaving(&datagram.leaving_servers);
+        state.peers.apply(now, address, datagram);
+        state.peers.expire(now);
+        state.grant_permits(now);
+        let service = state.service_key(&SERVICE.into());
+        state.quarantine(now, &content);
+        state.hold(now, service, &content);
+        state.readiness(now, service);
+        state.in_flight(service);
+        state.concurrency_limit(service);
+        state.retry_after(now, service);
+        state.take_retry(now, service);
+        if let Some((key, _)) = state.choose_server(now, service, &[], &content) {
+            state.finish_request(key);
+        }
+        state.peers.is_observer(now, "edge-own", "shed");
+        state.rate_limit_report(now);
+        state.crash_report(now);
+        state.leaving_report(now, true);
+    }
+}
+
+proptest! {
+    /// Guards against a datagram that ends the task which receives them, and with it
+    /// all that an entry learns from others.
+    #[test]
+    fn unsound_datagram_ends_nothing(datagrams in vec(datagram(), 0..12)) {
+        apply(&mut state(), datagrams);
+    }
+
+    /// Guards against bytes that are no datagram, or a cut one.
+    #[test]
+    fn cut_datagram_ends_nothing(
+        datagram in datagram(),
+        cut in any::<prop::sample::Index>(),
+        noise in vec(any::<u8>(), 0..40),
+    ) {
+        let mut bytes = datagram.encode_to_vec();
+        bytes.truncate(cut.index(bytes.len() + 1));
+        bytes.extend(noise);
+        let datagrams = wire::Beat::decode(&*bytes).into_iter().collect();
+        apply(&mut state(), datagrams);
+    }
+}
+
+/// Guards against a rate limit that is no number and stops all requests to a server,
+/// or lets any number through.
+#[test]
+fn unsound_rate_limit_ignored() {
+    for per_second in [f64::NAN, f64::INFINITY, -1.0] {
+        let mut state = state();
+        let service = state.service_key(&SERVICE.into());
+        let limit = wire::RateLimit {
+            process: backend::digest(&format!("i-1 {:?}", Some(7_u64))),
+            age_ms: 0,
+            per_second: Some(per_second),
+        };
+        let now = Instant::from_millis(1_000);
+        state.merge_rate_limits(now, &[limit]);
+        let content = Content::new([], 1);
+        let later = now + Duration::from_millis(1);
+        let chosen = state.choose_server(later, service, &[], &content);
+        assert!(chosen.is_some(), "{per_second}");
+    }
+}
