Start parts of an entry again that panicked

If the task that receives datagrams, watches a kind of objects or follows the view panicked, the process went on without it: it would never hear of a change again, and counted as live. A request whose task panicked ended with a closed connection. One of the faults of operators of similar systems: one unexpected error takes a process down, here a part of it.

Cause: tasks were started without anyone waiting for their end.

A request that panics is answered 502, since it may have run, and its line says `internal`.

Nothing makes a request or a task of a running entry panic that we know of, so that their use is not tested.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -126,7 +126,8 @@
             End::Malformed => StatusCode::BAD_REQUEST,
             End::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             End::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            End::AnswerLost | End::BrokenOff | End::Answered | End::ClientLeft => {
+            // A request that the entry failed at may have run.
+            End::AnswerLost | End::BrokenOff | End::Answered | End::ClientLeft | End::Internal => {
                 StatusCode::BAD_GATEWAY
             }
             End::NoConfiguration
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use berylgw_runtime::clock::Clock;
-use berylgw_runtime::{log, metrics as endpoint};
+use berylgw_runtime::{log, metrics as endpoint, task};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
@@ -266,17 +266,32 @@
             close: closing,
             end: ending,
         };
-        tokio::task::spawn_local(follow_view(gateway.clone(), self.views.subscribe()));
+        let (views, viewing) = (self.views.clone(), gateway.clone());
+        run_for_good("follow view", move || {
+            follow_view(viewing.clone(), views.subscribe())
+        });
         let accepting = serve::accept(gateway.clone(), listener, stopping);
         let accepting = tokio::task::spawn_local(accepting);
         let receiving = gossip.clone();
-        tokio::task::spawn_local(async move { receiving.receive().await });
+        run_for_good("receive datagrams", move || {
+            let gossip = receiving.clone();
+            async move { gossip.receive().await }
+        });
         let sending = gossip.clone();
-        tokio::task::spawn_local(async move { sending.send().await });
+        run_for_good("send datagrams", move || {
+            let gossip = sending.clone();
+            async move { gossip.send().await }
+        });
         let evaluating = gossip.clone();
-        tokio::task::spawn_local(async move { evaluating.evaluate().await });
+        run_for_good("evaluate peers", move || {
+            let gossip = evaluating.clone();
+            async move { gossip.evaluate().await }
+        });
         let announcing = gossip.clone();
-        tokio::task::spawn_local(async move { announcing.announce().await });
+        run_for_good("announce views", move || {
+            let gossip = announcing.clone();
+            async move { gossip.announce().await }
+        });
         let mut leaving = self.leaving;
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return Err(Error::new("traffic thread", "control thread ended"));
@@ -291,6 +306,15 @@
     }
 }
 
+/// Runs a task on the traffic thread for as long as the process runs.
+fn run_for_good<F: Future<Output = ()> + 'static>(
+    name: &'static str,
+    task: impl Fn() -> F + 'static,
+) {
+    let spawn = move || tokio::task::spawn_local(task());
+    tokio::task::spawn_local(task::supervise(name, spawn));
+}
+
 async fn follow_view(gateway: Rc<Gateway>, mut views: watch::Receiver<Arc<crate::view::View>>) {
     loop {
         let view = views.borrow_and_update().clone();
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use berylgw_runtime::log;
+use berylgw_runtime::{log, task};
 use derive_more::Display;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -71,6 +71,9 @@
     /// The client closed the connection.
     #[display("client_left")]
     ClientLeft,
+    /// The entry itself failed.
+    #[display("internal")]
+    Internal,
 }
 
 /// Why a request was sent to another server, a label value.
@@ -114,6 +117,7 @@
     pub configuration: IntGauge,
     view_age: IntGaugeVec,
     dropped_lines: IntGauge,
+    task_restarts: IntGauge,
     /// Live entries that do not drain, without this one.
     pub peers: IntGauge,
     /// Datagrams that the host could not send at once, and dropped.
@@ -191,6 +195,10 @@
                 "berylgw_direct_log_lines_dropped",
                 "Log lines dropped since the start",
             )?,
+            task_restarts: IntGauge::new(
+                "berylgw_direct_task_restarts",
+                "Tasks started again after a panic, since the start",
+            )?,
             peers: IntGauge::new(
                 "berylgw_direct_peers",
                 "Live entries that do not drain, without this one",
@@ -219,6 +227,7 @@
         registry.register(Box::new(metrics.configuration.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.dropped_lines.clone()))?;
+        registry.register(Box::new(metrics.task_restarts.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
         registry.register(Box::new(metrics.unsent_datagrams.clone()))?;
         registry.register(Box::new(metrics.crashes.clone()))?;
@@ -239,6 +248,7 @@
             self.view_age.with_label_values(&[kind]).set(seconds);
         }
         self.dropped_lines.set(log::dropped_lines() as i64);
+        self.task_restarts.set(task::restarts() as i64);
     }
 
     /// Counts the end of a request.
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -146,7 +146,10 @@
 impl Drop for Record {
     fn drop(&mut self) {
         self.gateway.finish();
-        let end = self.end.unwrap_or(End::ClientLeft);
+        let end = self.end.unwrap_or(match std::thread::panicking() {
+            true => End::Internal,
+            false => End::ClientLeft,
+        });
         let total = self.age();
         self.gateway.metrics.count_end(end);
         if end == End::Answered {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -2,9 +2,11 @@
 
 use std::cell::Cell;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -105,7 +107,15 @@
     let service = service_fn(|request| {
         requested.set(true);
         let gateway = gateway.clone();
-        async move { Ok::<_, io::Error>(answer(gateway, request).await) }
+        async move {
+            // A panic would close the connection without an answer.
+            let answered = AssertUnwindSafe(answer(gateway, request)).catch_unwind();
+            let answered = answered.await;
+            Ok::<_, io::Error>(answered.unwrap_or_else(|_| {
+                tracing::error!("request failed: the task that served it panicked");
+                Refusal::new(End::Internal).into_response()
+            }))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`log`] writes JSON lines to standard output.
 //! - [`metrics`] serves a Prometheus registry over HTTP.
 //! - [`signal`] handles stop signals.
+//! - [`task`] starts tasks again that panicked.
 //! - [`clock`] maps the process clock to [`berylgw_core::clock::Instant`].
 //! - [`tls`] secures connections from callers and between processes.
 //! - [`program`] is the main function shared by all servers; [`args`] parses their
@@ -17,4 +18,5 @@
 pub mod program;
 pub mod settings;
 pub mod signal;
+pub mod task;
 pub mod tls;
