Look at the fleet only for suspects, and at a leaving server once

Cause: found by reading the diff for cost. While any crash was remembered, each request counted the entries before its own in the order of turns and asked for the last crash of each server (servers times crashes); each datagram searched all servers for each one that its sender reports as leaving, again every 0.4 s.

Change: both are done only for a request that is a suspect itself, and for a server that is not known to leave. No decision changes; the tests of both stay green.

--- a/crates/core/src/group/blame.rs
+++ b/crates/core/src/group/blame.rs
@@ -395,10 +395,8 @@
     /// Returns whether a whole request other than `digest` has crashed several
     /// servers, this one among them.
     fn is_explained(&self, crash: &Crash, digest: u64) -> bool {
-        let others = self.repeated.iter().filter(|other| **other != digest);
-        others
-            .into_iter()
-            .any(|other| crash.is_prime_suspect(*other))
+        let mut others = self.repeated.iter().filter(|other| **other != digest);
+        others.any(|other| crash.is_prime_suspect(*other))
     }
 
     fn update_repeated(&mut self) {
@@ -452,11 +450,6 @@
         None
     }
 
-    /// Returns whether a crash is known.
-    pub fn has_crashes(&self) -> bool {
-        !self.crashes.is_empty()
-    }
-
     /// Returns whether a server crashed under this very request, and it may have been
     /// the cause.
     pub fn is_whole_suspect(&self, content: &Content) -> bool {
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -40,6 +40,9 @@
 /// Servers that one datagram names as leaving, the last ones that were heard.
 const MAX_LEAVING_REPORTED: usize = 128;
 
+/// Processes of servers that left of which repeated reports are skipped.
+const MAX_LEFT_PROCESSES: usize = 4_096;
+
 /// Time after which a server that leaves is named in periodic datagrams only.
 const LEAVING_NEWS: Duration = Duration::from_secs(1);
 
@@ -187,6 +190,8 @@
     quarantined: Vec<u64>,
     /// Servers that said they leave, as the store may list them again.
     left: drained::Table,
+    /// Digests of their processes, sorted: others report them again and again.
+    left_processes: Vec<u32>,
     pools: Vec<Pool>,
     /// Source of queue ids.
     counter: u64,
@@ -205,6 +210,7 @@
             blame: blame::Table::default(),
             quarantined: Vec::new(),
             left: drained::Table::default(),
+            left_processes: Vec::new(),
             pools: Vec::new(),
             counter: rand::random(),
         }
@@ -564,7 +570,8 @@
         service: ServiceKey,
         content: &Content,
     ) -> Option<Duration> {
-        if !self.blame.has_crashes() {
+        // What follows grows with the fleet; few requests are suspects.
+        if !self.blame.is_whole_suspect(content) {
             return None;
         }
         let entries = self.peers.sharing_entries();
@@ -828,6 +835,12 @@
         let (in_flight, age_ms) = (server.in_flight, age.as_millis() as u64);
         tracing::info!(server = %id, source, age_ms, draining, in_flight, "server leaves");
         self.left.record(id.clone(), *born);
+        if self.left_processes.len() >= MAX_LEFT_PROCESSES {
+            self.left_processes.clear();
+        }
+        if let (Some(_), Err(at)) = (born, self.left_processes.binary_search(&server.process)) {
+            self.left_processes.insert(at, server.process);
+        }
         self.update_ceilings();
         true
     }
@@ -837,6 +850,9 @@
     pub fn merge_leaving(&mut self, processes: &[u32]) -> u64 {
         let mut marked = 0;
         for process in processes {
+            if self.left_processes.binary_search(process).is_ok() {
+                continue;
+            }
             let of_process = |server: &Option<ServerState>| {
                 server
                     .as_ref()
