Keep what is known beside a copy that another entry has read first

Callers would have seen, after a store came back from a copy, requests to servers that had left, and an evacuation of the copy in force for a moment.

Cause: an observer began its grace period when the store's era was above that of the part it knew. If another entry had told it the part of the new era before its own first read, the era was no news, and the copy's list counted as a change that was passed on as the next step.

Change: the period begins at the first read of an era by the entry itself, if the era was found less than 4.5 s ago by anyone; what has changed since the finder's list counts as changed. An entry that starts no longer says that its store came back from a copy, and a line that repeated every half second while the copy's configuration was older is gone (the one of the watch stays).

--- a/crates/core/src/group/grace.rs
+++ b/crates/core/src/group/grace.rs
@@ -12,14 +12,15 @@
 
 /// Time after a restore for which an object that was not known before is not used,
 /// unless it changes. An object whose writer is gone expires in that time.
-const UNKNOWN_IGNORED: Duration = Duration::from_millis(4_500);
+pub const UNKNOWN_IGNORED: Duration = Duration::from_millis(4_500);
 
 /// A read of all objects of a kind.
 #[derive(Clone, Debug)]
 pub struct Read<T> {
     /// The objects with the store's number of their last change, sorted by key.
     pub listed: Vec<(T, u64)>,
-    /// The store's number of its last change.
+    /// The store's number of the last change that it had when it was found to have
+    /// come back, if it has just now.
     pub number: u64,
     /// Whether the read is the first after an outage.
     pub recovered: bool,
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -137,6 +137,9 @@
     sender: Arc<watch::Sender<Arc<View>>>,
     /// Servers that were seen to drain; locked while the view is written.
     drained: Arc<Mutex<drained::Table>>,
+    /// Time at which the store was found to have come back from a copy, by this entry
+    /// or another one.
+    restored_at: Arc<Mutex<Option<Instant>>>,
     store_calls: Arc<Mutex<Vec<StoreCalls>>>,
 }
 
@@ -145,6 +148,7 @@
         Publisher {
             sender: Arc::new(watch::Sender::new(Arc::default())),
             drained: Arc::default(),
+            restored_at: Arc::default(),
             store_calls: Arc::default(),
         }
     }
@@ -199,6 +203,14 @@
         ages.collect()
     }
 
+    /// Returns the time since the store was found to have come back from a copy, `None`
+    /// if it has not since the start.
+    pub fn restore_age(&self) -> Option<Duration> {
+        let restored_at = self.restored_at.lock();
+        let restored_at = *restored_at.unwrap_or_else(PoisonError::into_inner);
+        restored_at.map(|at| at.elapsed())
+    }
+
     /// Returns a receiver of the current and all later views.
     pub fn subscribe(&self) -> watch::Receiver<Arc<View>> {
         self.sender.subscribe()
@@ -270,20 +282,13 @@
         let mut drained = self.drained.lock().unwrap_or_else(PoisonError::into_inner);
         let mut view = View::clone(&self.view());
         let era = view.era();
+        let is_first = view == View::default();
         let part = part(&mut view);
         let change = part.replace(newer);
-        if newer.revision.era() > part.revision.era() {
-            // The copy has an older version than the one in force.
-            let (kept, revision) = (part.revision.version(), newer.revision.version());
-            tracing::info!(
-                part = name,
-                kept,
-                listed = revision,
-                "older version ignored"
-            );
-        }
-        if view.era() > era {
+        if view.era() > era && !is_first {
             let era = view.era();
+            let restored_at = self.restored_at.lock();
+            *restored_at.unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
             tracing::warn!(part = name, era, "store came back from a copy");
         }
         for server in view.servers.value.iter().filter(|server| server.draining) {
--- a/crates/testkit/tests/direct_restore.rs
+++ b/crates/testkit/tests/direct_restore.rs
@@ -222,3 +222,56 @@
     store.put("servers", "i-3", server(3, "draining"));
     wait_for_all(&entries, &[("servers", json!(3)), ("draining", json!(1))]).await
 }
+
+/// Guards against an entry that hears of a restore from another one before it reads the
+/// copy itself, and then takes the copy for what has changed since.
+#[tokio::test]
+async fn copy_read_after_other_entry() -> Result {
+    let store = Store::default();
+    store.put("config", "main", configuration(3, &[KEY]));
+    store.put("evacuations", "yard", json!({}));
+    for number in 1..=4 {
+        store.put("servers", &format!("i-{number}"), server(number, "ready"));
+    }
+    let entries = start_entries(&store, 3).await?;
+    wait_for_all(
+        &entries,
+        &[("servers", json!(4)), ("domains", json!("yard"))],
+    )
+    .await?;
+    let copy = store.copy();
+    store.remove("evacuations", "yard");
+    store.put("evacuations", "shed", json!({}));
+    store.remove("servers", "i-1");
+    store.put("servers", "i-5", server(5, "ready"));
+    wait_for_all(
+        &entries,
+        &[("servers", json!(4)), ("domains", json!("shed"))],
+    )
+    .await?;
+    for entry in &entries {
+        entry.treatment.send_replace(Treatment::Refusing);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    store.restore(copy);
+    for entry in &entries {
+        entry.treatment.send_replace(Treatment::Open);
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        for entry in &entries {
+            let last = entry.last_view()?;
+            let view = (&last["servers"], &last["domains"]);
+            assert_eq!(view, (&json!(4), &json!("shed")), "{last}");
+        }
+        // Written again while the others read.
+        store.put("servers", "i-5", server(5, "ready"));
+        store.put("evacuations", "shed", json!({}));
+        store.remove("evacuations", "yard");
+    }
+    store.remove("servers", "i-1");
+    store.put("servers", "i-6", server(6, "ready"));
+    wait_for_all(
+        &entries,
+        &[("servers", json!(5)), ("domains", json!("shed"))],
+    )
+    .await
+}
