--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -299,6 +299,10 @@
     connections: AtomicU64,
     /// Connections with a lower number return nothing further.
     silent_below: AtomicU64,
+    /// Time after which a watch that is waiting is cut off, 0 for never.
+    watch_cut_ms: AtomicU64,
+    /// Number of watches that were cut off.
+    watches_cut: AtomicU64,
 }
 
 fn object(name: &str, revision: u64, spec: &str) -> String {
@@ -345,6 +349,8 @@
             changed: Condvar::new(),
             connections: AtomicU64::new(0),
             silent_below: AtomicU64::new(0),
+            watch_cut_ms: AtomicU64::new(0),
+            watches_cut: AtomicU64::new(0),
         });
         let accepting = store.clone();
         thread::spawn(move || {
@@ -404,12 +410,25 @@
         self.silent_below.store(open, Ordering::SeqCst);
     }
 
+    /// Cuts off each watch from now on that has waited for `ms`, without an answer.
+    pub fn cut_waiting_watches(&self, ms: u64) {
+        self.watch_cut_ms.store(ms, Ordering::SeqCst);
+    }
+
+    /// Returns how many watches were cut off.
+    pub fn watches_cut(&self) -> u64 {
+        self.watches_cut.load(Ordering::SeqCst)
+    }
+
     fn serve(&self, mut stream: TcpStream, number: u64) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let (Some(request), Ending::Complete) = read_message(&mut stream, &mut buffer, false)
         {
-            let (status, body) = self.answer(&request);
+            let Some((status, body)) = self.answer(&request) else {
+                self.watches_cut.fetch_add(1, Ordering::SeqCst);
+                return;
+            };
             while number < self.silent_below.load(Ordering::SeqCst) {
                 sleep(1_000);
             }
@@ -426,7 +445,8 @@
         }
     }
 
-    fn answer(&self, request: &Message) -> (&'static str, String) {
+    /// Returns the answer, `None` if the channel ends instead.
+    fn answer(&self, request: &Message) -> Option<(&'static str, String)> {
         let (path, query) = request
             .path()
             .split_once('?')
@@ -446,9 +466,11 @@
                 .get(&(kind.to_owned(), name.to_owned()))
                 .cloned()
         };
-        match request.method() {
+        let answer = match request.method() {
             "GET" if name.is_empty() => match parameter("Watch") {
-                Some(after) => self.watch(kind, after, parameter("WaitMs").unwrap_or(0)),
+                Some(after) => {
+                    return self.watch(kind, after, parameter("WaitMs").unwrap_or(0));
+                }
                 None => {
                     let inner = lock(&self.inner);
                     let items = inner.objects.iter().filter(|entry| entry.0.0 == kind);
@@ -477,7 +499,7 @@
                 let key = (kind.to_owned(), name.clone());
                 let exists = lock(&self.inner).objects.get(&key).cloned();
                 if let Some((revision, spec)) = exists {
-                    return ("409 Conflict", object(&name, revision, &spec));
+                    return Some(("409 Conflict", object(&name, revision, &spec)));
                 }
                 self.put(kind, &name, json_value(&body, "Spec").unwrap_or("{}"));
                 ("201 Created", body)
@@ -494,11 +516,14 @@
                 ("200 OK", "{}".to_owned())
             }
             _ => ("404 Not Found", "{}".to_owned()),
-        }
+        };
+        Some(answer)
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: u64) -> (&'static str, String) {
-        let end = Instant::now() + Duration::from_millis(wait);
+    fn watch(&self, kind: &str, after: u64, wait: u64) -> Option<(&'static str, String)> {
+        let cut = self.watch_cut_ms.load(Ordering::SeqCst);
+        let is_cut = cut > 0 && cut < wait;
+        let end = Instant::now() + Duration::from_millis(if is_cut { cut } else { wait });
         let mut inner = lock(&self.inner);
         loop {
             let newer = inner
@@ -515,12 +540,15 @@
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
+            if events.is_empty() && left.is_zero() && is_cut {
+                return None;
+            }
             if !events.is_empty() || left.is_zero() {
                 let at = inner.revision;
-                return (
+                return Some((
                     "200 OK",
                     format!("{{\"events\":[{}],\"At\":{at}}}", events.join(",")),
-                );
+                ));
             }
             let waited = self.changed.wait_timeout(inner, left);
             inner = waited.unwrap_or_else(PoisonError::into_inner).0;
