--- a/review/standins/chain.rs
+++ b/review/standins/chain.rs
@@ -5,8 +5,8 @@
 #[path = "model.rs"]
 mod model;
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
 use common::*;
@@ -52,7 +52,11 @@
     while now() < begun + 30_000 {
         let entry = fleet.entries[number % fleet.entries.len()].frontend();
         let id = format!("bad-{number}");
-        let prompt = format!("a{}:40,{}{DEADLY}:300,b{number:06x}:60", number % 4, turns(number));
+        let prompt = format!(
+            "a{}:40,{}{DEADLY}:300,b{number:06x}:60",
+            number % 4,
+            turns(number)
+        );
         thread::spawn(move || stream(entry, &id, "key-1", &prompt));
         number += 1;
         sleep(1_000);
@@ -79,7 +83,10 @@
     let Some(fifth) = crashes.get(CRASHES - 1) else {
         finish(0, "BUDGET held: fewer than five crashes");
     };
-    let later = runs.iter().filter(|run| run.deadly && run.at > fifth + CONTACT_MS).count();
+    let later = runs
+        .iter()
+        .filter(|run| run.deadly && run.at > fifth + CONTACT_MS)
+        .count();
     note(format!(
         "fifth crash at {fifth} ms; {later} requests with the part reached servers later than {CONTACT_MS} ms after it"
     ));
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -303,6 +303,16 @@
     watch_cut_ms: AtomicU64,
     /// Number of watches that were cut off.
     watches_cut: AtomicU64,
+    /// How often the store has come back from a copy, and one.
+    era: AtomicU64,
+    /// Whether the store is away: it ends each channel without an answer.
+    away: AtomicBool,
+}
+
+/// A copy of a store.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, String)>,
 }
 
 fn object(name: &str, revision: u64, spec: &str) -> String {
@@ -351,6 +361,8 @@
             silent_below: AtomicU64::new(0),
             watch_cut_ms: AtomicU64::new(0),
             watches_cut: AtomicU64::new(0),
+            era: AtomicU64::new(1),
+            away: AtomicBool::new(false),
         });
         let accepting = store.clone();
         thread::spawn(move || {
@@ -415,6 +427,39 @@
         self.watch_cut_ms.store(ms, Ordering::SeqCst);
     }
 
+    /// Copies all objects.
+    pub fn copy(&self) -> Copy {
+        let inner = lock(&self.inner);
+        Copy {
+            revision: inner.revision,
+            objects: inner.objects.clone(),
+        }
+    }
+
+    /// Goes away until [`Store::come_back`].
+    pub fn go_away(&self) {
+        note("store: away");
+        self.away.store(true, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
+    /// Comes back with what is in a copy.
+    pub fn come_back(&self, copy: Copy) {
+        let mut inner = lock(&self.inner);
+        inner.revision = copy.revision;
+        inner.objects = copy.objects;
+        inner
+            .history
+            .retain(|change| change.revision <= copy.revision);
+        let era = self.era.fetch_add(1, Ordering::SeqCst) + 1;
+        note(format!(
+            "store: back from a copy of revision {}, era {era}",
+            copy.revision
+        ));
+        drop(inner);
+        self.away.store(false, Ordering::SeqCst);
+    }
+
     /// Returns how many watches were cut off.
     pub fn watches_cut(&self) -> u64 {
         self.watches_cut.load(Ordering::SeqCst)
@@ -429,14 +474,18 @@
                 self.watches_cut.fetch_add(1, Ordering::SeqCst);
                 return;
             };
+            if self.away.load(Ordering::SeqCst) {
+                return;
+            }
             while number < self.silent_below.load(Ordering::SeqCst) {
                 sleep(1_000);
             }
             // The store's usual time for an answer.
             sleep(4);
             let answer = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: 1\r\n\
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: {}\r\n\
                  Content-Length: {}\r\n\r\n{body}",
+                self.era.load(Ordering::SeqCst),
                 body.len()
             );
             if stream.write_all(answer.as_bytes()).is_err() {
@@ -526,6 +575,12 @@
         let end = Instant::now() + Duration::from_millis(if is_cut { cut } else { wait });
         let mut inner = lock(&self.inner);
         loop {
+            if self.away.load(Ordering::SeqCst) {
+                return None;
+            }
+            if after > inner.revision {
+                return Some(("410 Gone", "{}".to_owned()));
+            }
             let newer = inner
                 .history
                 .iter()
--- a/review/standins/cut.rs
+++ b/review/standins/cut.rs
@@ -26,14 +26,25 @@
         timeout_ms: 3_000,
         attempts: 1,
     }];
-    store.put("config", "main", &configuration(3, &routes, &[("ward", "key-1")]));
+    store.put(
+        "config",
+        "main",
+        &configuration(3, &routes, &[("ward", "key-1")]),
+    );
     let arrivals = Arrivals::default();
     let work: Work = Arc::new(|_| (400, b"paid".to_vec()));
     let servers: Vec<Server> = (0..6)
         .map(|number| {
             let id = format!("s-{number}");
             let ip = ip(40 + number as u8);
-            Server::start(ip, &id, "permit-app", ZONES[number % 3], &arrivals, work.clone())
+            Server::start(
+                ip,
+                &id,
+                "permit-app",
+                ZONES[number % 3],
+                &arrivals,
+                work.clone(),
+            )
         })
         .collect();
     for server in &servers {
@@ -41,12 +52,19 @@
     }
     if trouble() {
         store.cut_waiting_watches(CUT_MS);
-        note(format!("store: a watch that waits is cut off after {CUT_MS} ms from now on"));
+        note(format!(
+            "store: a watch that waits is cut off after {CUT_MS} ms from now on"
+        ));
     }
     let entries: Vec<Entry> = (0..8)
         .map(|number| {
             let zone = ZONES[number % 3];
-            Entry::start(&format!("edge-{zone}-{number}"), zone, 1 + number as u8, &store)
+            Entry::start(
+                &format!("edge-{zone}-{number}"),
+                zone,
+                1 + number as u8,
+                &store,
+            )
         })
         .collect();
     for entry in &entries {
@@ -85,7 +103,10 @@
     let leaving = &servers[4];
     // It leaves without reporting `draining`: its entry is removed.
     let ack = store.remove("servers", &leaving.id);
-    note(format!("store: the entry of server {} is removed", leaving.id));
+    note(format!(
+        "store: the entry of server {} is removed",
+        leaving.id
+    ));
     sleep_until(ack + SERVES_ON_MS);
     leaving.end();
     sleep(3_000);
@@ -112,7 +133,11 @@
     for outcome in &lost {
         note(format!("not served: {outcome:?}"));
     }
-    let last = late.iter().map(|arrival| arrival.at - ack).max().unwrap_or(0);
+    let last = late
+        .iter()
+        .map(|arrival| arrival.at - ack)
+        .max()
+        .unwrap_or(0);
     let sent = lock(&outcomes).len();
     note(format!(
         "{sent} requests; watches cut off: {}; server {}: {before} requests until {DRAIN_MS} ms after the \
--- a/review/standins/model.rs
+++ b/review/standins/model.rs
@@ -63,7 +63,12 @@
         let entries: Vec<Entry> = (0..entries)
             .map(|number| {
                 let zone = ZONES[number % 3];
-                Entry::start(&format!("edge-{zone}-{number}"), zone, 1 + number as u8, &store)
+                Entry::start(
+                    &format!("edge-{zone}-{number}"),
+                    zone,
+                    1 + number as u8,
+                    &store,
+                )
             })
             .collect();
         for entry in &entries {
@@ -168,13 +173,18 @@
             self.crashed.load(Ordering::SeqCst) || self.process.load(Ordering::SeqCst) != process
         };
         let _ = stream.set_nodelay(true);
-        let (Some(request), Ending::Complete) =
-            read_message(&mut stream, &mut Vec::new(), false)
+        let (Some(request), Ending::Complete) = read_message(&mut stream, &mut Vec::new(), false)
         else {
             return;
         };
-        let id = request.header("berylgw-attempt-id").unwrap_or("").to_owned();
-        if request.header("berylgw-expect-instance").is_some_and(|server| server != self.id) {
+        let id = request
+            .header("berylgw-attempt-id")
+            .unwrap_or("")
+            .to_owned();
+        if request
+            .header("berylgw-expect-instance")
+            .is_some_and(|server| server != self.id)
+        {
             let _ = stream.write_all(
                 format!(
                     "HTTP/1.1 421 Misdirected Request\r\nBerylgw-Attempt-Id: {id}\r\n\
@@ -186,8 +196,13 @@
         }
         let prompt = request.header("berylgw-prompt-prefix").unwrap_or("");
         let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
-        let deadly = shared.split(',').any(|part| part.split(':').next() == Some(DEADLY));
-        let from = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let deadly = shared
+            .split(',')
+            .any(|part| part.split(':').next() == Some(DEADLY));
+        let from = request
+            .header("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
         note(format!(
             "run {id} ({prompt}) from event {from} at server {}",
             self.id
@@ -254,12 +269,15 @@
          Berylgw-Deadline-Ms: 8000\r\nBerylgw-Model: m\r\nBerylgw-Token-Count: 700,100\r\n\
          Berylgw-Prompt-Prefix: {prompt}\r\nAuthorization: Bearer {key}\r\nContent-Length: 5\r\n\r\ndraft"
     );
+    note(format!("sent {id} ({prompt}) to {entry}"));
     if channel.write_all(request.as_bytes()).is_err() {
         return (0, Ending::Closed, 0);
     }
     let (answer, ending) = read_message(&mut channel, &mut Vec::new(), true);
     let status = answer.as_ref().map_or(0, Message::status);
     let bytes = answer.map_or(0, |answer| answer.body.len());
-    note(format!("answered {id}: status {status}, {ending:?}, {bytes} bytes"));
+    note(format!(
+        "answered {id}: status {status}, {ending:?}, {bytes} bytes"
+    ));
     (status, ending, bytes)
 }
--- a/review/standins/token.rs
+++ b/review/standins/token.rs
@@ -93,9 +93,13 @@
     let Some(fifth) = crashes.get(CRASHES - 1) else {
         finish(0, "BUDGET held: fewer than five crashes");
     };
-    let later = runs.iter().filter(|run| run.deadly && run.at > fifth + CONTACT_MS);
+    let later = runs
+        .iter()
+        .filter(|run| run.deadly && run.at > fifth + CONTACT_MS);
     let later = later.count();
-    note(format!("fifth crash at {fifth} ms; {later} requests with the part reached servers later than {CONTACT_MS} ms after it"));
+    note(format!(
+        "fifth crash at {fifth} ms; {later} requests with the part reached servers later than {CONTACT_MS} ms after it"
+    ));
     if later <= MOST_LATER {
         finish(0, "BUDGET held");
     }
