Judge the requests of a planned stop by one checker, and soak planned work

No test could see a request that ends without an answer: the callers of the soak passed over them, opened a connection for each request, and its servers answered within milliseconds.

Servers work as long as a request asks.

--- a/crates/testkit/src/direct.rs
+++ b/crates/testkit/src/direct.rs
@@ -6,6 +6,7 @@
 pub mod backend;
 pub mod caller;
 pub mod group;
+pub mod loss;
 pub mod rank;
 pub mod site;
 pub mod store;
--- a/crates/testkit/src/direct/backend.rs
+++ b/crates/testkit/src/direct/backend.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Timeout of [`Server::wait_until`].
 const WAIT: Duration = Duration::from_secs(30);
@@ -46,6 +47,20 @@
     EndedTruncated(u32),
     /// Never answers.
     Silent,
+    /// Works and answers as the request's headers `work-ms`, `answer-bytes` and
+    /// `events` say; without `events`, the answer is no stream.
+    AsAsked,
+}
+
+/// One run of a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Id of the request.
+    pub id: String,
+    /// When it began.
+    pub began: Instant,
+    /// When the last byte of the answer was written, or the peer had closed.
+    pub ended: Option<Instant>,
 }
 
 /// A received request.
@@ -81,8 +96,7 @@
     next: VecDeque<Reply>,
     default_reply: Reply,
     arrivals: Vec<Arrival>,
-    /// Ids of the requests that ran, once for each run.
-    ran: Vec<String>,
+    runs: Vec<Run>,
     disconnects: usize,
     rate_limit: Option<String>,
     /// Further header lines of all answers.
@@ -105,7 +119,7 @@
                 next: VecDeque::new(),
                 default_reply,
                 arrivals: Vec::new(),
-                ran: Vec::new(),
+                runs: Vec::new(),
                 disconnects: 0,
                 rate_limit: None,
                 notice: String::new(),
@@ -158,7 +172,13 @@
 
     /// Returns the ids of the requests that ran, once for each run.
     pub fn ran(&self) -> Vec<String> {
-        self.lock().ran.clone()
+        let script = self.lock();
+        script.runs.iter().map(|run| run.id.clone()).collect()
+    }
+
+    /// Returns the runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
     }
 
     /// Returns the number of connections that the entry closed before the
@@ -208,19 +228,27 @@
             self.changed.send_modify(|count| *count += 1);
             return write_response(&mut stream, "421 Misdirected Request", &id, "").await;
         }
-        let reply = {
+        let asked = Asked::read(&arrival);
+        let (reply, run) = {
             let mut script = self.lock();
             script.arrivals.push(arrival);
             let default_reply = script.default_reply;
             let reply = script.next.pop_front().unwrap_or(default_reply);
             if reply != Reply::NotRun {
-                script.ran.push(id.clone());
+                script.runs.push(Run {
+                    id: id.clone(),
+                    began: Instant::now(),
+                    ended: None,
+                });
             }
-            reply
+            (reply, script.runs.len())
         };
         self.changed.send_modify(|count| *count += 1);
         let from = from.and_then(|from| from.parse().ok()).unwrap_or(0);
-        let sent = self.reply(&mut stream, reply, &id, from).await;
+        let sent = self.reply(&mut stream, reply, &id, from, asked).await;
+        if reply != Reply::NotRun {
+            self.lock().runs[run - 1].ended = Some(Instant::now());
+        }
         if sent.is_err() {
             self.lock().disconnects += 1;
             self.changed.send_modify(|count| *count += 1);
@@ -234,6 +262,7 @@
         reply: Reply,
         id: &str,
         from: u32,
+        asked: Asked,
     ) -> io::Result<()> {
         let (limit, notice) = {
             let script = self.lock();
@@ -287,13 +316,28 @@
                 stream.write_all(b"0\r\n\r\n").await
             }
             Reply::Silent => wait_until_closed(stream).await,
+            Reply::AsAsked if asked.events == 0 => {
+                work(stream, asked.work).await?;
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nBerylgw-Attempt-Id: {id}\r\n{signature}\
+                     Content-Length: {}\r\n\r\n",
+                    asked.bytes
+                );
+                stream.write_all(head.as_bytes()).await?;
+                stream.write_all(&vec![b'a'; asked.bytes]).await
+            }
+            Reply::AsAsked => {
+                start_stream(stream, id, &signature).await?;
+                for event in from + 1..=asked.events {
+                    work(stream, asked.work / asked.events).await?;
+                    write_chunk(stream, &format!("id: {event}\ndata: e{event}\n\n")).await?;
+                }
+                stream.write_all(b"0\r\n\r\n").await
+            }
             Reply::Events(count, pause) => {
                 start_stream(stream, id, &signature).await?;
                 for event in from + 1..=count {
-                    tokio::select! {
-                        () = tokio::time::sleep(pause) => {}
-                        result = wait_until_closed(stream) => return result,
-                    }
+                    work(stream, pause).await?;
                     write_chunk(stream, &format!("id: {event}\ndata: e{event}\n\n")).await?;
                 }
                 stream.write_all(b"0\r\n\r\n").await
@@ -309,6 +353,36 @@
     }
 }
 
+/// What a request asks a server to do, see [`Reply::AsAsked`].
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    work: Duration,
+    bytes: usize,
+    events: u32,
+}
+
+impl Asked {
+    fn read(arrival: &Arrival) -> Self {
+        let number = |name| {
+            let value = arrival.header(name);
+            value.and_then(|value| value.parse().ok()).unwrap_or(0)
+        };
+        Asked {
+            work: Duration::from_millis(number("work-ms")),
+            bytes: number("answer-bytes") as usize,
+            events: number("events") as u32,
+        }
+    }
+}
+
+/// Works for `time`, or fails when the peer closes the connection.
+async fn work(stream: &mut TcpStream, time: Duration) -> io::Result<()> {
+    tokio::select! {
+        () = tokio::time::sleep(time) => Ok(()),
+        result = wait_until_closed(stream) => result,
+    }
+}
+
 /// Waits until the peer closes the connection; always fails.
 async fn wait_until_closed(stream: &mut TcpStream) -> io::Result<()> {
     let read = stream.read(&mut [0; 64]).await?;
--- a/crates/testkit/src/soak.rs
+++ b/crates/testkit/src/soak.rs
@@ -7,12 +7,20 @@
 
 mod caller;
 mod fault;
+pub mod planned;
 mod world;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::direct::site::Failure;
@@ -31,6 +39,14 @@
     pub requests: usize,
     /// Requests answered with success.
     pub served: usize,
+    /// Requests refused as not run.
+    pub refused: usize,
+    /// Requests that failed or were not answered in time.
+    pub failed: usize,
+    /// Requests whose connection was closed as they arrived, not passed on.
+    pub crossed: usize,
+    /// Requests early in a stop that were too long for it.
+    pub outlasted: usize,
     /// Promises that were broken, with their request.
     pub broken: Vec<String>,
 }
@@ -72,3 +88,17 @@
     }
     Ok(summary)
 }
+
+/// Fetches a page as text.
+async fn get(address: SocketAddr, path: &str) -> Result<String, Failure> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let connection = tokio::spawn(connection);
+    let request = Request::get(path).header("host", "directory");
+    let response = sender
+        .send_request(request.body(Empty::<Bytes>::new())?)
+        .await?;
+    let body = response.into_body().collect().await?.to_bytes();
+    connection.abort();
+    Ok(String::from_utf8(body.into())?)
+}
