--- a/crates/testkit/tests/direct_stop.rs
+++ b/crates/testkit/tests/direct_stop.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use berylgw_testkit::direct::backend::{Reply, Server};
+use berylgw_testkit::direct::caller::{Call, Channel, Pace, send_with};
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration, register};
 use berylgw_testkit::direct::store::Store;
+use hyper::StatusCode;
 use nix::sys::signal::Signal;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 type Result<T = ()> = std::result::Result<T, Failure>;
 
@@ -109,3 +112,74 @@
     assert!(entry.process.wait().await?.success());
     Ok(())
 }
+
+/// Guards against requests that are taken late in a stop and cut off as the process
+/// ends.
+#[tokio::test]
+async fn request_late_in_stop_cut() -> Result {
+    let store = Store::default();
+    store.put("config", "main", configuration(3, &[KEY]));
+    let servers = [
+        Server::start("i-1", Reply::AsAsked).await?,
+        Server::start("i-2", Reply::AsAsked).await?,
+    ];
+    register(&store, "yard", &[&servers[0]]);
+    register(&store, "model", &[&servers[1]]);
+    let mut entry = Entry::start(&store, "edge-1", "shed").await?;
+    entry.wait_for_view(&[("servers", json!(2))]).await?;
+    let callers = entry.callers;
+    // Keeps the process running until shortly before the kill signal.
+    let stream = call("stream", "/notes/1", 8_000);
+    let stream = tokio::spawn(async move {
+        let headers = [("work-ms", "6800"), ("events", "40")];
+        send_with(callers, &stream, &headers).await
+    });
+    servers[1]
+        .wait_until(|server| !server.ran().is_empty())
+        .await?;
+    entry.process.signal(Signal::SIGTERM)?;
+    let stopped = Instant::now();
+    let mut tries = JoinSet::new();
+    for number in 0..24_u64 {
+        let at = stopped + Duration::from_millis(3_100 + number * 150);
+        let path = ["/pickup/1", "/stock/1"][number as usize % 2];
+        let call = call(&format!("r{number}"), path, 2_000);
+        tries.spawn(async move {
+            tokio::time::sleep_until(at).await;
+            let Ok(mut channel) = Channel::open(callers, None).await else {
+                return (call, None);
+            };
+            let headers = [("work-ms", "1800"), ("answer-bytes", "800")];
+            let answer = channel.ask(&call, &headers, Pace::default()).await;
+            (call, Some(answer))
+        });
+    }
+    let mut answered = 0;
+    while let Some(tried) = tries.join_next().await {
+        let (call, Some(answer)) = tried? else {
+            continue;
+        };
+        let answer = answer.map_err(|failure| format!("{}: {failure:?}", call.id))?;
+        assert!(answer.complete, "{}: {answer:?}", call.id);
+        let ran = servers[0].ran().contains(&call.id);
+        let refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        if call.path == "/pickup/1" {
+            let expected = if refused { !ran } else { answer.status == 200 };
+            assert!(expected, "{}, ran {ran}: {answer:?}", call.id);
+        }
+        answered += usize::from(!refused);
+    }
+    assert!(answered > 0);
+    assert!(stream.await??.complete);
+    assert!(entry.process.wait().await?.success());
+    Ok(())
+}
+
+fn call(id: &str, path: &str, deadline_ms: u64) -> Call {
+    Call {
+        id: id.to_owned(),
+        path: path.to_owned(),
+        key: Some(KEY.to_owned()),
+        deadline_ms,
+    }
+}
--- a/crates/testkit/tests/soak.rs
+++ b/crates/testkit/tests/soak.rs
@@ -4,6 +4,7 @@
 
 use berylgw_testkit::direct::site::Failure;
 use berylgw_testkit::soak;
+use berylgw_testkit::soak::planned::{self, Traffic};
 
 const LENGTH: Duration = Duration::from_secs(4);
 
@@ -38,3 +39,43 @@
 async fn soak_seed_8() -> Result<(), Failure> {
     keeps_promises(8, Duration::from_secs(6)).await
 }
+
+// Guards against requests that are cut off at planned work: stops, signals, changes
+// of the configuration and servers that drain.
+async fn planned_work_loses_nothing(seed: u64, traffic: Traffic) -> Result<(), Failure> {
+    let summary = planned::run(seed, Duration::from_secs(12), traffic).await?;
+    println!("seed {seed}: {summary:?}");
+    assert_eq!(summary.broken, Vec::<String>::new());
+    assert!(summary.served > 0);
+    Ok(())
+}
+
+const SHORT_WORK: Traffic = Traffic {
+    callers: 40,
+    entries: 3,
+    limit_ms: 1_000,
+    work_ms: 120,
+    slow_readers: 0.1,
+};
+
+const LONG_WORK: Traffic = Traffic {
+    limit_ms: 3_000,
+    work_ms: 2_700,
+    slow_readers: 0.3,
+    ..SHORT_WORK
+};
+
+#[tokio::test]
+async fn planned_seed_1() -> Result<(), Failure> {
+    planned_work_loses_nothing(1, SHORT_WORK).await
+}
+
+#[tokio::test]
+async fn planned_seed_401() -> Result<(), Failure> {
+    planned_work_loses_nothing(401, LONG_WORK).await
+}
+
+#[tokio::test]
+async fn planned_seed_403() -> Result<(), Failure> {
+    planned_work_loses_nothing(403, LONG_WORK).await
+}
