Log requests that the end of a stopping entry cuts as stopped

A request line has now stopping_ms, the time from the stop signal to its arrival; the last line of the entry has in_progress, undelivered and stop_ms.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -127,9 +127,12 @@
             End::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             End::Timeout => StatusCode::GATEWAY_TIMEOUT,
             // A request that the entry failed at may have run.
-            End::AnswerLost | End::BrokenOff | End::Answered | End::ClientLeft | End::Internal => {
-                StatusCode::BAD_GATEWAY
-            }
+            End::AnswerLost
+            | End::BrokenOff
+            | End::Answered
+            | End::ClientLeft
+            | End::Stopped
+            | End::Internal => StatusCode::BAD_GATEWAY,
             End::NoConfiguration
             | End::NoPermit
             | End::GroupClosed
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -363,8 +363,14 @@
     while gateway.connections() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    gateway.mark_stopped();
     let (in_progress, connections) = (gateway.in_progress(), gateway.connections());
-    tracing::info!(in_progress, connections, "stopped");
+    // The other connections have an answer that is not written, or no request yet.
+    let undelivered = connections.saturating_sub(in_progress);
+    let stop_ms = gateway
+        .leaving_since()
+        .map(|since| gateway.clock.now().since(since).as_millis() as u64);
+    tracing::info!(in_progress, undelivered, stop_ms, "stopped");
 }
 
 /// Returns the latest time at which the process ends by itself.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -38,6 +38,7 @@
     pub quarantine_changed: Notify,
     state: RefCell<State>,
     leaving_since: Cell<Option<Instant>>,
+    stopped: Cell<bool>,
     reserved_bytes: Cell<usize>,
     in_progress: Cell<usize>,
     connections: Cell<usize>,
@@ -60,6 +61,7 @@
             view_changed: Notify::new(),
             quarantine_changed: Notify::new(),
             leaving_since: Cell::new(None),
+            stopped: Cell::new(false),
             reserved_bytes: Cell::new(0),
             in_progress: Cell::new(0),
             connections: Cell::new(0),
@@ -87,6 +89,16 @@
         self.leaving_since.get()
     }
 
+    /// Marks the process as about to exit, whatever is still in progress.
+    pub fn mark_stopped(&self) {
+        self.stopped.set(true);
+    }
+
+    /// Returns whether the process is about to exit.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.get()
+    }
+
     /// Counts a request that begins.
     pub fn begin(&self) {
         self.in_progress.set(self.in_progress.get() + 1);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -71,6 +71,9 @@
     /// The client closed the connection.
     #[display("client_left")]
     ClientLeft,
+    /// The stop of the entry ended it.
+    #[display("stopped")]
+    Stopped,
     /// The entry itself failed.
     #[display("internal")]
     Internal,
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -18,6 +18,7 @@
     gateway: Rc<Gateway>,
     id: String,
     started: Instant,
+    stopping: Option<Duration>,
     service: Arc<str>,
     account: Arc<str>,
     kind: &'static str,
@@ -42,10 +43,13 @@
     /// Starts the record of a request whose head has arrived.
     pub fn new(gateway: &Rc<Gateway>, id: String) -> Self {
         gateway.begin();
+        let started = gateway.clock.now();
+        let stopping = gateway.leaving_since().map(|since| started.since(since));
         Record {
             gateway: gateway.clone(),
             id,
-            started: gateway.clock.now(),
+            started,
+            stopping,
             service: Arc::from(""),
             account: Arc::from(""),
             kind: "unknown",
@@ -148,6 +152,7 @@
         self.gateway.finish();
         let end = self.end.unwrap_or(match std::thread::panicking() {
             true => End::Internal,
+            false if self.gateway.is_stopped() => End::Stopped,
             false => End::ClientLeft,
         });
         let total = self.age();
@@ -173,6 +178,7 @@
             in_flight = self.in_flight,
             patience_ms = millis(self.client_timeout),
             in_time = self.in_time,
+            stopping_ms = self.stopping.map(millis),
             waited_ms = self.waited.map(millis),
             servers = self.servers.join(","),
             retries = labels(&self.retries),
