Take a request in a stop only if it can end before the process does

Callers saw connections that ended without an answer around a planned stop, also for requests that run once: the payment was made and nobody was told.

Cause: admission, draining and exit each had their own clock. Only streams had a bound, a constant that knew nothing of the time until the kill; any other request was taken until the process exited, 400 ms before the kill, however long it might last. A caller may keep a directory answer for 6 s, so on a site with a time limit of 3 s there are seconds in which a slow server loses it.

berylgw_core::stop has one schedule for all steps, as shares of the time until the kill. A request whose time is not over when the last answer is due is refused with 503 before it is passed on, when its head was read and again when its body was; an early stream is still taken. What is in progress when the last answers are due is answered with 502 instead of a closed connection. The listener closes early enough for what is in its backlog. Connection: close is decided as the answer is made, not as the request arrives.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod service;
 pub mod sheet;
 pub mod step;
+pub mod stop;
 pub mod stream;
 pub mod ticket;
 
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -9,14 +9,11 @@
 
 use crate::answer::Refusal;
 use crate::call::Call;
+use crate::config::RequestKind;
 use crate::gateway::{Gateway, Permit};
 use crate::metrics::End;
 use crate::state::{Admission, ServiceKey, State};
 
-/// Time after the stop signal in which new streams are still accepted. The
-/// rest of the time until the process is killed is left for their answers.
-const LEAVING_STREAM_PERIOD: Duration = Duration::from_millis(2_500);
-
 /// `Retry-After` of a refusal while this entry drains; another entry can take
 /// the request at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -28,10 +25,6 @@
 ///
 /// Fails with the answer to the caller if no permit becomes free in time.
 pub async fn admit(gateway: &Rc<Gateway>, call: &Call) -> Result<Option<Permit>, Refusal> {
-    let past_stream_period = |since| gateway.clock.now().since(since) > LEAVING_STREAM_PERIOD;
-    if call.kind().streams() && gateway.leaving_since().is_some_and(past_stream_period) {
-        return Err(Refusal::new(End::Leaving).with_retry_after(LEAVING_RETRY_AFTER));
-    }
     let view = gateway.with_state(|state, _| state.view.clone());
     let service = view.configuration.value.service(&call.service_name);
     if !service.is_some_and(|service| service.grouped) {
@@ -70,6 +63,15 @@
     Err(refuse(gateway, call, End::NoPermit))
 }
 
+/// Returns the refusal of a request that is answered by `deadline` at the latest,
+/// which may be too late for the stop of this entry.
+pub fn outlasts_stop(gateway: &Gateway, kind: RequestKind, deadline: Instant) -> Option<Refusal> {
+    let stop = gateway.stop()?;
+    let admitted = stop.admits(gateway.clock.now(), deadline, kind.streams());
+    let refusal = Refusal::new(End::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
+    (!admitted).then_some(refusal)
+}
+
 fn refuse(gateway: &Gateway, call: &Call, end: End) -> Refusal {
     let time = gateway.with_state(|state, now| state.retry_after(now, call.service));
     Refusal::new(end).with_retry_after(time)
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -13,6 +13,7 @@
 use hyper::header::{AUTHORIZATION, EXPECT, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Uri};
 
+use crate::admit::outlasts_stop;
 use crate::answer::{Refusal, strip_connection_headers};
 use crate::config::{Configuration, Limits, RequestKind, Route};
 use crate::gateway::{BodyReservation, Gateway};
@@ -104,6 +105,9 @@
             .timeout
             .min(client_timeout.saturating_sub(ANSWER_MARGIN));
         let deadline = started + time;
+        if let Some(refusal) = outlasts_stop(gateway, route.kind, deadline) {
+            return Err(refusal);
+        }
         let reading = read_body(gateway, body, &configuration.limits);
         let left = gateway.clock.until(deadline);
         let read = tokio::time::timeout(left, reading).await;
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::clock::Instant;
 use berylgw_runtime::clock::Clock;
 use berylgw_runtime::{log, metrics as endpoint, task};
 use tokio::net::TcpListener;
@@ -31,9 +32,6 @@
 /// callers with an outdated directory answer are still served.
 const MIN_STOP_TIME: Duration = Duration::from_millis(4_000);
 
-/// Time reserved between the exit and the kill signal.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
-
 /// Polling interval for the end of the last request.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -346,12 +344,15 @@
 async fn leave(gateway: &Gateway, gossip: &Gossip, close: &watch::Sender<bool>) {
     gateway.leave();
     gossip.publish_status();
-    let started = tokio::time::Instant::now();
-    let end = stop_end(gateway);
-    tokio::time::sleep_until(end.min(started + IDLE_CLOSE_DELAY)).await;
+    let Some(stop) = gateway.stop() else { return };
+    let sleep_until = async |time: Instant| {
+        let time = time.min(stop.accept_until());
+        tokio::time::sleep(gateway.clock.until(time)).await;
+    };
+    sleep_until(stop.begun() + IDLE_CLOSE_DELAY).await;
     close.send_replace(true);
-    tokio::time::sleep_until(end.min(started + MIN_STOP_TIME)).await;
-    while gateway.in_progress() > 0 && tokio::time::Instant::now() < end {
+    sleep_until(stop.begun() + MIN_STOP_TIME).await;
+    while gateway.in_progress() > 0 && gateway.clock.now() < stop.accept_until() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
@@ -359,26 +360,14 @@
 /// Waits for the last connections: an answer that is complete here may not have been
 /// sent yet.
 async fn finish(gateway: &Gateway) {
-    let end = stop_end(gateway);
-    while gateway.connections() > 0 && tokio::time::Instant::now() < end {
+    let Some(stop) = gateway.stop() else { return };
+    while gateway.connections() > 0 && gateway.clock.now() < stop.exit() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     gateway.mark_stopped();
     let (in_progress, connections) = (gateway.in_progress(), gateway.connections());
     // The other connections have an answer that is not written, or no request yet.
     let undelivered = connections.saturating_sub(in_progress);
-    let stop_ms = gateway
-        .leaving_since()
-        .map(|since| gateway.clock.now().since(since).as_millis() as u64);
+    let stop_ms = gateway.clock.now().since(stop.begun()).as_millis() as u64;
     tracing::info!(in_progress, undelivered, stop_ms, "stopped");
 }
-
-/// Returns the latest time at which the process ends by itself.
-fn stop_end(gateway: &Gateway) -> tokio::time::Instant {
-    let kill = Duration::from_secs_f64(gateway.settings.stop_s);
-    let time = kill.saturating_sub(STOP_MARGIN);
-    let passed = gateway
-        .leaving_since()
-        .map_or(Duration::ZERO, |since| gateway.clock.now().since(since));
-    tokio::time::Instant::now() + time.saturating_sub(passed)
-}
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -3,12 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::blame::Content;
 use berylgw_core::group::health;
+use berylgw_core::stop::Schedule;
 use berylgw_runtime::clock::Clock;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::backend::Server;
 use crate::header::Names;
@@ -37,7 +39,7 @@
     /// withdrawn.
     pub quarantine_changed: Notify,
     state: RefCell<State>,
-    leaving_since: Cell<Option<Instant>>,
+    stop: watch::Sender<Option<Schedule>>,
     stopped: Cell<bool>,
     reserved_bytes: Cell<usize>,
     in_progress: Cell<usize>,
@@ -60,7 +62,7 @@
             state_changed: Notify::new(),
             view_changed: Notify::new(),
             quarantine_changed: Notify::new(),
-            leaving_since: Cell::new(None),
+            stop: watch::Sender::new(None),
             stopped: Cell::new(false),
             reserved_bytes: Cell::new(0),
             in_progress: Cell::new(0),
@@ -78,15 +80,29 @@
 
     /// Begins to drain: the directory no longer lists this entry.
     pub fn leave(&self) {
-        if self.leaving_since.get().is_none() {
-            self.leaving_since.set(Some(self.clock.now()));
-        }
+        self.stop.send_if_modified(|stop| {
+            let grace = Duration::from_secs_f64(self.settings.stop_s);
+            let begins = stop.is_none();
+            stop.get_or_insert_with(|| Schedule::new(self.clock.now(), grace));
+            begins
+        });
         self.state_changed.notify_one();
     }
 
-    /// Returns the time at which the entry began to drain.
-    pub fn leaving_since(&self) -> Option<Instant> {
-        self.leaving_since.get()
+    /// Returns the schedule of the stop, `None` while the entry does not drain.
+    pub fn stop(&self) -> Option<Schedule> {
+        *self.stop.borrow()
+    }
+
+    /// Waits until the last answers of a stopping entry are due.
+    pub async fn answers_due(&self) {
+        let mut stop = self.stop.subscribe();
+        // The sender lives as long as the gateway.
+        let schedule = stop.wait_for(Option::is_some).await.ok();
+        let Some(schedule) = schedule.and_then(|stop| *stop) else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(self.clock.until(schedule.answer_by())).await;
     }
 
     /// Marks the process as about to exit, whatever is still in progress.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -203,7 +203,7 @@
             sequence,
             callers: settings.listen.callers.to_string(),
             domain: settings.domain.to_string(),
-            leaving: self.gateway.leaving_since().is_some(),
+            leaving: self.gateway.stop().is_some(),
             configuration: revisions.configuration.number(),
             servers: revisions.servers.number(),
             evacuations: revisions.evacuations.number(),
@@ -283,7 +283,7 @@
         let settings = &gateway.settings;
         let mut status = Status {
             ready: gateway.with_state(|state, _| state.view.is_ready()),
-            leaving: gateway.leaving_since().is_some(),
+            leaving: gateway.stop().is_some(),
             entries: Vec::new(),
         };
         if !status.leaving {
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -44,7 +44,7 @@
     pub fn new(gateway: &Rc<Gateway>, id: String) -> Self {
         gateway.begin();
         let started = gateway.clock.now();
-        let stopping = gateway.leaving_since().map(|since| started.since(since));
+        let stopping = gateway.stop().map(|stop| started.since(stop.begun()));
         Record {
             gateway: gateway.clone(),
             id,
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::admit::admit;
+use crate::admit::{admit, outlasts_stop};
 use crate::answer::{Body, Refusal};
 use crate::attempt::{Answer, Attempts, hold, quarantine, unservable};
 use crate::call::Call;
@@ -146,12 +146,11 @@
     let id = request.headers().get(&gateway.names.attempt_id);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
     let mut record = Record::new(&gateway, id.to_owned());
-    let leaving = gateway.leaving_since().is_some();
     let mut response = match Call::read(&gateway, request).await {
         Ok(call) => process(&gateway, call, record).await,
         Err(refusal) => refuse(&mut record, refusal),
     };
-    if leaving {
+    if gateway.stop().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -162,7 +161,8 @@
     record.routed(&call);
     gateway.with_state(|state, now| state.count_request(now, call.service));
     // Refused at once, as a wait for a permit would be in vain.
-    let refusal = quarantine(gateway, &call)
+    let refusal = outlasts_stop(gateway, call.kind(), call.deadline)
+        .or_else(|| quarantine(gateway, &call))
         .or_else(|| hold(gateway, &call))
         .or_else(|| unservable(gateway, &call));
     if let Some(refusal) = refusal {
@@ -174,7 +174,12 @@
     };
     record.admitted();
     let mut attempts = Attempts::default();
-    let answer = attempts.run(gateway, &call, &mut record, None).await;
+    let answer = tokio::select! {
+        biased;
+        answer = attempts.run(gateway, &call, &mut record, None) => answer,
+        // A connection that closes would tell the caller less.
+        () = gateway.answers_due() => Err(Refusal::new(End::Stopped)),
+    };
     match answer {
         Ok(Answer::Stream(opened)) => relay(gateway, call, attempts, record, *opened, permit),
         Ok(Answer::Buffered(buffered)) => {
--- a/crates/testkit/tests/direct_stop.rs
+++ b/crates/testkit/tests/direct_stop.rs
@@ -183,3 +183,37 @@
         deadline_ms,
     }
 }
+
+/// Guards against a request that lasts longer than a stop and ends with the process,
+/// without an answer.
+#[tokio::test]
+async fn request_longer_than_stop_answered() -> Result {
+    let store = Store::default();
+    let mut long = configuration(3, &[KEY]);
+    for route in long["Routes"].as_array_mut().into_iter().flatten() {
+        route["TimeoutMs"] = json!(30_000);
+    }
+    store.put("config", "main", long);
+    let server = Server::start("i-1", Reply::AsAsked).await?;
+    register(&store, "yard", &[&server]);
+    let mut entry = Entry::start(&store, "edge-1", "shed").await?;
+    entry.wait_for_view(&[("servers", json!(1))]).await?;
+    let callers = entry.callers;
+    let running = tokio::spawn(async move {
+        let call = call("running", "/pickup/1", 30_000);
+        send_with(callers, &call, &[("work-ms", "20000")]).await
+    });
+    server.wait_until(|server| !server.ran().is_empty()).await?;
+    entry.process.signal(Signal::SIGTERM)?;
+    let at_stop = call("at-stop", "/pickup/1", 30_000);
+    entry.wait_for_line("stop requested", &[]).await?;
+    let refused = send_with(callers, &at_stop, &[("work-ms", "20000")]).await?;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.closes && refused.retry_after.is_some_and(|seconds| seconds > 0.0));
+    let answer = running.await??;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(server.ran(), ["running"]);
+    assert!(entry.process.wait().await?.success());
+    Ok(())
+}
