End a slow attempt only when another server has been chosen for it

Callers of an idempotent route got 502 after about half of their time, while the server was about to answer. attempt ended at three times the latency target if attempts were left, whether or not anything could follow: with no other server, or with the retry budget spent, the work was thrown away.

Now the next server is chosen and its retry is taken from the budget at that moment, and the attempt goes on if there is none.

slow_answer_without_retry_kept: before 502 for 200; after, all answers that were not sent again arrive.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -25,8 +25,8 @@
 /// to.
 const MAX_SERVERS_TRIED: usize = 5;
 
-/// Timeout of one attempt of an idempotent request while a further attempt is
-/// allowed, as a multiple of the route's latency target.
+/// Time after which an attempt of an idempotent request is ended if another server
+/// can be sent the request instead, as a multiple of the route's latency target.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 3;
 
 /// Shortest `Retry-After` when no server can take the request.
@@ -117,6 +117,8 @@
     Withheld,
     /// The server may have run the request.
     Lost(End),
+    /// The server is slow, and another one was chosen instead.
+    Superseded(Assignment),
     /// The connection ended before the first event or the end of the answer.
     Broken,
     /// It holds what has crashed another server meanwhile. The server may have run
@@ -152,20 +154,21 @@
         let mut failed = None;
         let mut end = None;
         let mut broken_groups = 0;
+        let mut successor = None;
         loop {
             match quarantine(gateway, call) {
                 Some(_) if self.may_have_run => break,
                 Some(refusal) => return Err(refusal),
                 None => {}
             }
-            let Some(assignment) = self.next_server(gateway, call) else {
-                break;
-            };
+            let next = successor.take();
+            let next = next.or_else(|| self.next_server(gateway, call, self.attempts_at_server));
+            let Some(assignment) = next else { break };
             record.sent(&assignment.server);
             self.tried.push(assignment.server.id.clone());
-            let may_retry = self.attempts_at_server + 1 < call.route.attempts;
             let server = assignment.server.clone();
-            let outcome = attempt(gateway, call, assignment, last_event, may_retry).await;
+            let supersede = || self.next_server(gateway, call, self.attempts_at_server + 1);
+            let outcome = attempt(gateway, call, assignment, last_event, supersede).await;
             match outcome {
                 Outcome::Unreachable | Outcome::Withheld => {}
                 Outcome::Replaced => self.attempts_connected += 1,
@@ -215,6 +218,12 @@
                     }
                     record.retried(Retry::AnswerLost);
                 }
+                Outcome::Superseded(next) => {
+                    self.may_have_run = true;
+                    end = Some(End::AnswerLost);
+                    record.retried(Retry::AnswerLost);
+                    successor = Some(next);
+                }
                 Outcome::Withdrawn => {
                     self.may_have_run = true;
                     end = Some(End::AnswerLost);
@@ -241,15 +250,17 @@
         Err(self.refusal(gateway, call, end))
     }
 
-    fn next_server(&self, gateway: &Rc<Gateway>, call: &Call) -> Option<Assignment> {
-        if self.tried.len() >= MAX_SERVERS_TRIED || self.attempts_at_server >= call.route.attempts {
+    /// Chooses the server for the next attempt after `attempts` at chosen servers, and
+    /// takes a retry from the budget if it is one.
+    fn next_server(&self, gateway: &Rc<Gateway>, call: &Call, attempts: u32) -> Option<Assignment> {
+        if self.tried.len() >= MAX_SERVERS_TRIED || attempts >= call.route.attempts {
             return None;
         }
         if call.time_left(gateway).is_zero() {
             return None;
         }
         let assignment = Assignment::choose(gateway, call.service, &self.tried, &call.content)?;
-        let retry = self.attempts_connected > 0;
+        let retry = self.attempts_connected > 0 || attempts > 0;
         if retry && !gateway.with_state(|state, now| state.take_retry(now, call.service)) {
             return None;
         }
@@ -332,14 +343,11 @@
     call: &Call,
     assignment: Assignment,
     last_event: Option<&str>,
-    may_retry: bool,
+    supersede: impl FnOnce() -> Option<Assignment>,
 ) -> Outcome {
     let left = call.time_left(gateway);
-    let attempt_timeout = call.route.latency_target * ATTEMPT_TIMEOUT_FACTOR;
-    let limit = match call.kind() {
-        RequestKind::Idempotent if may_retry => left.min(attempt_timeout.min(left / 2)),
-        _ => left,
-    };
+    let slow_after = call.route.latency_target * ATTEMPT_TIMEOUT_FACTOR;
+    let slow_after = slow_after.min(left / 2);
     let server = assignment.server.id.clone();
     let request = call.request(gateway, &server, last_event);
     let exchange = async {
@@ -360,9 +368,23 @@
         };
         read(gateway, call, assignment, exchange).await
     };
+    let mut exchange = std::pin::pin!(exchange);
+    let exchange = async {
+        if call.kind() == RequestKind::Idempotent {
+            let ended = tokio::time::timeout(slow_after, exchange.as_mut()).await;
+            let next = match ended {
+                Ok(ended) => return Ok(ended),
+                Err(_) => supersede(),
+            };
+            if let Some(next) = next {
+                return Ok(Outcome::Superseded(next));
+            }
+        }
+        tokio::time::timeout(call.time_left(gateway), exchange).await
+    };
     let ended = tokio::select! {
         biased;
-        ended = tokio::time::timeout(limit, exchange) => ended,
+        ended = exchange => ended,
         () = until_quarantined(gateway, call) => {
             tracing::info!(request = ?call.id, %server, "request withdrawn: quarantined");
             return Outcome::Withdrawn;
@@ -370,7 +392,6 @@
     };
     match ended {
         Ok(outcome) => outcome,
-        Err(_) if limit < left => Outcome::Lost(End::AnswerLost),
         Err(_) => Outcome::Lost(End::Timeout),
     }
 }
--- a/crates/testkit/tests/direct.rs
+++ b/crates/testkit/tests/direct.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use berylgw_testkit::direct::backend::{Reply, Server};
-use berylgw_testkit::direct::caller::{Answer, Call, send};
+use berylgw_testkit::direct::caller::{Answer, Call, send, send_with};
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration, register};
 use berylgw_testkit::direct::store::{Store, Treatment};
+use futures_util::future::join_all;
 use hyper::StatusCode;
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -217,6 +218,32 @@
     Ok(())
 }
 
+/// Guards against a slow answer that is thrown away although the request cannot be
+/// sent again: there is no other server, or the retry budget is spent.
+#[tokio::test]
+async fn slow_answer_without_retry_kept() -> Result {
+    let work = [("work-ms", "1500")];
+    let (_store, entry, servers) = site("yard", &[Reply::AsAsked]).await?;
+    let answer = send_with(entry.callers, &call("a1", "/stock/1"), &work).await?;
+    assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
+    assert_eq!(arrivals(&servers), 1);
+    let (_store, entry, servers) = site("yard", &[Reply::AsAsked, Reply::AsAsked]).await?;
+    // More than the retry budget allows to be sent again.
+    let calls = (0..300).map(|number| {
+        let id = format!("b{number}");
+        async move { send_with(entry.callers, &call(&id, "/stock/1"), &work).await }
+    });
+    let mut answered = 0;
+    for answer in join_all(calls).await {
+        answered += usize::from(answer?.status == StatusCode::OK);
+    }
+    // Those that were sent again have too little time left.
+    let repeated = arrivals(&servers) - 300;
+    assert!(repeated < 150, "{repeated} repeated");
+    assert_eq!(answered, 300 - repeated);
+    Ok(())
+}
+
 /// Guards against a request that fails because one listed server no longer
 /// exists: it must be sent to another one.
 #[tokio::test]
