--- a/crates/testkit/src/direct/store.rs
+++ b/crates/testkit/src/direct/store.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use axum::extract::{Path, Query, Request, State};
+use axum::http::header::CONTENT_LENGTH;
 use axum::http::{Method, StatusCode};
 use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
@@ -55,6 +56,8 @@
     /// Whether watches report no changes, while reads work.
     stalled: bool,
     calls: u64,
+    /// Values that no JSON value can hold, by the text that stands for each.
+    raw: Vec<(String, Vec<u8>)>,
 }
 
 #[derive(Clone, Debug)]
@@ -96,6 +99,7 @@
         let router = Router::new()
             .route("/v1/objects/{kind}", any(kind))
             .route("/v1/objects/{kind}/{name}", any(object))
+            .layer(middleware::from_fn_with_state(self.clone(), write_raw))
             .layer(middleware::from_fn_with_state(self.clone(), name_era))
             .with_state(access);
         tokio::spawn(async move {
@@ -116,6 +120,14 @@
         revision
     }
 
+    /// Writes an object whose value is sent as it is here, well formed or not.
+    pub fn put_raw(&self, kind: &str, name: &str, value: &[u8]) -> u64 {
+        let stand_in = format!("raw value of {kind}/{name}");
+        let quoted = format!("\"{stand_in}\"");
+        self.lock().raw.push((quoted, value.to_vec()));
+        self.put(kind, name, json!(stand_in))
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut inner = self.lock();
@@ -251,6 +263,33 @@
     response
 }
 
+/// Puts the values of [`Store::put_raw`] into each answer.
+async fn write_raw(State(store): State<Store>, request: Request, next: Next) -> Response {
+    let response = next.run(request).await;
+    let raw = store.lock().raw.clone();
+    if raw.is_empty() {
+        return response;
+    }
+    let (mut parts, body) = response.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, usize::MAX).await else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    let mut body = body.to_vec();
+    for (stand_in, value) in &raw {
+        let mut from = 0;
+        while let Some(at) = position(&body[from..], stand_in.as_bytes()) {
+            body.splice(from + at..from + at + stand_in.len(), value.iter().copied());
+            from += at + value.len();
+        }
+    }
+    parts.headers.remove(CONTENT_LENGTH);
+    Response::from_parts(parts, body.into())
+}
+
+fn position(text: &[u8], part: &[u8]) -> Option<usize> {
+    text.windows(part.len()).position(|window| window == part)
+}
+
 async fn intercept(access: &Access) -> Option<Response> {
     let treatment = *access.treatment.borrow();
     match treatment {
--- a/crates/testkit/tests/direct.rs
+++ b/crates/testkit/tests/direct.rs
@@ -503,6 +503,40 @@
     }
 }
 
+/// Guards against a list of servers that is not read any more because one object in
+/// the store is not readable.
+#[tokio::test]
+async fn unreadable_server_object() -> Result {
+    let nested = [vec![b'['; 200], vec![b']'; 200]].concat();
+    let values: [&[u8]; 5] = [
+        br#""\udc80\udcff\udc9f""#,
+        br#"{"Service":"yard","Weight":1e400}"#,
+        &nested,
+        b"\"\xff\xfe\"",
+        br#"{"Address":"\ud800"}"#,
+    ];
+    for (number, value) in values.into_iter().enumerate() {
+        let (store, entry, servers) = site("yard", &[Reply::Complete, Reply::Complete]).await?;
+        store.put_raw("servers", "i-unreadable", value);
+        store.put(
+            "servers",
+            "i-0",
+            servers[0].object("yard", "shed", "draining"),
+        );
+        entry.wait_for_view(&[("draining", json!(1))]).await?;
+        // Reads the whole list, not only what has changed.
+        let later = Entry::start(&store, "edge-2", "shed").await?;
+        let whole = [("servers", json!(2)), ("draining", json!(1))];
+        later.wait_for_view(&whole).await?;
+        for entry in [&entry, &later] {
+            let id = format!("a{number}-{}", entry.callers.port());
+            let answer = send(entry.callers, &call(&id, "/pickup/1")).await?;
+            assert_eq!(answer.signature, Some(format!("i-1.{id}")));
+        }
+    }
+    Ok(())
+}
+
 /// Guards against malformed server objects in the store that affect the others,
 /// and against a log line at each reading of them.
 #[tokio::test]
