Blame a server crash right after the first event of a stream on the stream

Cause: a request counted as answered with its first event, which cleared its parts, and a broken stream was never looked at for a crash. Class: success is recorded when an answer begins, not when it has proved sound. A stream is now on probation for 150 ms from the first event of each server: until then a crash is recorded as for a request that was not answered, the stream is not continued if it is suspect, and its parts are not cleared.

--- a/crates/core/src/group/blame.rs
+++ b/crates/core/src/group/blame.rs
@@ -6,7 +6,7 @@
 //! entry sees only its own requests.
 //!
 //! A crash makes suspects of the parts of those requests that the server had not
-//! begun to answer. An answer that begins later clears its parts. A part that was
+//! answered, or only just begun to. An answer that is under way later clears its parts. A part that was
 //! never answered is quarantined after its first crash: if it is sound, it is so
 //! rare that few requests hold it. Parts that were answered before need three
 //! crashes, and answers to other requests meanwhile. Entries exchange their
@@ -179,7 +179,7 @@
 #[derive(Clone, Debug)]
 struct Known {
     at: Time,
-    /// Answers that began since.
+    /// Answers since.
     answers: u32,
     /// The crash; its `age` is not used.
     crash: Crash,
@@ -234,9 +234,9 @@
 pub struct Table {
     /// Sorted by time.
     crashes: Vec<Known>,
-    /// Last time at which an answer to a request with the part began.
+    /// Last time at which a request with the part was answered.
     answered: Answered,
-    /// Last time at which an answer to a whole request began. Most come only once;
+    /// Last time at which a whole request was answered. Most come only once;
     /// apart, so that they do not displace the parts.
     answered_wholes: Answered,
     /// Suspects that this entry has sent again in its turn.
@@ -252,7 +252,7 @@
 }
 
 impl Table {
-    /// Records that a server begins to answer a request.
+    /// Records that a server answers a request.
     pub fn record_answer(&mut self, now: Instant, content: &Content) {
         let now = Time::ago(now, Duration::ZERO);
         self.answers += 1;
@@ -281,8 +281,8 @@
         }
     }
 
-    /// Records that `server` of `service` crashed before it began to answer a
-    /// request.
+    /// Records that `server` of `service` crashed before it answered a request, or as
+    /// it began to.
     pub fn record_crash(&mut self, now: Instant, service: u32, server: u32, content: &Content) {
         let mut crash = Crash {
             service,
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -179,9 +179,13 @@
             }
             match outcome {
                 Outcome::Answer(answer) => {
+                    let is_whole = matches!(answer, Answer::Buffered(_));
                     gateway.with_state(|state, now| {
                         state.mark_group_up(now, call.service);
-                        state.record_answer(now, &call.content);
+                        // A stream shows only as it goes on that it crashes no server.
+                        if is_whole {
+                            state.record_answer(now, &call.content);
+                        }
                     });
                     return Ok(answer);
                 }
@@ -232,12 +236,8 @@
                 Outcome::Broken => {
                     self.may_have_run = true;
                     end = Some(End::AnswerLost);
-                    let crashed = record_crash(gateway, call, &server).await;
-                    let must_not_retry = gateway.with_state(|state, now| {
-                        state.is_suspect(&call.content)
-                            || (crashed && !state.has_spare_server(now, call.service))
-                    });
-                    if must_not_retry || !call.kind().repeatable() {
+                    if !may_follow_crash(gateway, call, &server).await || !call.kind().repeatable()
+                    {
                         break;
                     }
                     record.retried(Retry::AnswerLost);
@@ -284,6 +284,16 @@
     }
 }
 
+/// Records a crash if the server that broke off the answer is gone; returns whether
+/// the request may be sent to another one.
+pub async fn may_follow_crash(gateway: &Rc<Gateway>, call: &Call, server: &Server) -> bool {
+    let crashed = record_crash(gateway, call, server).await;
+    gateway.with_state(|state, now| {
+        let last = crashed && !state.has_spare_server(now, call.service);
+        !state.is_suspect(&call.content) && !last
+    })
+}
+
 /// Records a crash if the server that broke off the answer is gone; returns whether
 /// it is.
 async fn record_crash(gateway: &Rc<Gateway>, call: &Call, server: &Server) -> bool {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -1,13 +1,15 @@
 //! Forwarding a stream to the caller, one or more complete events at once.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use berylgw_core::clock::Instant;
 use bytes::Bytes;
 use futures_util::stream;
 use hyper::Response;
 
 use crate::answer::{Abort, Body, respond};
-use crate::attempt::{Answer, Attempts, Opened, next_events};
+use crate::attempt::{Answer, Attempts, Opened, may_follow_crash, next_events};
 use crate::call::Call;
 use crate::config::RequestKind;
 use crate::event::Splitter;
@@ -16,6 +18,10 @@
 use crate::record::Record;
 use crate::send::Exchange;
 
+/// Time from the first event of a server within which its crash may be due to the
+/// stream. Each stream that a server has begun breaks off with it.
+const PROBATION: Duration = Duration::from_millis(150);
+
 /// A stream in progress. Dropping it closes the connection to the server, which
 /// cancels the server's work.
 struct Relay {
@@ -27,6 +33,9 @@
     splitter: Splitter,
     exchange: Exchange,
     assignment: Assignment,
+    /// When the server began to answer, `None` once it has shown that the stream does
+    /// not crash it.
+    on_probation: Option<Instant>,
     _permit: Option<Permit>,
 }
 
@@ -48,6 +57,7 @@
         splitter: opened.splitter,
         exchange: opened.exchange,
         assignment: opened.assignment,
+        on_probation: Some(gateway.clock.now()),
         _permit: permit,
     };
     let body = stream::unfold(Some(relay), |relay| async move {
@@ -80,6 +90,7 @@
                     return Ok(Some(events));
                 }
                 Ok(None) => {
+                    self.end_probation();
                     let status = self.exchange.response.status();
                     self.record.end(End::Answered, status.as_u16(), None);
                     return Ok(None);
@@ -88,6 +99,12 @@
                     let server = &self.assignment.server.id;
                     tracing::info!(%server, %error, "stream broken off");
                     self.assignment.report(|health, now| health.failed(now));
+                    let server = self.assignment.server.clone();
+                    if self.on_probation.is_some()
+                        && !may_follow_crash(&self.gateway, &self.call, &server).await
+                    {
+                        return Err(self.abort(End::BrokenOff));
+                    }
                     if let Some(events) = self.resume().await? {
                         return Ok(Some(events));
                     }
@@ -96,7 +113,23 @@
         }
     }
 
+    /// Records that the server answers the request, once for each server.
+    fn end_probation(&mut self) {
+        if self.on_probation.take().is_some() {
+            let content = &self.call.content;
+            self.gateway
+                .with_state(|state, now| state.record_answer(now, content));
+        }
+    }
+
     fn observe_event(&mut self) {
+        let now = self.gateway.clock.now();
+        if self
+            .on_probation
+            .is_some_and(|begun| now.since(begun) >= PROBATION)
+        {
+            self.end_probation();
+        }
         let Some(pause) = self.record.event() else {
             return;
         };
@@ -125,6 +158,7 @@
         self.splitter = opened.splitter;
         self.exchange = opened.exchange;
         self.assignment = opened.assignment;
+        self.on_probation = Some(self.gateway.clock.now());
         self.record.event();
         Ok(Some(opened.first))
     }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -542,13 +542,13 @@
         }
     }
 
-    /// Records that a server begins to answer a request.
+    /// Records that a server answers a request.
     pub fn record_answer(&mut self, now: Instant, content: &Content) {
         self.blame.record_answer(now, content);
     }
 
-    /// Records that a server crashed before it began to answer a request; returns
-    /// whether more requests are quarantined.
+    /// Records that a server crashed before it answered a request, or as it began to;
+    /// returns whether more requests are quarantined.
     pub fn record_crash(
         &mut self,
         now: Instant,
--- a/crates/testkit/tests/direct_crash.rs
+++ b/crates/testkit/tests/direct_crash.rs
@@ -34,6 +34,8 @@
     delay: Duration,
     /// Time for which it is down after a crash.
     restart: Duration,
+    /// Whether it sends the first event of an answer before it crashes.
+    begins: bool,
     crashes: Arc<AtomicUsize>,
     /// Arrivals of deadly requests, also those that it did not begin to answer.
     deadly: Arc<Mutex<Vec<Instant>>>,
@@ -45,11 +47,16 @@
     }
 
     async fn start_with(delay: Duration, restart: Duration) -> Result<Self> {
+        Self::start_as(delay, restart, false).await
+    }
+
+    async fn start_as(delay: Duration, restart: Duration, begins: bool) -> Result<Self> {
         let mut listener = TcpListener::bind("127.0.0.1:0").await?;
         let server = Fragile {
             address: listener.local_addr()?,
             delay,
             restart,
+            begins,
             crashes: Arc::default(),
             deadly: Arc::default(),
         };
@@ -115,13 +122,22 @@
             // The caller has closed the connection, which cancels the request.
             () = until_closed(&mut stream) => return Ok(None),
         }
-        if is_deadly {
-            return Ok(Some(stream));
-        }
         let id = head
             .lines()
             .find_map(|line| line.strip_prefix("berylgw-attempt-id: "));
         let id = id.unwrap_or("none");
+        if is_deadly && self.begins {
+            let beginning = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                 Berylgw-Attempt-Id: {id}\r\nBerylgw-Server-Seal: s\r\n\
+                 Content-Length: 32\r\n\r\nid: 1\ndata: e1\n\n"
+            );
+            stream.write_all(beginning.as_bytes()).await?;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        if is_deadly {
+            return Ok(Some(stream));
+        }
         let answer = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBerylgw-Attempt-Id: {id}\r\n\
              Berylgw-Server-Seal: s\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n"
@@ -156,6 +172,41 @@
     crashes.sum()
 }
 
+/// Guards against requests with one part that crash servers one after the other, each
+/// right after the first event of its answer.
+#[tokio::test]
+async fn streams_with_part_crash_servers_after_first_event() -> Result {
+    let store = Store::default();
+    store.put("config", "main", configuration(3, &[KEY]));
+    let mut servers = Vec::new();
+    for index in 0..4 {
+        let server = Fragile::start_as(Duration::from_millis(10), RESTART, true).await?;
+        server.register(&store, "model", index);
+        servers.push(server);
+    }
+    let entry = Entry::start(&store, "edge-1", "shed").await?;
+    entry.wait_for_view(&[("servers", json!(4))]).await?;
+    for number in 0..20 {
+        let prompt = format!("aaaa:40,{number:x}:600");
+        let answer = ask(&entry, &format!("s{number}"), &prompt).await?;
+        assert!(answer.complete, "{answer:?}");
+    }
+    for number in 0..12 {
+        let prompt = format!("aaaa:40,{DEADLY}:200,d{number}:600");
+        let answer = ask(&entry, &format!("d{number}"), &prompt).await?;
+        assert!(
+            !answer.complete || !answer.status.is_success(),
+            "{answer:?}"
+        );
+        let prompt = format!("aaaa:40,e{number}:600");
+        let answer = ask(&entry, &format!("e{number}"), &prompt).await?;
+        assert!(answer.complete && answer.status.is_success(), "{answer:?}");
+        tokio::time::sleep(BETWEEN).await;
+    }
+    assert!(crashes(&servers) <= 2, "{} crashes", crashes(&servers));
+    Ok(())
+}
+
 /// Guards against requests with one part that crash servers one after the other,
 /// sent by entries of which some start later, and against sound requests with the
 /// same first part that are refused.
