--- a/crates/core/src/group/blame.rs
+++ b/crates/core/src/group/blame.rs
@@ -6,10 +6,10 @@
 //! entry sees only its own requests.
 //!
 //! A crash makes suspects of the parts of those requests that the server had not
-//! answered, or only just begun to. An answer that is under way later clears its parts. A part that was
-//! never answered is quarantined after its first crash: if it is sound, it is so
-//! rare that few requests hold it. Parts that were answered before need three
-//! crashes, and answers to other requests meanwhile. Entries exchange their
+//! answered, or only just begun to. An answer that is under way later clears its
+//! parts. A part that was never answered is quarantined after its first crash: if it
+//! is sound, it is so rare that few requests hold it. Parts that were answered before
+//! need three crashes, and answers to other requests meanwhile. Entries exchange their
 //! crashes, and merge those that they have both seen.
 //!
 //! A whole request that comes again is quarantined once two servers crashed under
--- a/crates/testkit/src/soak/planned.rs
+++ b/crates/testkit/src/soak/planned.rs
@@ -32,7 +32,10 @@
 /// Time within which an entry's process has to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
-/// Connections from callers that keep an answer of the directory are over by then.
+/// Wait for the end of a process before it is looked at again.
+const POLL: Duration = Duration::from_millis(1);
+
+/// Time after the last stop for which callers go on.
 const SETTLE: Duration = Duration::from_secs(1);
 
 /// The traffic of a run.
@@ -50,14 +53,13 @@
     pub slow_readers: f64,
 }
 
-/// An entry and the time of its stop.
+/// Where callers reach an entry, kept after its stop to judge what it was sent.
 #[derive(Debug)]
 struct Door {
     name: String,
     callers: SocketAddr,
     directory: SocketAddr,
-    /// When it was ready, `None` before.
-    open: bool,
+    /// When it was told to stop.
     stopped: Option<Instant>,
 }
 
@@ -73,6 +75,24 @@
     status: Option<u16>,
 }
 
+/// The programs and stand-ins of one run.
+struct Site {
+    traffic: Traffic,
+    store: Store,
+    version: u64,
+    servers: Vec<Server>,
+    entries: Vec<Entry>,
+    leaving: Vec<Leaving>,
+    doors: Doors,
+}
+
+/// An entry that was told to stop.
+struct Leaving {
+    index: usize,
+    entry: Entry,
+    at: Instant,
+}
+
 /// Runs one seed for `length`.
 ///
 /// # Errors
@@ -80,60 +100,80 @@
 /// Fails if a process does not start.
 pub async fn run(seed: u64, length: Duration, traffic: Traffic) -> Result<Summary, Failure> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let store = Store::default();
-    let mut version = 1;
-    store.put("config", "main", configuration(version, &traffic));
-    let mut servers = Vec::new();
-    for index in 0..7 {
-        let server = Server::start(&format!("i-{index}"), Reply::AsAsked).await?;
-        register(&store, service(index), &[&server]);
-        servers.push(server);
-    }
-    let doors = Doors::default();
-    let mut entries = Vec::new();
-    for index in 0..traffic.entries {
-        entries.push(start(&store, index, &doors).await?);
-    }
+    let mut site = Site::start(traffic).await?;
     let (stop, stopped) = watch::channel(false);
     let mut callers = JoinSet::new();
     for caller in 0..traffic.callers {
         let rng = ChaCha8Rng::seed_from_u64(seed * 10_000 + caller);
+        let name = format!("s{seed}-{caller}");
         callers.spawn(call(
             rng,
-            format!("s{seed}-{caller}"),
+            name,
             traffic,
-            doors.clone(),
+            site.doors.clone(),
             stopped.clone(),
         ));
     }
     let mut summary = Summary::default();
-    let mut leaving: Vec<(usize, Entry, Instant)> = Vec::new();
     let end = Instant::now() + length;
-    let mut last = false;
-    loop {
+    while Instant::now() < end || !site.leaving.is_empty() {
         sleep(Duration::from_millis(rng.random_range(50..900))).await;
-        for (index, entry, _) in end_stopped(&mut leaving, &mut summary).await? {
-            drop(entry);
-            entries.push(start(&store, index, &doors).await?);
+        site.restart_stopped(&mut summary).await?;
+        if Instant::now() < end {
+            summary.faults += 1;
+            site.work(&mut rng)?;
         }
-        if last && leaving.is_empty() {
-            break;
+    }
+    sleep(SETTLE).await;
+    stop.send_replace(true);
+    let mut asked = Vec::new();
+    while let Some(of_caller) = callers.join_next().await {
+        asked.extend(of_caller?);
+    }
+    judge(&asked, &site.servers, &site.doors, &mut summary);
+    Ok(summary)
+}
+
+impl Site {
+    async fn start(traffic: Traffic) -> Result<Self, Failure> {
+        let store = Store::default();
+        let version = 1;
+        store.put("config", "main", configuration(version, &traffic));
+        let mut servers = Vec::new();
+        for index in 0..7 {
+            let server = Server::start(&format!("i-{index}"), Reply::AsAsked).await?;
+            register(&store, service(index), &[&server]);
+            servers.push(server);
         }
-        if Instant::now() >= end {
-            last = true;
-            continue;
+        let doors = Doors::default();
+        let mut entries = Vec::new();
+        for index in 0..traffic.entries {
+            entries.push(start(&store, index, &doors).await?);
         }
-        summary.faults += 1;
+        Ok(Site {
+            traffic,
+            store,
+            version,
+            servers,
+            entries,
+            leaving: Vec::new(),
+            doors,
+        })
+    }
+
+    /// Does one piece of planned work.
+    fn work(&mut self, rng: &mut ChaCha8Rng) -> Result<(), Failure> {
         match rng.random_range(0..8) {
-            0..3 if entries.len() > traffic.entries.div_ceil(2) => {
-                let entry = entries.remove(rng.random_range(0..entries.len()));
+            0..3 if self.entries.len() > self.traffic.entries / 2 => {
+                let index = rng.random_range(0..self.entries.len());
+                let entry = self.entries.remove(index);
                 let at = Instant::now();
                 entry.process.signal(Signal::SIGTERM)?;
-                let index = note_stop(&doors, &entry, at);
-                leaving.push((index, entry, at));
+                let index = note_stop(&self.doors, &entry, at);
+                self.leaving.push(Leaving { index, entry, at });
             }
             3 => {
-                if let Some((_, entry, _)) = leaving.choose(&mut rng) {
+                if let Some(Leaving { entry, .. }) = self.leaving.choose(rng) {
                     let signals = [Signal::SIGTERM, Signal::SIGHUP];
                     let signal = signals[rng.random_range(0..2)];
                     // The process may have ended meanwhile.
@@ -141,65 +181,53 @@
                 }
             }
             4 => {
-                if let Some(entry) = entries.choose(&mut rng) {
+                if let Some(entry) = self.entries.choose(rng) {
                     entry.process.signal(Signal::SIGHUP)?;
                 }
             }
             5 => {
-                version += rng.random_range(1..5);
-                store.put("config", "main", configuration(version, &traffic));
+                self.version += rng.random_range(1..5);
+                let configuration = configuration(self.version, &self.traffic);
+                self.store.put("config", "main", configuration);
             }
             6 => {
-                let index = rng.random_range(0..servers.len());
-                let leaving = servers[index].object(service(index), "shed", "draining");
-                store.put("servers", &servers[index].id, leaving);
+                let index = rng.random_range(0..self.servers.len());
+                let server = &self.servers[index];
+                let draining = server.object(service(index), "shed", "draining");
+                self.store.put("servers", &server.id, draining);
             }
             _ => {
-                for (index, server) in servers.iter().enumerate() {
-                    register(&store, service(index), &[server]);
+                for (index, server) in self.servers.iter().enumerate() {
+                    register(&self.store, service(index), &[server]);
                 }
             }
         }
+        Ok(())
     }
-    sleep(SETTLE).await;
-    stop.send_replace(true);
-    let mut asked = Vec::new();
-    while let Some(of_caller) = callers.join_next().await {
-        asked.extend(of_caller?);
-    }
-    judge(&asked, &servers, &doors, &mut summary);
-    Ok(summary)
-}
 
-/// Takes out the entries whose process has ended, and kills those whose time is over.
-async fn end_stopped(
-    leaving: &mut Vec<(usize, Entry, Instant)>,
-    summary: &mut Summary,
-) -> Result<Vec<(usize, Entry, Instant)>, Failure> {
-    let mut ended = Vec::new();
-    let mut index = 0;
-    while index < leaving.len() {
-        let (_, entry, at) = &mut leaving[index];
-        if Instant::now() >= *at + GRACE {
-            drop(entry.process.signal(Signal::SIGKILL));
-            summary
-                .broken
-                .push(format!("killed {GRACE:?} after its stop signal"));
-        }
-        let wait = tokio::time::timeout(Duration::from_millis(1), entry.process.wait()).await;
-        if wait.is_err() {
-            index += 1;
-            continue;
-        }
-        let stopped = leaving.remove(index);
-        if std::env::var_os("SOAK_LOGS").is_some() {
-            let lines = stopped.1.process.recent();
-            let lines = lines.iter().filter(|line| !line.contains("\"answered\""));
-            lines.for_each(|line| eprintln!("{line}"));
+    /// Starts entries again whose process has ended, and kills those whose time is over.
+    async fn restart_stopped(&mut self, summary: &mut Summary) -> Result<(), Failure> {
+        for mut stopping in std::mem::take(&mut self.leaving) {
+            if Instant::now() >= stopping.at + GRACE {
+                let killed = format!("killed {GRACE:?} after its stop signal");
+                summary.broken.push(killed);
+                drop(stopping.entry.process.signal(Signal::SIGKILL));
+            }
+            let ended = stopping.entry.process.wait();
+            if tokio::time::timeout(POLL, ended).await.is_err() {
+                self.leaving.push(stopping);
+                continue;
+            }
+            if std::env::var_os("SOAK_LOGS").is_some() {
+                let lines = stopping.entry.process.recent();
+                let lines = lines.iter().filter(|line| !line.contains("\"answered\""));
+                lines.for_each(|line| eprintln!("{line}"));
+            }
+            let entry = start(&self.store, stopping.index, &self.doors).await?;
+            self.entries.push(entry);
         }
-        ended.push(stopped);
+        Ok(())
     }
-    Ok(ended)
 }
 
 fn judge(asked: &[Asked], servers: &[Server], doors: &Doors, summary: &mut Summary) {
@@ -256,7 +284,6 @@
         name: format!("edge-{index}"),
         callers: entry.callers,
         directory: entry.directory,
-        open: true,
         stopped: None,
     });
     Ok(entry)
@@ -269,7 +296,6 @@
         return 0;
     };
     door.stopped = Some(at);
-    door.open = false;
     let number = door.name.rsplit('-').next();
     number.and_then(|number| number.parse().ok()).unwrap_or(0)
 }
@@ -451,7 +477,7 @@
 ) -> Option<(Vec<SocketAddr>, u64)> {
     let directory = {
         let doors = lock(doors);
-        let open: Vec<_> = doors.iter().filter(|door| door.open).collect();
+        let open: Vec<_> = doors.iter().filter(|door| door.stopped.is_none()).collect();
         open.choose(rng)?.directory
     };
     let path = format!("/v1/resolve?Name=desk.example&Zone={domain}");
