Read the store when nobody confirms the view in time

Cause: whether a view is current was inferred from whether the entries that follow the store look alive, which takes 2.5 to 2.9 s to change. Class: a bound in time that rests on the detection of failures. Each part of the view now has the time at which the store last confirmed it, passed on as an age in the datagrams. An entry whose part is older than half to three quarters of its bound reads it itself, over a new connection, in an order on which all agree, and tells the others (berylgw_core::freshness).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,7 +8,8 @@
 //! - Configuration: [`sheet`] parses the operators' CSV, [`config`] holds
 //!   versioned objects and resolves them into a [`config::Snapshot`] of
 //!   [`client`], [`failure`], [`backend`], [`service`] and [`host`] values.
-//!   [`revision`] orders changes of a store that may come back from a copy.
+//!   [`revision`] orders changes of a store that may come back from a copy,
+//!   [`freshness`] decides when an entry reads the store itself.
 //! - Request handling in an entry: [`directory`], [`route`], [`retry`],
 //!   [`ledger`], [`stream`] and [`buffer`]; [`outcome`] classifies the result.
 //! - Request handling in an agent: [`admission`], [`fair`], [`ticket`],
@@ -31,6 +32,7 @@
 pub mod expert;
 pub mod failure;
 pub mod fair;
+pub mod freshness;
 pub mod group;
 pub mod home;
 pub mod host;
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -19,6 +19,7 @@
 use crate::gossip::Gossip;
 use crate::header::Names;
 use crate::metrics::Metrics;
+use crate::peer::Role;
 use crate::serve::Stopping;
 use crate::settings::Settings;
 use crate::view::Publisher;
@@ -76,7 +77,7 @@
     views: Publisher,
     members: watch::Sender<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
-    observing: watch::Sender<bool>,
+    role: watch::Sender<Role>,
 }
 
 impl Entry {
@@ -108,8 +109,7 @@
             views: Publisher::default(),
             members: watch::Sender::new(Arc::from([])),
             status: watch::Sender::new(Arc::default()),
-            // Until the first datagrams of other entries arrive.
-            observing: watch::Sender::new(true),
+            role: watch::Sender::default(),
         })
     }
 
@@ -128,10 +128,10 @@
         self.members.clone()
     }
 
-    /// Returns whether this entry watches the store itself; if not, it gets the
-    /// view from other entries.
-    pub fn observing(&self) -> watch::Receiver<bool> {
-        self.observing.subscribe()
+    /// Returns what this entry has to do with the store. If it does not observe it, it
+    /// gets the view from other entries.
+    pub fn role(&self) -> watch::Receiver<Role> {
+        self.role.subscribe()
     }
 
     /// Returns the status of this entry and the entries that callers may use.
@@ -165,7 +165,7 @@
             views: self.views.clone(),
             members: self.members.subscribe(),
             status: self.status,
-            observing: self.observing,
+            role: self.role,
             leaving,
             pulls,
         };
@@ -226,7 +226,7 @@
     views: Publisher,
     members: watch::Receiver<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
-    observing: watch::Sender<bool>,
+    role: watch::Sender<Role>,
     leaving: watch::Receiver<bool>,
     pulls: pull::Queues,
 }
@@ -253,7 +253,7 @@
             members: self.members,
             status: self.status,
             views: self.views.clone(),
-            observing: self.observing,
+            role: self.role,
             pulls: self.pulls,
             sequence: Cell::new(0),
             rounds: Cell::new(0),
@@ -290,6 +290,11 @@
             let gossip = announcing.clone();
             async move { gossip.announce().await }
         });
+        let announcing = gossip.clone();
+        run_for_good("announce reads", move || {
+            let gossip = announcing.clone();
+            async move { gossip.announce_reads().await }
+        });
         let mut leaving = self.leaving;
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return Err(Error::new("traffic thread", "control thread ended"));
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -14,8 +14,9 @@
 
 use crate::entry::Status;
 use crate::gateway::Gateway;
-use crate::pull::{Queues, Subject, to_wire};
-use crate::view::{Publisher, Revisions};
+use crate::peer::Role;
+use crate::pull::{Queues, Subject, from_wire, to_wire};
+use crate::view::{Publisher, Revisions, Section};
 
 /// Time after which an entry whose load does not change sends a datagram, a
 /// sixth of [`crate::peer::FAILURE_TIMEOUT`], after which it counts as failed.
@@ -53,8 +54,8 @@
     pub status: watch::Sender<Arc<Status>>,
     /// The view and the state of the store's connections.
     pub views: Publisher,
-    /// Publishes whether this entry watches the store itself.
-    pub observing: watch::Sender<bool>,
+    /// Publishes what this entry has to do with the store.
+    pub role: watch::Sender<Role>,
     /// Queues of the entries to pull a newer view from.
     pub pulls: Queues,
     /// Sequence number of the last datagram.
@@ -87,6 +88,8 @@
         if *datagram.name == *self.gateway.settings.name {
             return;
         }
+        let known = self.gateway.with_state(|state, _| state.view.revisions());
+        self.take_confirmations(&known, &datagram);
         let more_quarantined = self.gateway.with_state(|state, now| {
             let more_quarantined = state.merge_crashes(now, &datagram.crashes);
             state.merge_rate_limits(now, &datagram.rate_limits);
@@ -104,6 +107,25 @@
         self.request_newer_view();
     }
 
+    /// Takes over what the store has confirmed to the sender, for the parts that are
+    /// not newer than the `known` ones.
+    fn take_confirmations(&self, known: &Revisions, datagram: &Beat) {
+        let confirmed = [
+            (datagram.configuration_at, datagram.configuration_age_ms),
+            (datagram.servers_at, datagram.servers_age_ms),
+            (datagram.evacuations_at, datagram.evacuations_age_ms),
+        ];
+        for (section, (at, age_ms)) in Section::ALL.into_iter().zip(confirmed) {
+            let (Some(at), Some(age_ms)) = (at.map(from_wire), age_ms) else {
+                continue;
+            };
+            if at <= known.of(section) {
+                let age = Duration::from_millis(age_ms.into());
+                self.views.confirm(section, known.of(section), age);
+            }
+        }
+    }
+
     /// Sends datagrams to live entries when the load changes, and to all known
     /// entries every `INTERVAL`; never returns.
     pub async fn send(&self) {
@@ -128,7 +150,7 @@
     pub async fn evaluate(&self) {
         loop {
             self.request_newer_view();
-            self.update_observer_role();
+            self.update_role();
             self.publish_status();
             tokio::time::sleep(INTERVAL).await;
         }
@@ -158,6 +180,19 @@
         }
     }
 
+    /// Tells all live entries at once that this one has read the store because a
+    /// confirmation was overdue; never returns.
+    pub async fn announce_reads(&self) {
+        loop {
+            self.views.overdue_read().await;
+            let targets = self.gateway.with_state(|state, now| {
+                let live = state.peers.live(now);
+                live.map(|peer| peer.address).collect()
+            });
+            self.send_beat(targets, false, false);
+        }
+    }
+
     fn send_load(&self, to_all: bool) {
         let settings = &self.gateway.settings;
         let rounds = self.rounds.get() + 1;
@@ -197,6 +232,9 @@
                 let revisions = state.view.revisions();
                 (loads, limits, crashes, rate_limits, leaving, revisions)
             });
+        let ages = self.views.confirmation_ages(&revisions);
+        let [configuration_age_ms, servers_age_ms, evacuations_age_ms] =
+            ages.map(|age| age.map(|age| age.as_millis() as u32));
         let datagram = Beat {
             name: settings.name.to_string(),
             incarnation: self.incarnation,
@@ -216,6 +254,9 @@
             crashes,
             rate_limits,
             leaving_servers,
+            configuration_age_ms,
+            servers_age_ms,
+            evacuations_age_ms,
         };
         let bytes = datagram.encode_to_vec();
         let mut failed = 0;
@@ -263,17 +304,21 @@
         }
     }
 
-    /// Decides whether this entry watches the store itself.
-    fn update_observer_role(&self) {
+    /// Decides what this entry has to do with the store.
+    fn update_role(&self) {
         let settings = &self.gateway.settings;
-        let observing = self.gateway.with_state(|state, now| {
-            state
+        let role = self.gateway.with_state(|state, now| Role {
+            observing: state
                 .peers
-                .is_observer(now, &settings.name, &settings.domain)
+                .is_observer(now, &settings.name, &settings.domain),
+            turn: state.peers.turn(now, state.digest()),
         });
-        if *self.observing.borrow() != observing {
-            tracing::info!(observing, "following the store changed");
-            self.observing.send_replace(observing);
+        let known = *self.role.borrow();
+        if known.observing != role.observing {
+            tracing::info!(observing = role.observing, "following the store changed");
+        }
+        if known != role {
+            self.role.send_replace(role);
         }
     }
 
@@ -306,5 +351,10 @@
         }
         gateway.with_state(|state, _| state.export_gauges(&gateway.metrics));
         gateway.metrics.export_ages(&self.views.store_ages());
+        for section in Section::ALL {
+            if let Some(age) = self.views.confirmation_age(section) {
+                gateway.metrics.export_confirmation_age(section, age);
+            }
+        }
     }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -8,6 +8,8 @@
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
 
+use crate::view::Section;
+
 /// Upper bounds of the buckets of the latency histograms in seconds, dense
 /// around the callers' targets for the first event and between events.
 const BUCKETS: &[f64] = &[
@@ -119,6 +121,7 @@
     /// Version of the configuration in force.
     pub configuration: IntGauge,
     view_age: IntGaugeVec,
+    confirmation_age: IntGaugeVec,
     dropped_lines: IntGauge,
     task_restarts: IntGauge,
     /// Live entries that do not drain, without this one.
@@ -194,6 +197,11 @@
                 "Seconds since the store last answered this entry",
                 "kind",
             )?,
+            confirmation_age: gauges(
+                "berylgw_direct_confirmation_age_ms",
+                "Milliseconds since the store confirmed the part of the view to any entry",
+                "part",
+            )?,
             dropped_lines: IntGauge::new(
                 "berylgw_direct_log_lines_dropped",
                 "Log lines dropped since the start",
@@ -229,6 +237,7 @@
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.configuration.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
+        registry.register(Box::new(metrics.confirmation_age.clone()))?;
         registry.register(Box::new(metrics.dropped_lines.clone()))?;
         registry.register(Box::new(metrics.task_restarts.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
@@ -254,6 +263,13 @@
         self.task_restarts.set(task::restarts() as i64);
     }
 
+    /// Sets the gauge of the time since the store confirmed a part of the view.
+    pub fn export_confirmation_age(&self, section: Section, age: Duration) {
+        let gauge = &self.confirmation_age;
+        let millis = age.as_millis() as i64;
+        gauge.with_label_values(&[&section.to_string()]).set(millis);
+    }
+
     /// Counts the end of a request.
     pub fn count_end(&self, end: End) {
         self.requests.with_label_values(&[&end.to_string()]).inc();
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
+use berylgw_core::freshness::Turn;
 use berylgw_core::revision::Revision;
 use berylgw_wire::direct::{self as wire, Beat};
 
@@ -44,6 +45,29 @@
 /// Time between two checks for entries that have become silent.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// What an entry has to do with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Role {
+    /// Whether it follows the store.
+    pub observing: bool,
+    /// Its place among the entries that read the store when a confirmation is overdue.
+    pub turn: Turn,
+}
+
+impl Default for Role {
+    /// Returns the role of an entry that has not heard another one.
+    fn default() -> Self {
+        let turn = Turn {
+            position: 0,
+            entries: 1,
+        };
+        Role {
+            observing: true,
+            turn,
+        }
+    }
+}
+
 /// Another entry, as of its last datagram.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -266,6 +290,17 @@
         able_before < observers && before < observers * CANDIDATES_PER_OBSERVER
     }
 
+    /// Returns the place of the entry with the digest `own` among the live ones in the
+    /// order in which they read the store, on which all agree.
+    pub fn turn(&self, now: Instant, own: u32) -> Turn {
+        let (mut position, mut entries) = (0, 1);
+        for peer in self.live(now).filter(|peer| !peer.leaving) {
+            position += usize::from(order(peer.digest, 0) < order(own, 0));
+            entries += 1;
+        }
+        Turn { position, entries }
+    }
+
     /// Returns the number of entries that may send requests, this one included.
     pub fn sharing_entries(&self) -> usize {
         1 + self.sharing
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::freshness::Schedule;
 use berylgw_core::group::concurrency::Tuning;
 use berylgw_core::retry::Allowance;
 use berylgw_runtime::settings::Finding;
 use serde::Deserialize;
 
+use crate::view::Section;
+
 /// Settings of an entry, as a section of a settings file in YAML.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +28,9 @@
     pub cold: Cold,
     /// Seconds between the stop signal and the kill signal.
     pub stop_s: f64,
+    /// Time within which changes must be in force.
+    #[serde(default)]
+    pub freshness: Freshness,
     /// Concurrency limit of model groups.
     #[serde(default)]
     pub group: Group,
@@ -42,6 +48,40 @@
     pub metrics: SocketAddr,
 }
 
+/// Time within which a change in the store must be in force, in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Freshness {
+    /// Of the configuration.
+    pub configuration_ms: u64,
+    /// Of the backend servers.
+    pub servers_ms: u64,
+    /// Of the evacuated failure domains.
+    pub evacuations_ms: u64,
+}
+
+impl Default for Freshness {
+    fn default() -> Self {
+        Freshness {
+            configuration_ms: 2_000,
+            servers_ms: 2_000,
+            evacuations_ms: 5_000,
+        }
+    }
+}
+
+impl Freshness {
+    /// Returns when copies of a part of the view are confirmed.
+    pub fn schedule(self, section: Section) -> Schedule {
+        let bound_ms = match section {
+            Section::Configuration => self.configuration_ms,
+            Section::Servers => self.servers_ms,
+            Section::Evacuations => self.evacuations_ms,
+        };
+        Schedule::new(Duration::from_millis(bound_ms))
+    }
+}
+
 /// Retry budget of all entries together.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -164,6 +204,19 @@
             "must be above 0",
         );
         require("cold.slack", self.cold.slack >= 0.0, "must not be negative");
+        let freshness = self.freshness;
+        let expected = "must be above 0";
+        require(
+            "freshness.configuration_ms",
+            freshness.configuration_ms > 0,
+            expected,
+        );
+        require("freshness.servers_ms", freshness.servers_ms > 0, expected);
+        require(
+            "freshness.evacuations_ms",
+            freshness.evacuations_ms > 0,
+            expected,
+        );
         let group = self.group;
         let share = |value: f64| value > 0.0 && value <= 1.0;
         let expected = "must be above 0 and at most 1";
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,13 +1,14 @@
 //! The view: an entry's copy of the configuration, the server list and the
 //! evacuations, by part.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use berylgw_core::group::drained;
 use berylgw_core::revision::Revision;
+use berylgw_runtime::clock::uptime;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::backend::Server;
 use crate::config::Configuration;
@@ -68,6 +69,40 @@
     pub evacuations: Revision,
 }
 
+/// Name of a part of the view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Section {
+    /// Routes, services, keys and limits.
+    #[display("configuration")]
+    Configuration,
+    /// Backend servers.
+    #[display("servers")]
+    Servers,
+    /// Failure domains that get no new requests.
+    #[display("evacuations")]
+    Evacuations,
+}
+
+impl Section {
+    /// All sections, in the order of [`Publisher::confirmation_ages`].
+    pub const ALL: [Section; 3] = [
+        Section::Configuration,
+        Section::Servers,
+        Section::Evacuations,
+    ];
+}
+
+impl Revisions {
+    /// Returns the revision of a part.
+    pub fn of(&self, section: Section) -> Revision {
+        match section {
+            Section::Configuration => self.configuration,
+            Section::Servers => self.servers,
+            Section::Evacuations => self.evacuations,
+        }
+    }
+}
+
 impl View {
     /// Returns the revisions of the parts.
     pub fn revisions(&self) -> Revisions {
@@ -118,6 +153,16 @@
     last_answer: Instant,
 }
 
+/// The last time at which the store told this entry or another one that a part is
+/// current.
+#[derive(Clone, Copy, Debug)]
+struct Confirmation {
+    /// Lowest revision that is current as of this time.
+    revision: Revision,
+    /// Time since the start of the host.
+    at: Duration,
+}
+
 /// Holder of the current view, through which all changes go.
 ///
 /// A part is never replaced by an older revision, whatever its source.
@@ -141,6 +186,9 @@
     /// or another one.
     restored_at: Arc<Mutex<Option<Instant>>>,
     store_calls: Arc<Mutex<Vec<StoreCalls>>>,
+    /// In the order of [`Section::ALL`].
+    confirmations: Arc<Mutex<[Option<Confirmation>; Section::ALL.len()]>>,
+    overdue_read: Arc<Notify>,
 }
 
 impl Default for Publisher {
@@ -150,6 +198,8 @@
             drained: Arc::default(),
             restored_at: Arc::default(),
             store_calls: Arc::default(),
+            confirmations: Arc::default(),
+            overdue_read: Arc::default(),
         }
     }
 }
@@ -203,6 +253,50 @@
         ages.collect()
     }
 
+    /// Records that the store confirmed a part `age` ago: no change since then was
+    /// above `revision`, which the view has.
+    pub fn confirm(&self, section: Section, revision: Revision, age: Duration) {
+        let at = uptime().saturating_sub(age);
+        let known = &mut self.lock_confirmations()[section as usize];
+        if known.is_none_or(|known| known.at < at) {
+            *known = Some(Confirmation { revision, at });
+        }
+    }
+
+    /// Returns the time since the store confirmed a part, `None` if it never has.
+    pub fn confirmation_age(&self, section: Section) -> Option<Duration> {
+        let known = self.lock_confirmations()[section as usize];
+        known.map(|known| uptime().saturating_sub(known.at))
+    }
+
+    /// Returns the time since the store confirmed each part that has at least the
+    /// revision in `revisions`, `None` if it is older or the store never has.
+    pub fn confirmation_ages(&self, revisions: &Revisions) -> [Option<Duration>; 3] {
+        let known = *self.lock_confirmations();
+        let now = uptime();
+        Section::ALL.map(|section| {
+            let known = known[section as usize]?;
+            let is_current = known.revision <= revisions.of(section);
+            is_current.then(|| now.saturating_sub(known.at))
+        })
+    }
+
+    fn lock_confirmations(&self) -> MutexGuard<'_, [Option<Confirmation>; 3]> {
+        let confirmations = self.confirmations.lock();
+        confirmations.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Announces that this entry has read the store because a confirmation was overdue,
+    /// so that others need not.
+    pub fn announce_overdue_read(&self) {
+        self.overdue_read.notify_one();
+    }
+
+    /// Waits until a read is announced.
+    pub async fn overdue_read(&self) {
+        self.overdue_read.notified().await;
+    }
+
     /// Returns the time since the store was found to have come back from a copy, `None`
     /// if it has not since the start.
     pub fn restore_age(&self) -> Option<Duration> {
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -131,6 +131,9 @@
                     servers_at: None,
                     evacuations_at: Some(at),
                     leaving_servers,
+                    configuration_age_ms: Some(sequence as u32),
+                    servers_age_ms: None,
+                    evacuations_age_ms: Some(u32::MAX),
                 }
             },
         )
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Returns a client of the same platform that uses no connection of this one, for
+    /// when these may have fallen silent.
+    pub fn with_new_connections(&self) -> Self {
+        Self::new(self.address, self.timeout)
+    }
+
     /// Reads one object, `None` if it does not exist.
     ///
     /// # Errors
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -1,8 +1,9 @@
-//! Monotonic process clock.
+//! Monotonic clocks.
 
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
+use nix::time::{ClockId, clock_gettime};
 
 /// A monotonic clock whose origin is the time of its creation.
 #[derive(Clone, Copy, Debug)]
@@ -24,3 +25,14 @@
         deadline.since(self.now())
     }
 }
+
+/// Returns the time since the host booted. Unlike [`Clock`], it goes on while the host
+/// is suspended, so that it tells the age of what other hosts have sent.
+///
+/// # Panics
+///
+/// Panics if the system has no such clock.
+pub fn uptime() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    Duration::from(time.expect("the system has a clock that counts suspended time"))
+}
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -39,6 +39,14 @@
 }
 
 impl Error {
+    /// Creates an error about settings from `source`, a file or another place.
+    pub fn new(source: impl Into<String>, findings: Vec<Finding>) -> Self {
+        Error {
+            file: source.into(),
+            findings,
+        }
+    }
+
     /// Returns the findings in the order of their detection.
     pub fn findings(&self) -> &[Finding] {
         &self.findings
--- a/crates/testkit/tests/direct_fleet.rs
+++ b/crates/testkit/tests/direct_fleet.rs
@@ -11,6 +11,7 @@
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration, register};
 use berylgw_testkit::direct::store::{Store, Treatment};
 use berylgw_wire::direct::Beat;
+use nix::sys::signal::Signal;
 use prost::Message;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -30,6 +31,10 @@
 /// time in which a store that falls silent does not count as stable.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time within which a change of the configuration or the servers is in force in all
+/// fleets of the users.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
 fn beat(number: u64, sequence: u64) -> Beat {
     Beat {
         name: format!("edge-{number:03}"),
@@ -162,3 +167,91 @@
     assert!(time < CONFIGURATION_TIMEOUT, "in force after {time:?}");
     Ok(())
 }
+
+/// Starts entries, the first three of which follow the store, and returns them with
+/// those three first.
+async fn start_fleet(store: &Store) -> Result<Vec<Entry>> {
+    store.put("config", "main", configuration(3, &[KEY]));
+    let names = ["a-1", "b-1", "c-1", "a-2", "b-2", "c-2", "a-3", "b-3"];
+    let mut entries = Vec::new();
+    for name in names {
+        entries.push(Entry::start(store, &format!("edge-{name}"), &name[..1]).await?);
+    }
+    for entry in &entries {
+        let all = [("entries", json!(names.len()))];
+        entry.wait_for_line("directory changed", &all).await?;
+    }
+    for entry in &entries[3..] {
+        let others = [("observing", json!(false))];
+        entry
+            .wait_for_line("following the store changed", &others)
+            .await?;
+    }
+    // Ends the watches that they began before they heard the others.
+    store.put("config", "main", configuration(4, &[KEY]));
+    store.put("evacuations", "moor", json!({}));
+    store.put("servers", "i-9", json!({ "Service": "none" }));
+    for entry in &entries {
+        let evacuated = [("configuration", json!(4)), ("domains", json!("moor"))];
+        entry.wait_for_view(&evacuated).await?;
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    Ok(entries)
+}
+
+/// Changes the configuration and a server, and returns the time until both changes are
+/// in force at `entries`.
+async fn change(store: &Store, entries: &[Entry], server: &Server) -> Result<Duration> {
+    let changed = Instant::now();
+    store.put("config", "main", configuration(5, &["another key"]));
+    store.put(
+        "servers",
+        &server.id,
+        server.object("yard", "shed", "draining"),
+    );
+    for entry in entries {
+        let both = [("configuration", json!(5)), ("draining", json!(1))];
+        entry.wait_for_view(&both).await?;
+    }
+    Ok(changed.elapsed())
+}
+
+/// Guards against entries that go on with a former configuration and server list
+/// because all that follow the store were killed or frozen at the same moment.
+#[tokio::test]
+async fn change_in_force_without_observers() -> Result {
+    for signal in [Signal::SIGKILL, Signal::SIGSTOP] {
+        let store = Store::default();
+        let server = Server::start("i-0", Reply::Complete).await?;
+        register(&store, "yard", &[&server]);
+        let entries = start_fleet(&store).await?;
+        let (lost, left) = entries.split_at(3);
+        for entry in lost {
+            entry.process.signal(signal)?;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let time = change(&store, left, &server).await?;
+        assert!(time < CHANGE_TIMEOUT, "{signal}: in force after {time:?}");
+    }
+    Ok(())
+}
+
+/// Guards against the same when those that take over are lost as well.
+#[tokio::test]
+async fn change_in_force_after_waves() -> Result {
+    let store = Store::default();
+    let server = Server::start("i-0", Reply::Complete).await?;
+    register(&store, "yard", &[&server]);
+    let entries = start_fleet(&store).await?;
+    for entry in &entries[..3] {
+        entry.process.signal(Signal::SIGKILL)?;
+    }
+    tokio::time::sleep(Duration::from_millis(2_800)).await;
+    for entry in &entries[3..6] {
+        entry.process.signal(Signal::SIGSTOP)?;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let time = change(&store, &entries[6..], &server).await?;
+    assert!(time < CHANGE_TIMEOUT, "in force after {time:?}");
+    Ok(())
+}
