Blame the last stream that a server began, whenever it crashes

Cause: after 150 ms a stream counted as answered, which cleared its parts, and a crash later than that was not looked at. A request now counts as answered with its complete answer. Of the streams that a crashed server wrote, the last one that it began is suspected like a request without any answer, earlier ones like parts that were answered before (three crashes), and these are continued elsewhere as before.

streams_with_part_crash_servers_later: 24 crashes for 12 requests at 200 ms before; at most 2 now at 200, 400 and 900 ms.

--- a/crates/core/src/group/blame.rs
+++ b/crates/core/src/group/blame.rs
@@ -6,11 +6,15 @@
 //! entry sees only its own requests.
 //!
 //! A crash makes suspects of the parts of those requests that the server had not
-//! answered, or only just begun to. An answer that is under way later clears its
-//! parts. A part that was never answered is quarantined after its first crash: if it
-//! is sound, it is so rare that few requests hold it. Parts that were answered before
-//! need three crashes, and answers to other requests meanwhile. Entries exchange their
-//! crashes, and merge those that they have both seen.
+//! answered. A complete answer clears its parts, its beginning does not: servers crash
+//! some time after they begin to write. A part that was never answered is quarantined
+//! after its first crash: if it is sound, it is so rare that few requests hold it.
+//! Parts that were answered before need three crashes, and answers to other requests
+//! meanwhile. Entries exchange their crashes, and merge those that they have both seen.
+//!
+//! Of the streams that a server writes, the last one that it began is the likeliest
+//! cause, whatever the time since. Only what that one holds is suspected like a request
+//! without any answer; what earlier ones hold counts like parts answered before.
 //!
 //! A whole request that comes again is quarantined once two servers crashed under
 //! it. It has suspects in common with others that crash the same servers, so it need
@@ -121,6 +125,21 @@
     }
 }
 
+/// A stream that a server writes, as known to its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Stream(u64);
+
+/// What is known of a [`Stream`].
+#[derive(Clone, Debug)]
+struct Writing {
+    stream: Stream,
+    service: u32,
+    server: u32,
+    content: Content,
+    /// When its server crashed.
+    broken: Option<Time>,
+}
+
 /// A crash of a server, as known to one or more entries. All lists are sorted.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Crash {
@@ -239,6 +258,10 @@
     /// Last time at which a whole request was answered. Most come only once;
     /// apart, so that they do not displace the parts.
     answered_wholes: Answered,
+    /// Streams that servers write, in the order in which they began.
+    writing: Vec<Writing>,
+    /// Number of streams so far.
+    streams: u64,
     /// Suspects that this entry has sent again in its turn.
     trials: Vec<(u64, Time)>,
     /// Whole requests under which [`WHOLE_CRASHES`] servers or more crashed, sorted.
@@ -281,8 +304,104 @@
         }
     }
 
-    /// Records that `server` of `service` crashed before it answered a request, or as
-    /// it began to.
+    /// Records that `server` of `service` begins to write a stream.
+    pub fn begin_stream(
+        &mut self,
+        now: Instant,
+        service: u32,
+        server: u32,
+        content: &Content,
+    ) -> Stream {
+        let now = Time::ago(now, Duration::ZERO);
+        let is_past = |at: Time| now.since(at) >= SAME_CRASH;
+        self.writing
+            .retain(|known| !known.broken.is_some_and(is_past));
+        let stream = Stream(self.streams);
+        self.streams += 1;
+        self.writing.push(Writing {
+            stream,
+            service,
+            server,
+            content: content.clone(),
+            broken: None,
+        });
+        stream
+    }
+
+    /// Forgets a stream that is no longer read. One that broke off with its server is
+    /// kept for the others that did.
+    pub fn end_stream(&mut self, stream: Stream) {
+        let found = self.find_stream(stream);
+        if let Some(index) = found.filter(|index| self.writing[*index].broken.is_none()) {
+            self.writing.remove(index);
+        }
+    }
+
+    /// Returns whether a stream that broke off is a likely enough cause of a crash to
+    /// ask whether its server runs: it is the last one that the server began, or holds
+    /// a part that was never answered.
+    pub fn may_have_crashed(&self, stream: Stream) -> bool {
+        let Some(index) = self.find_stream(stream) else {
+            return false;
+        };
+        let known = &self.writing[index];
+        let parts = known.content.digests().iter();
+        let mut parts = parts.filter(|digest| *digest & WHOLE == 0);
+        self.later_streams(index).next().is_none()
+            || parts.any(|digest| self.last_answer(*digest).is_none())
+    }
+
+    /// Records that the server of a stream crashed as it wrote it.
+    pub fn record_crash_in_stream(&mut self, now: Instant, stream: Stream) {
+        let Some(index) = self.find_stream(stream) else {
+            return;
+        };
+        self.writing[index].broken = Some(Time::ago(now, Duration::ZERO));
+        let known = &self.writing[index];
+        let mut crash = Crash {
+            service: known.service,
+            server: known.server,
+            ..Crash::default()
+        };
+        for &digest in known.content.digests() {
+            if self.last_answer(digest).is_some() {
+                insert(&mut crash.answered, digest, MAX_SUSPECTS);
+                continue;
+            }
+            let rivals = self
+                .later_streams(index)
+                .flat_map(|later| later.content.digests())
+                .filter(|rival| (**rival ^ digest) & WHOLE == 0)
+                .filter(|rival| self.last_answer(**rival).is_none());
+            let rivals: Vec<u64> = rivals.copied().collect();
+            // The last stream that holds it decides.
+            if rivals.contains(&digest) {
+                continue;
+            }
+            match (rivals.is_empty(), digest & WHOLE) {
+                (true, _) => insert(&mut crash.unanswered, digest, MAX_SUSPECTS),
+                (false, 0) => insert(&mut crash.answered, digest, MAX_SUSPECTS),
+                (false, _) => continue,
+            };
+        }
+        self.merge(now, crash);
+    }
+
+    fn find_stream(&self, stream: Stream) -> Option<usize> {
+        let found = self
+            .writing
+            .binary_search_by_key(&stream, |known| known.stream);
+        found.ok()
+    }
+
+    /// Returns the streams that the server of the one at `index` began after it.
+    fn later_streams(&self, index: usize) -> impl Iterator<Item = &Writing> {
+        let known = &self.writing[index];
+        let later = self.writing[index + 1..].iter();
+        later.filter(|other| (other.service, other.server) == (known.service, known.server))
+    }
+
+    /// Records that `server` of `service` crashed before it began to answer a request.
     pub fn record_crash(&mut self, now: Instant, service: u32, server: u32, content: &Content) {
         let mut crash = Crash {
             service,
--- a/crates/core/tests/blame.rs
+++ b/crates/core/tests/blame.rs
@@ -394,6 +394,89 @@
     }
 }
 
+/// Guards against a stream that crashes its server some time after it begins, and is
+/// taken for answered until then.
+#[test]
+fn stream_blamed_until_its_end() {
+    let mut table = warm_table();
+    let begin = Instant::from_millis(1_000);
+    let deadly = |whole| Content::new([POPULAR, DEADLY], whole);
+    let sound = Content::new([POPULAR, 50], 1_000);
+    let streams = [
+        table.begin_stream(begin, SERVICE, SERVER, &sound),
+        table.begin_stream(begin, SERVICE, SERVER, &deadly(1_001)),
+    ];
+    // The servers of the others go on.
+    let other = table.begin_stream(begin, SERVICE, SERVER + 1, &Content::new([60], 1_002));
+    let now = Instant::from_millis(3_000);
+    for stream in streams {
+        assert!(table.may_have_crashed(stream));
+        table.record_crash_in_stream(now, stream);
+        table.end_stream(stream);
+    }
+    assert!(table.quarantine(now, &deadly(1_003)).is_some());
+    for sound in [50, 60, POPULAR] {
+        let content = Content::new([POPULAR, sound], 1_004);
+        assert_eq!(table.quarantine(now, &content), None, "{sound}");
+    }
+    table.end_stream(other);
+}
+
+/// Guards against a deadly part that is never found because a sound stream with a rare
+/// part always begins after it, at whatever order the ends of the streams are noticed.
+#[test]
+fn earlier_stream_blamed_after_crashes() {
+    for reversed in [false, true] {
+        let mut table = warm_table();
+        let mut quarantined_after = 0;
+        for crash in 0..6 {
+            let now = Instant::from_millis(1_000 + crash * 4_000);
+            let deadly = Content::new([POPULAR, DEADLY], 1_000 + crash);
+            if table.quarantine(now, &deadly).is_some() {
+                break;
+            }
+            quarantined_after = crash + 1;
+            let server = SERVER + crash as u32;
+            let later = Content::new([POPULAR, 100 + crash], 2_000 + crash);
+            let mut streams = [
+                table.begin_stream(now, SERVICE, server, &deadly),
+                table.begin_stream(now, SERVICE, server, &later),
+            ];
+            if reversed {
+                streams.reverse();
+            }
+            let now = now + Duration::from_millis(400);
+            for stream in streams {
+                table.record_crash_in_stream(now, stream);
+                table.end_stream(stream);
+            }
+            for whole in 0..6 {
+                let content = Content::new([POPULAR], 3_000 + 10 * crash + whole);
+                table.record_answer(now + Duration::from_millis(100), &content);
+            }
+        }
+        assert_eq!(quarantined_after, 3, "reversed: {reversed}");
+        let popular = Content::new([POPULAR], 9_000);
+        let now = Instant::from_millis(30_000);
+        assert_eq!(table.quarantine(now, &popular), None);
+    }
+}
+
+/// Guards against streams that stay in the table after they have ended.
+#[test]
+fn ended_streams_forgotten() {
+    let mut table = warm_table();
+    let now = Instant::from_millis(1_000);
+    let size = |table: &Table| format!("{table:?}").len();
+    let before = size(&table);
+    for whole in 0..100 {
+        let stream = table.begin_stream(now, SERVICE, SERVER, &Content::new([DEADLY], whole));
+        table.end_stream(stream);
+        assert!(!table.may_have_crashed(stream));
+    }
+    assert!(size(&table) < before + 10);
+}
+
 /// Guards against turns that overlap, leave a gap or end, and against a request that
 /// is held though no server crashed under it.
 #[test]
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::group::blame;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -182,7 +183,7 @@
                     let is_whole = matches!(answer, Answer::Buffered(_));
                     gateway.with_state(|state, now| {
                         state.mark_group_up(now, call.service);
-                        // A stream shows only as it goes on that it crashes no server.
+                        // A stream shows only at its end that it crashes no server.
                         if is_whole {
                             state.record_answer(now, &call.content);
                         }
@@ -236,8 +237,8 @@
                 Outcome::Broken => {
                     self.may_have_run = true;
                     end = Some(End::AnswerLost);
-                    if !may_follow_crash(gateway, call, &server).await || !call.kind().repeatable()
-                    {
+                    let may_follow = may_follow_crash(gateway, call, &server, None).await;
+                    if !may_follow || !call.kind().repeatable() {
                         break;
                     }
                     record.retried(Retry::AnswerLost);
@@ -284,10 +285,15 @@
     }
 }
 
-/// Records a crash if the server that broke off the answer is gone; returns whether
-/// the request may be sent to another one.
-pub async fn may_follow_crash(gateway: &Rc<Gateway>, call: &Call, server: &Server) -> bool {
-    let crashed = record_crash(gateway, call, server).await;
+/// Records a crash if the server that broke off the answer, or the `stream` that it
+/// wrote, is gone; returns whether the request may be sent to another one.
+pub async fn may_follow_crash(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    server: &Server,
+    stream: Option<blame::Stream>,
+) -> bool {
+    let crashed = record_crash(gateway, call, server, stream).await;
     gateway.with_state(|state, now| {
         let last = crashed && !state.has_spare_server(now, call.service);
         !state.is_suspect(&call.content) && !last
@@ -296,13 +302,19 @@
 
 /// Records a crash if the server that broke off the answer is gone; returns whether
 /// it is.
-async fn record_crash(gateway: &Rc<Gateway>, call: &Call, server: &Server) -> bool {
+async fn record_crash(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    server: &Server,
+    stream: Option<blame::Stream>,
+) -> bool {
     let broken_at = gateway.clock.now();
     if !send::refuses_connections(server.address).await {
         return false;
     }
-    let record =
-        |state: &mut State, _| state.record_crash(broken_at, call.service, server, &call.content);
+    let record = |state: &mut State, _| {
+        state.record_crash(broken_at, call.service, server, &call.content, stream)
+    };
     if gateway.with_state(record) {
         gateway.quarantine_changed.notify_waiters();
     }
@@ -316,7 +328,8 @@
         .collect();
     tracing::warn!(
         request = ?call.id, server = %server.id, service = %call.service_name,
-        content = content.join(","), "server crashed before it answered a request"
+        began = stream.is_some(), content = content.join(","),
+        "server crashed before it answered a request"
     );
     true
 }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_core::group::blame::Content;
+use berylgw_core::group::blame::{self, Content};
 use berylgw_core::group::health;
 use berylgw_core::stop::Schedule;
 use berylgw_runtime::clock::Clock;
@@ -215,6 +215,48 @@
     }
 }
 
+/// A stream that a server writes, forgotten on drop.
+#[derive(Debug)]
+pub struct Stream {
+    gateway: Rc<Gateway>,
+    key: blame::Stream,
+}
+
+impl Stream {
+    /// Records that `server` begins to write a stream that answers a request.
+    pub fn begin(
+        gateway: &Rc<Gateway>,
+        service: ServiceKey,
+        server: &Server,
+        content: &Content,
+    ) -> Self {
+        let key =
+            gateway.with_state(|state, now| state.begin_stream(now, service, server, content));
+        Stream {
+            gateway: gateway.clone(),
+            key,
+        }
+    }
+
+    /// Returns the key under which its crash is recorded.
+    pub fn key(&self) -> blame::Stream {
+        self.key
+    }
+
+    /// Returns whether its end may be that of its server, which it may have crashed.
+    pub fn may_have_crashed(&self) -> bool {
+        self.gateway
+            .with_state(|state, _| state.may_have_crashed(self.key))
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.gateway
+            .with_state(|state, _| state.end_stream(self.key));
+    }
+}
+
 /// A server chosen for a request, counted as in flight there until drop.
 #[derive(Debug)]
 pub struct Assignment {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -1,9 +1,7 @@
 //! Forwarding a stream to the caller, one or more complete events at once.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use berylgw_core::clock::Instant;
 use bytes::Bytes;
 use futures_util::stream;
 use hyper::Response;
@@ -13,15 +11,11 @@
 use crate::call::Call;
 use crate::config::RequestKind;
 use crate::event::Splitter;
-use crate::gateway::{Assignment, Gateway, Permit};
+use crate::gateway::{Assignment, Gateway, Permit, Stream};
 use crate::metrics::{End, Retry};
 use crate::record::Record;
 use crate::send::Exchange;
 
-/// Time from the first event of a server within which its crash may be due to the
-/// stream. Each stream that a server has begun breaks off with it.
-const PROBATION: Duration = Duration::from_millis(150);
-
 /// A stream in progress. Dropping it closes the connection to the server, which
 /// cancels the server's work.
 struct Relay {
@@ -33,9 +27,8 @@
     splitter: Splitter,
     exchange: Exchange,
     assignment: Assignment,
-    /// When the server began to answer, `None` once it has shown that the stream does
-    /// not crash it.
-    on_probation: Option<Instant>,
+    /// The stream as its server writes it.
+    stream: Stream,
     _permit: Option<Permit>,
 }
 
@@ -48,7 +41,9 @@
     opened: Opened,
     permit: Option<Permit>,
 ) -> Response<Body> {
+    let server = &opened.assignment.server;
     let relay = Relay {
+        stream: Stream::begin(gateway, call.service, server, &call.content),
         gateway: gateway.clone(),
         call,
         attempts,
@@ -57,7 +52,6 @@
         splitter: opened.splitter,
         exchange: opened.exchange,
         assignment: opened.assignment,
-        on_probation: Some(gateway.clock.now()),
         _permit: permit,
     };
     let body = stream::unfold(Some(relay), |relay| async move {
@@ -90,7 +84,9 @@
                     return Ok(Some(events));
                 }
                 Ok(None) => {
-                    self.end_probation();
+                    let content = &self.call.content;
+                    self.gateway
+                        .with_state(|state, now| state.record_answer(now, content));
                     let status = self.exchange.response.status();
                     self.record.end(End::Answered, status.as_u16(), None);
                     return Ok(None);
@@ -99,10 +95,7 @@
                     let server = &self.assignment.server.id;
                     tracing::info!(%server, %error, "stream broken off");
                     self.assignment.report(|health, now| health.failed(now));
-                    let server = self.assignment.server.clone();
-                    if self.on_probation.is_some()
-                        && !may_follow_crash(&self.gateway, &self.call, &server).await
-                    {
+                    if !self.may_resume().await {
                         return Err(self.abort(End::BrokenOff));
                     }
                     if let Some(events) = self.resume().await? {
@@ -113,23 +106,16 @@
         }
     }
 
-    /// Records that the server answers the request, once for each server.
-    fn end_probation(&mut self) {
-        if self.on_probation.take().is_some() {
-            let content = &self.call.content;
-            self.gateway
-                .with_state(|state, now| state.record_answer(now, content));
-        }
+    /// Records a crash if the stream may have caused one; returns whether it may be
+    /// continued at another server.
+    async fn may_resume(&self) -> bool {
+        let server = &self.assignment.server;
+        let stream = Some(self.stream.key());
+        !self.stream.may_have_crashed()
+            || may_follow_crash(&self.gateway, &self.call, server, stream).await
     }
 
     fn observe_event(&mut self) {
-        let now = self.gateway.clock.now();
-        if self
-            .on_probation
-            .is_some_and(|begun| now.since(begun) >= PROBATION)
-        {
-            self.end_probation();
-        }
         let Some(pause) = self.record.event() else {
             return;
         };
@@ -158,7 +144,9 @@
         self.splitter = opened.splitter;
         self.exchange = opened.exchange;
         self.assignment = opened.assignment;
-        self.on_probation = Some(self.gateway.clock.now());
+        let server = &self.assignment.server;
+        let content = &self.call.content;
+        self.stream = Stream::begin(&self.gateway, self.call.service, server, content);
         self.record.event();
         Ok(Some(opened.first))
     }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -552,18 +552,47 @@
         self.blame.record_answer(now, content);
     }
 
-    /// Records that a server crashed before it answered a request, or as it began to;
-    /// returns whether more requests are quarantined.
-    pub fn record_crash(
+    /// Records that a server begins to write a stream.
+    pub fn begin_stream(
         &mut self,
         now: Instant,
         service: ServiceKey,
         server: &Server,
         content: &Content,
-    ) -> bool {
+    ) -> blame::Stream {
         let service = self.pools[service.0].digest;
         let server = backend::digest(&server.id);
-        self.blame.record_crash(now, service, server, content);
+        self.blame.begin_stream(now, service, server, content)
+    }
+
+    /// Forgets a stream that is no longer read.
+    pub fn end_stream(&mut self, stream: blame::Stream) {
+        self.blame.end_stream(stream);
+    }
+
+    /// Returns whether a stream that broke off may have crashed its server.
+    pub fn may_have_crashed(&self, stream: blame::Stream) -> bool {
+        self.blame.may_have_crashed(stream)
+    }
+
+    /// Records that a server crashed before it answered a request, or while it wrote
+    /// the `stream` that answers it; returns whether more requests are quarantined.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        server: &Server,
+        content: &Content,
+        stream: Option<blame::Stream>,
+    ) -> bool {
+        match stream {
+            Some(stream) => self.blame.record_crash_in_stream(now, stream),
+            None => {
+                let service = self.pools[service.0].digest;
+                let server = backend::digest(&server.id);
+                self.blame.record_crash(now, service, server, content);
+            }
+        }
         self.update_quarantine(now)
     }
 
--- a/crates/testkit/tests/direct_crash.rs
+++ b/crates/testkit/tests/direct_crash.rs
@@ -26,6 +26,9 @@
 /// Time after which two crashes are told apart, and have reached all entries.
 const BETWEEN: Duration = Duration::from_millis(700);
 
+/// Time between two events of an answer.
+const EVENT_SPACING: Duration = Duration::from_millis(50);
+
 /// A server that is restarted after each crash.
 #[derive(Clone, Debug)]
 struct Fragile {
@@ -34,8 +37,9 @@
     delay: Duration,
     /// Time for which it is down after a crash.
     restart: Duration,
-    /// Whether it sends the first event of an answer before it crashes.
-    begins: bool,
+    /// Time for which it sends events of an answer before it crashes, `None` if it
+    /// sends none.
+    writes: Option<Duration>,
     crashes: Arc<AtomicUsize>,
     /// Arrivals of deadly requests, also those that it did not begin to answer.
     deadly: Arc<Mutex<Vec<Instant>>>,
@@ -47,16 +51,20 @@
     }
 
     async fn start_with(delay: Duration, restart: Duration) -> Result<Self> {
-        Self::start_as(delay, restart, false).await
+        Self::start_as(delay, restart, None).await
     }
 
-    async fn start_as(delay: Duration, restart: Duration, begins: bool) -> Result<Self> {
+    async fn start_as(
+        delay: Duration,
+        restart: Duration,
+        writes: Option<Duration>,
+    ) -> Result<Self> {
         let mut listener = TcpListener::bind("127.0.0.1:0").await?;
         let server = Fragile {
             address: listener.local_addr()?,
             delay,
             restart,
-            begins,
+            writes,
             crashes: Arc::default(),
             deadly: Arc::default(),
         };
@@ -126,14 +134,23 @@
             .lines()
             .find_map(|line| line.strip_prefix("berylgw-attempt-id: "));
         let id = id.unwrap_or("none");
-        if is_deadly && self.begins {
-            let beginning = format!(
+        if let Some(writes) = self.writes.filter(|_| is_deadly) {
+            let head = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
                  Berylgw-Attempt-Id: {id}\r\nBerylgw-Server-Seal: s\r\n\
-                 Content-Length: 32\r\n\r\nid: 1\ndata: e1\n\n"
+                 Content-Length: 1600\r\n\r\n"
             );
-            stream.write_all(beginning.as_bytes()).await?;
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            stream.write_all(head.as_bytes()).await?;
+            let begun = Instant::now();
+            for number in 1.. {
+                let event = format!("id: {number}\ndata: e{number}\n\n");
+                stream.write_all(event.as_bytes()).await?;
+                let left = writes.saturating_sub(begun.elapsed());
+                tokio::time::sleep(left.min(EVENT_SPACING)).await;
+                if begun.elapsed() >= writes {
+                    break;
+                }
+            }
         }
         if is_deadly {
             return Ok(Some(stream));
@@ -176,11 +193,25 @@
 /// right after the first event of its answer.
 #[tokio::test]
 async fn streams_with_part_crash_servers_after_first_event() -> Result {
+    crash_while_writing(Duration::from_millis(10)).await
+}
+
+/// Guards against the same when the servers go on writing for a while before they
+/// crash.
+#[tokio::test]
+async fn streams_with_part_crash_servers_later() -> Result {
+    for writes_ms in [200, 400, 900] {
+        crash_while_writing(Duration::from_millis(writes_ms)).await?;
+    }
+    Ok(())
+}
+
+async fn crash_while_writing(writes: Duration) -> Result {
     let store = Store::default();
     store.put("config", "main", configuration(3, &[KEY]));
     let mut servers = Vec::new();
     for index in 0..4 {
-        let server = Fragile::start_as(Duration::from_millis(10), RESTART, true).await?;
+        let server = Fragile::start_as(Duration::from_millis(10), RESTART, Some(writes)).await?;
         server.register(&store, "model", index);
         servers.push(server);
     }
@@ -203,7 +234,8 @@
         assert!(answer.complete && answer.status.is_success(), "{answer:?}");
         tokio::time::sleep(BETWEEN).await;
     }
-    assert!(crashes(&servers) <= 2, "{} crashes", crashes(&servers));
+    let crashes = crashes(&servers);
+    assert!(crashes <= 2, "{crashes} crashes after {writes:?}");
     Ok(())
 }
 
