--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -128,8 +128,8 @@
         self.members.clone()
     }
 
-    /// Returns what this entry has to do with the store. If it does not observe it, it
-    /// gets the view from other entries.
+    /// Returns how this entry takes part in reading the store. If it does not observe
+    /// it, it gets the view from other entries.
     pub fn role(&self) -> watch::Receiver<Role> {
         self.role.subscribe()
     }
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -54,7 +54,7 @@
     pub status: watch::Sender<Arc<Status>>,
     /// The view and the state of the store's connections.
     pub views: Publisher,
-    /// Publishes what this entry has to do with the store.
+    /// Publishes how this entry takes part in reading the store.
     pub role: watch::Sender<Role>,
     /// Queues of the entries to pull a newer view from.
     pub pulls: Queues,
@@ -304,7 +304,7 @@
         }
     }
 
-    /// Decides what this entry has to do with the store.
+    /// Decides how this entry takes part in reading the store.
     fn update_role(&self) {
         let settings = &self.gateway.settings;
         let role = self.gateway.with_state(|state, now| Role {
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -45,7 +45,7 @@
 /// Time between two checks for entries that have become silent.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// What an entry has to do with the store.
+/// How an entry takes part in reading the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Role {
     /// Whether it follows the store.
