Log who confirmed the view that a configuration replaces

Cause: after all observers are lost, an entry that goes on with a former view and one whose view is confirmed look alike in the log: it has the age of the view, not whether the store told the entry itself or which entry told it.

Change: berylgw_core::freshness::Confirmation keeps what the store told apart from what other entries told. What is told to others is unchanged.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -54,6 +54,12 @@
         self.0
     }
 
+    /// Returns the instant `time` before this one, or the origin if that is earlier.
+    pub fn before(self, time: Duration) -> Instant {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        Instant(self.0.saturating_sub(micros))
+    }
+
     /// Returns the time since `earlier`, or zero if `earlier` is later.
     pub const fn since(self, earlier: Instant) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -7,8 +7,12 @@
 //! told an entry that nothing changed, or what did, and that entry has told others.
 //! Entries read one after the other, since the first answer confirms the copy of all.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock::Instant;
+use crate::revision::Revision;
+
 /// Shares of the time within which a change must be in force. What is left after the
 /// last one is for the read itself, on a new connection, and for one repetition.
 const WATCH_SHARE: f64 = 0.45;
@@ -72,6 +76,75 @@
     }
 }
 
+/// What another entry has told about a copy.
+#[derive(Clone, Debug)]
+struct Report {
+    /// The lowest revision that was current.
+    revision: Revision,
+    at: Instant,
+    /// Name of the host.
+    by: Arc<str>,
+}
+
+/// The last times at which the store told that a copy is current.
+#[derive(Clone, Debug, Default)]
+pub struct Confirmation {
+    /// The lowest revision that was current when the store told the entry itself.
+    direct: Option<(Revision, Instant)>,
+    reported: Option<Report>,
+}
+
+impl Confirmation {
+    /// Records that the store told the entry itself that no change until `at` is above
+    /// `revision`.
+    pub fn confirm(&mut self, revision: Revision, at: Instant) {
+        if self.direct.is_none_or(|(_, known)| known < at) {
+            self.direct = Some((revision, at));
+        }
+    }
+
+    /// Records that the entry at the host `by` told that no change until `at` is above
+    /// `revision`.
+    pub fn report(&mut self, revision: Revision, at: Instant, by: &Arc<str>) {
+        if self.reported.as_ref().is_none_or(|known| known.at < at) {
+            let by = by.clone();
+            self.reported = Some(Report { revision, at, by });
+        }
+    }
+
+    /// Returns the time since the copy was current, as far as the entry knows; `None` if
+    /// it was never confirmed.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let reported = self.reported.as_ref().map(|report| report.at);
+        let direct = self.direct.map(|(_, at)| at);
+        direct.max(reported).map(|at| now.since(at))
+    }
+
+    /// Returns the time since the store told the entry itself.
+    pub fn direct_age(&self, now: Instant) -> Option<Duration> {
+        self.direct.map(|(_, at)| now.since(at))
+    }
+
+    /// Returns the host whose report is newer than what the store told the entry itself.
+    pub fn reporter(&self) -> Option<&Arc<str>> {
+        let report = self.reported.as_ref()?;
+        let is_newer = self.direct.is_none_or(|(_, at)| at < report.at);
+        is_newer.then_some(&report.by)
+    }
+
+    /// Returns the age to tell other entries about a copy that has `revision`, `None` if
+    /// it is older than the confirmed one.
+    pub fn told_age(&self, now: Instant, revision: Revision) -> Option<Duration> {
+        let reported = self.reported.as_ref();
+        let reported = reported.map(|report| (report.revision, report.at));
+        let (confirmed, at) = [self.direct, reported]
+            .into_iter()
+            .flatten()
+            .max_by_key(|(_, at)| *at)?;
+        (confirmed <= revision).then(|| now.since(at))
+    }
+}
+
 /// Returns the longest pause of an entry between two reads that fail.
 pub fn failed_read_pause(turn: Turn) -> Duration {
     FAILED_READ_SPACING * u32::try_from(turn.entries).unwrap_or(u32::MAX)
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -115,13 +115,15 @@
             (datagram.servers_at, datagram.servers_age_ms),
             (datagram.evacuations_at, datagram.evacuations_age_ms),
         ];
+        let sender = Arc::from(&*datagram.name);
         for (section, (at, age_ms)) in Section::ALL.into_iter().zip(confirmed) {
             let (Some(at), Some(age_ms)) = (at.map(from_wire), age_ms) else {
                 continue;
             };
             if at <= known.of(section) {
                 let age = Duration::from_millis(age_ms.into());
-                self.views.confirm(section, known.of(section), age);
+                let revision = known.of(section);
+                self.views.report(section, revision, age, &sender);
             }
         }
     }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use berylgw_core::freshness::Confirmation;
 use berylgw_core::group::drained;
 use berylgw_core::revision::Revision;
 use berylgw_runtime::clock::uptime;
@@ -153,14 +154,28 @@
     last_answer: Instant,
 }
 
-/// The last time at which the store told this entry or another one that a part is
-/// current.
+/// When a part was current, for the log.
 #[derive(Clone, Copy, Debug)]
-struct Confirmation {
-    /// Lowest revision that is current as of this time.
-    revision: Revision,
-    /// Time since the start of the host.
-    at: Duration,
+pub struct Ages<'a> {
+    /// Milliseconds since the store confirmed it to any entry.
+    pub age_ms: Option<u64>,
+    /// Milliseconds since the store confirmed it to this entry.
+    pub direct_age_ms: Option<u64>,
+    /// Host of the entry that told the former age, if it is not this one.
+    pub reporter: Option<&'a str>,
+}
+
+impl<'a> Ages<'a> {
+    /// Returns the current ages of a confirmation.
+    pub fn of(confirmation: &'a Confirmation) -> Self {
+        let now = uptime();
+        let millis = |age: Duration| age.as_millis() as u64;
+        Ages {
+            age_ms: confirmation.age(now).map(millis),
+            direct_age_ms: confirmation.direct_age(now).map(millis),
+            reporter: confirmation.reporter().map(|by| &**by),
+        }
+    }
 }
 
 /// Holder of the current view, through which all changes go.
@@ -187,7 +202,7 @@
     restored_at: Arc<Mutex<Option<Instant>>>,
     store_calls: Arc<Mutex<Vec<StoreCalls>>>,
     /// In the order of [`Section::ALL`].
-    confirmations: Arc<Mutex<[Option<Confirmation>; Section::ALL.len()]>>,
+    confirmations: Arc<Mutex<[Confirmation; Section::ALL.len()]>>,
     overdue_read: Arc<Notify>,
 }
 
@@ -253,35 +268,39 @@
         ages.collect()
     }
 
-    /// Records that the store confirmed a part `age` ago: no change since then was
-    /// above `revision`, which the view has.
+    /// Records that the store confirmed a part to this entry `age` ago: no change until
+    /// then was above `revision`, which the view has.
     pub fn confirm(&self, section: Section, revision: Revision, age: Duration) {
-        let at = uptime().saturating_sub(age);
-        let known = &mut self.lock_confirmations()[section as usize];
-        if known.is_none_or(|known| known.at < at) {
-            *known = Some(Confirmation { revision, at });
-        }
+        let at = uptime().before(age);
+        self.lock_confirmations()[section as usize].confirm(revision, at);
+    }
+
+    /// Records that the entry at the host `by` told that the store confirmed a part `age`
+    /// ago, as [`Publisher::confirm`] does.
+    pub fn report(&self, section: Section, revision: Revision, age: Duration, by: &Arc<str>) {
+        let at = uptime().before(age);
+        self.lock_confirmations()[section as usize].report(revision, at, by);
+    }
+
+    /// Returns what is known of when a part was current.
+    pub fn confirmation(&self, section: Section) -> Confirmation {
+        self.lock_confirmations()[section as usize].clone()
     }
 
     /// Returns the time since the store confirmed a part, `None` if it never has.
     pub fn confirmation_age(&self, section: Section) -> Option<Duration> {
-        let known = self.lock_confirmations()[section as usize];
-        known.map(|known| uptime().saturating_sub(known.at))
+        self.lock_confirmations()[section as usize].age(uptime())
     }
 
     /// Returns the time since the store confirmed each part that has at least the
     /// revision in `revisions`, `None` if it is older or the store never has.
     pub fn confirmation_ages(&self, revisions: &Revisions) -> [Option<Duration>; 3] {
-        let known = *self.lock_confirmations();
+        let known = self.lock_confirmations();
         let now = uptime();
-        Section::ALL.map(|section| {
-            let known = known[section as usize]?;
-            let is_current = known.revision <= revisions.of(section);
-            is_current.then(|| now.saturating_sub(known.at))
-        })
+        Section::ALL.map(|section| known[section as usize].told_age(now, revisions.of(section)))
     }
 
-    fn lock_confirmations(&self) -> MutexGuard<'_, [Option<Confirmation>; 3]> {
+    fn lock_confirmations(&self) -> MutexGuard<'_, [Confirmation; 3]> {
         let confirmations = self.confirmations.lock();
         confirmations.unwrap_or_else(PoisonError::into_inner)
     }
@@ -316,11 +335,17 @@
     pub fn set_configuration(&self, mut part: Part<Configuration>, source: Source) -> bool {
         let version = part.value.version;
         part.revision = part.revision.with_version(version);
+        let known = self.confirmation(Section::Configuration);
         let set = self.change("configuration", &part, |view| &mut view.configuration);
         if set {
             let (revision, era) = (part.revision.number(), part.revision.era());
             let routes = part.value.routes.len();
-            tracing::info!(%source, revision, era, version, routes, "configuration in force");
+            let confirmed = Ages::of(&known);
+            tracing::info!(
+                %source, revision, era, version, routes, age_ms = confirmed.age_ms,
+                direct_age_ms = confirmed.direct_age_ms, reporter = confirmed.reporter,
+                "configuration in force"
+            );
         }
         set
     }
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -32,7 +32,8 @@
 /// # Panics
 ///
 /// Panics if the system has no such clock.
-pub fn uptime() -> Duration {
+pub fn uptime() -> Instant {
     let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
-    Duration::from(time.expect("the system has a clock that counts suspended time"))
+    let time = Duration::from(time.expect("the system has a clock that counts suspended time"));
+    Instant::ORIGIN + time
 }
