Tell other entries only what the store itself confirmed

Cause: an age that was passed on got younger. The receiver of a datagram takes its own time less the age in it, so that each entry on the way drops the time for which the datagram was under way and the rest of a millisecond. Entries told others what they had only heard, and took over the youngest age, also one that they had told themselves: with datagrams every few milliseconds the believed age stopped growing, and no entry read the store before its observers counted as failed, after 2.5 s.

Change: Confirmation keeps apart what the store told the entry and what others told, and told_age_ms has only the first, rounded up. An age thus has one way. What was passed on had kept ages young between two watches; now an entry that the store confirms a view to tells all at once if the known confirmation is older than 0.2 of the bound. Watches wait for 0.42 of the bound in place of 0.45, so that in a calm fleet no confirmation reaches the age at which an entry reads the store.

Ruled out: observers' successors that are slow to read (in force 10 ms after they notice), a clock that stands (ages of the store grow).

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -6,6 +6,10 @@
 //! of the last confirmation decides, not the state of other entries: the store has
 //! told an entry that nothing changed, or what did, and that entry has told others.
 //! Entries read one after the other, since the first answer confirms the copy of all.
+//!
+//! An entry tells others only what the store told itself. An age is taken over without
+//! the time for which its datagram was under way; if it were passed on, it would lose
+//! that time with each entry, and come back younger than it was told.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +19,8 @@
 
 /// Shares of the time within which a change must be in force. What is left after the
 /// last one is for the read itself, on a new connection, and for one repetition.
-const WATCH_SHARE: f64 = 0.45;
+const ANNOUNCEMENT_SHARE: f64 = 0.2;
+const WATCH_SHARE: f64 = 0.42;
 const READ_SHARE: f64 = 0.5;
 const LAST_READ_SHARE: f64 = 0.75;
 
@@ -62,6 +67,12 @@
         self.bound.mul_f64(WATCH_SHARE)
     }
 
+    /// Returns the age of the last confirmation from which on a new one is announced to
+    /// all entries at once. Younger ones reach them with the next datagram that is due.
+    pub fn announcement_age(self) -> Duration {
+        self.bound.mul_f64(ANNOUNCEMENT_SHARE)
+    }
+
     /// Returns the age of the last confirmation at which an entry reads the store.
     pub fn read_age(self, turn: Turn) -> Duration {
         let share = turn.position as f64 / turn.entries.max(1) as f64;
@@ -76,11 +87,9 @@
     }
 }
 
-/// What another entry has told about a copy.
+/// What another entry has told about the copy.
 #[derive(Clone, Debug)]
 struct Report {
-    /// The lowest revision that was current.
-    revision: Revision,
     at: Instant,
     /// Name of the host.
     by: Arc<str>,
@@ -103,12 +112,12 @@
         }
     }
 
-    /// Records that the entry at the host `by` told that no change until `at` is above
-    /// `revision`.
-    pub fn report(&mut self, revision: Revision, at: Instant, by: &Arc<str>) {
+    /// Records that the store told the entry at the host `by` that the copy was current
+    /// at `at`.
+    pub fn report(&mut self, at: Instant, by: &Arc<str>) {
         if self.reported.as_ref().is_none_or(|known| known.at < at) {
             let by = by.clone();
-            self.reported = Some(Report { revision, at, by });
+            self.reported = Some(Report { at, by });
         }
     }
 
@@ -132,16 +141,15 @@
         is_newer.then_some(&report.by)
     }
 
-    /// Returns the age to tell other entries about a copy that has `revision`, `None` if
-    /// it is older than the confirmed one.
-    pub fn told_age(&self, now: Instant, revision: Revision) -> Option<Duration> {
-        let reported = self.reported.as_ref();
-        let reported = reported.map(|report| (report.revision, report.at));
-        let (confirmed, at) = [self.direct, reported]
-            .into_iter()
-            .flatten()
-            .max_by_key(|(_, at)| *at)?;
-        (confirmed <= revision).then(|| now.since(at))
+    /// Returns the time since the store told the entry itself, in milliseconds rounded up,
+    /// for other entries; `None` if it never has, or a copy of `revision` is older.
+    pub fn told_age_ms(&self, now: Instant, revision: Revision) -> Option<u32> {
+        let (confirmed, at) = self.direct?;
+        if confirmed > revision {
+            return None;
+        }
+        let age_ms = now.since(at).as_micros().div_ceil(1_000);
+        Some(u32::try_from(age_ms).unwrap_or(u32::MAX))
     }
 }
 
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -293,7 +293,7 @@
         let announcing = gossip.clone();
         run_for_good("announce reads", move || {
             let gossip = announcing.clone();
-            async move { gossip.announce_reads().await }
+            async move { gossip.announce_confirmations().await }
         });
         let mut leaving = self.leaving;
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -107,8 +107,8 @@
         self.request_newer_view();
     }
 
-    /// Takes over what the store has confirmed to the sender, for the parts that are
-    /// not newer than the `known` ones.
+    /// Takes over what the store has confirmed to the sender itself, for the parts that
+    /// are not newer than the `known` ones.
     fn take_confirmations(&self, known: &Revisions, datagram: &Beat) {
         let confirmed = [
             (datagram.configuration_at, datagram.configuration_age_ms),
@@ -122,8 +122,7 @@
             };
             if at <= known.of(section) {
                 let age = Duration::from_millis(age_ms.into());
-                let revision = known.of(section);
-                self.views.report(section, revision, age, &sender);
+                self.views.report(section, age, &sender);
             }
         }
     }
@@ -182,11 +181,11 @@
         }
     }
 
-    /// Tells all live entries at once that this one has read the store because a
-    /// confirmation was overdue; never returns.
-    pub async fn announce_reads(&self) {
+    /// Tells all live entries at once that the store has confirmed a part of the view to
+    /// this one; never returns.
+    pub async fn announce_confirmations(&self) {
         loop {
-            self.views.overdue_read().await;
+            self.views.confirmation_announced().await;
             let targets = self.gateway.with_state(|state, now| {
                 let live = state.peers.live(now);
                 live.map(|peer| peer.address).collect()
@@ -234,9 +233,8 @@
                 let revisions = state.view.revisions();
                 (loads, limits, crashes, rate_limits, leaving, revisions)
             });
-        let ages = self.views.confirmation_ages(&revisions);
         let [configuration_age_ms, servers_age_ms, evacuations_age_ms] =
-            ages.map(|age| age.map(|age| age.as_millis() as u32));
+            self.views.told_ages_ms(&revisions);
         let datagram = Beat {
             name: settings.name.to_string(),
             incarnation: self.incarnation,
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -85,7 +85,7 @@
 }
 
 impl Section {
-    /// All sections, in the order of [`Publisher::confirmation_ages`].
+    /// All sections, in the order of [`Publisher::told_ages_ms`].
     pub const ALL: [Section; 3] = [
         Section::Configuration,
         Section::Servers,
@@ -203,7 +203,7 @@
     store_calls: Arc<Mutex<Vec<StoreCalls>>>,
     /// In the order of [`Section::ALL`].
     confirmations: Arc<Mutex<[Confirmation; Section::ALL.len()]>>,
-    overdue_read: Arc<Notify>,
+    confirmed: Arc<Notify>,
 }
 
 impl Default for Publisher {
@@ -214,7 +214,7 @@
             restored_at: Arc::default(),
             store_calls: Arc::default(),
             confirmations: Arc::default(),
-            overdue_read: Arc::default(),
+            confirmed: Arc::default(),
         }
     }
 }
@@ -275,11 +275,11 @@
         self.lock_confirmations()[section as usize].confirm(revision, at);
     }
 
-    /// Records that the entry at the host `by` told that the store confirmed a part `age`
-    /// ago, as [`Publisher::confirm`] does.
-    pub fn report(&self, section: Section, revision: Revision, age: Duration, by: &Arc<str>) {
+    /// Records that the store confirmed a part `age` ago to the entry at the host `by`:
+    /// no change until then was above the revision that the view has.
+    pub fn report(&self, section: Section, age: Duration, by: &Arc<str>) {
         let at = uptime().before(age);
-        self.lock_confirmations()[section as usize].report(revision, at, by);
+        self.lock_confirmations()[section as usize].report(at, by);
     }
 
     /// Returns what is known of when a part was current.
@@ -292,12 +292,16 @@
         self.lock_confirmations()[section as usize].age(uptime())
     }
 
-    /// Returns the time since the store confirmed each part that has at least the
-    /// revision in `revisions`, `None` if it is older or the store never has.
-    pub fn confirmation_ages(&self, revisions: &Revisions) -> [Option<Duration>; 3] {
+    /// Returns what to tell other entries: the milliseconds since the store confirmed to
+    /// this one each part that has at least the revision in `revisions`, `None` if the
+    /// part is older or the store never has.
+    pub fn told_ages_ms(&self, revisions: &Revisions) -> [Option<u32>; 3] {
         let known = self.lock_confirmations();
         let now = uptime();
-        Section::ALL.map(|section| known[section as usize].told_age(now, revisions.of(section)))
+        Section::ALL.map(|section| {
+            let confirmation = &known[section as usize];
+            confirmation.told_age_ms(now, revisions.of(section))
+        })
     }
 
     fn lock_confirmations(&self) -> MutexGuard<'_, [Confirmation; 3]> {
@@ -305,15 +309,15 @@
         confirmations.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Announces that this entry has read the store because a confirmation was overdue,
-    /// so that others need not.
-    pub fn announce_overdue_read(&self) {
-        self.overdue_read.notify_one();
+    /// Announces that the store has confirmed a part to this entry, so that others need
+    /// not read it.
+    pub fn announce_confirmation(&self) {
+        self.confirmed.notify_one();
     }
 
-    /// Waits until a read is announced.
-    pub async fn overdue_read(&self) {
-        self.overdue_read.notified().await;
+    /// Waits until a confirmation is announced.
+    pub async fn confirmation_announced(&self) {
+        self.confirmed.notified().await;
     }
 
     /// Returns the time since the store was found to have come back from a copy, `None`
--- a/crates/testkit/tests/direct_fleet.rs
+++ b/crates/testkit/tests/direct_fleet.rs
@@ -1,6 +1,7 @@
 //! A direct entry as a process, in a fleet of hundreds of entries that the test
 //! plays by their datagrams.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -255,3 +256,90 @@
     assert!(time < CHANGE_TIMEOUT, "in force after {time:?}");
     Ok(())
 }
+
+/// Plays entries whose datagrams are 20 ms under way: they tell `entry` that the store
+/// confirms its configuration, until `lost`, and from then on only pass on the youngest
+/// age that they hear. Never returns.
+async fn play_echo(peers: SocketAddr, lost: Arc<AtomicBool>) -> Result {
+    const WAY: Duration = Duration::from_millis(20);
+    let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    let mut heard = VecDeque::new();
+    let (mut confirmed, mut known) = (Instant::now(), None);
+    let mut buffer = vec![0; 16 << 10];
+    for sequence in 1.. {
+        let end = Instant::now() + WAY;
+        while let Ok(received) =
+            tokio::time::timeout_at(end.into(), socket.recv_from(&mut buffer)).await
+        {
+            heard.push_back((Instant::now(), Beat::decode(&buffer[..received?.0])?));
+        }
+        while let Some((at, _)) = heard.front()
+            && at.elapsed() >= WAY
+            && let Some((_, datagram)) = heard.pop_front()
+        {
+            known = datagram.configuration_at;
+            if let Some(age_ms) = datagram.configuration_age_ms {
+                let told = Instant::now().checked_sub(Duration::from_millis(age_ms.into()));
+                confirmed = told.map_or(confirmed, |told| told.max(confirmed));
+            }
+        }
+        if !lost.load(Ordering::Relaxed) {
+            confirmed = Instant::now();
+        }
+        for number in 0..6 {
+            let datagram = Beat {
+                configuration_at: known,
+                configuration_age_ms: Some(confirmed.elapsed().as_millis() as u32),
+                ..beat(number, sequence)
+            };
+            socket.send_to(&datagram.encode_to_vec(), peers).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Guards against an entry that takes an age which it has told, and which comes back
+/// later, for a confirmation of its view.
+#[tokio::test]
+async fn change_in_force_beside_echo() -> Result {
+    let store = Store::default();
+    store.put("config", "main", configuration(3, &[KEY]));
+    let server = Server::start("i-0", Reply::Complete).await?;
+    register(&store, "yard", &[&server]);
+    let entry = Entry::start(&store, "edge-own", "shed").await?;
+    entry.wait_for_view(&[("servers", json!(1))]).await?;
+    let lost = Arc::new(AtomicBool::new(false));
+    let echo = play_echo(entry.process.address("peers").await?, lost.clone());
+    let echo = tokio::spawn(async move { echo.await.map_err(|error| error.to_string()) });
+    // An entry whose load changes sends datagrams all the time.
+    let callers = entry.callers;
+    let load = tokio::spawn(async move {
+        for number in 0.. {
+            let call = Call {
+                id: format!("a{number}"),
+                path: "/stock/1".to_owned(),
+                key: Some(KEY.to_owned()),
+                deadline_ms: 2_000,
+            };
+            drop(send(callers, &call).await);
+        }
+    });
+    let others = [("observing", json!(false))];
+    entry
+        .wait_for_line("following the store changed", &others)
+        .await?;
+    // Ends the watch that the entry began before it heard the others.
+    store.put("config", "main", configuration(4, &[KEY]));
+    entry.wait_for_view(&[("configuration", json!(4))]).await?;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    lost.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let changed = Instant::now();
+    store.put("config", "main", configuration(5, &["another key"]));
+    entry.wait_for_view(&[("configuration", json!(5))]).await?;
+    let time = changed.elapsed();
+    load.abort();
+    echo.abort();
+    assert!(time < CHANGE_TIMEOUT, "in force after {time:?}");
+    Ok(())
+}
