Count the time for which a datagram waited in the age that it tells

Callers may see: an entry that is busy, slow or frozen reads datagrams long after they came. It took the ages in them as of the time at which it read them, and went on with a former configuration for as much longer as they had waited.

Cause: the age in a datagram is that at its sending; nothing told the receiver when that was.

Change: datagrams carry the uptime of the sender's host. berylgw_core::transit keeps the least difference to the receiver's clock for each process, which stands for the quickest way, and grows by 1 in 5,000 for clocks that drift; what a datagram takes beyond that is added to its ages. The first datagram of a process confirms nothing, and neither do those without a time, whose senders may pass on what they heard: a fleet that is updated entry by entry is safe. One field of 64 bits for each peer. The gauge berylgw_direct_datagram_delay_ms shows the longest wait.

What is left: the quickest way itself, and a process whose datagrams have all waited since its first one.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,7 +9,8 @@
 //!   versioned objects and resolves them into a [`config::Snapshot`] of
 //!   [`client`], [`failure`], [`backend`], [`service`] and [`host`] values.
 //!   [`revision`] orders changes of a store that may come back from a copy,
-//!   [`freshness`] decides when an entry reads the store itself.
+//!   [`freshness`] decides when an entry reads the store itself, [`transit`] tells how
+//!   long the datagrams of others waited.
 //! - Request handling in an entry: [`directory`], [`route`], [`retry`],
 //!   [`ledger`], [`stream`] and [`buffer`]; [`outcome`] classifies the result.
 //! - Request handling in an agent: [`admission`], [`fair`], [`ticket`],
@@ -53,5 +54,6 @@
 pub mod stop;
 pub mod stream;
 pub mod ticket;
+pub mod transit;
 
 pub use error::{Error, Result};
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -257,6 +257,7 @@
             pulls: self.pulls,
             sequence: Cell::new(0),
             rounds: Cell::new(0),
+            longest_delay: Cell::default(),
         });
         let (close, closing) = watch::channel(false);
         let (end, ending) = watch::channel(false);
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::clock::Instant;
+use berylgw_core::revision::Revision;
+use berylgw_runtime::clock::uptime;
 use berylgw_wire::direct::Beat;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -38,6 +41,40 @@
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// What a datagram tells of the store.
+#[derive(Debug)]
+struct Told {
+    /// Name of the sender's host.
+    by: Arc<str>,
+    incarnation: u64,
+    /// By the time since the sender's host booted.
+    sent: Option<Instant>,
+    /// Revisions and the milliseconds since the store confirmed them, in the order of
+    /// [`Section::ALL`].
+    confirmed: [(Option<Revision>, Option<u32>); Section::ALL.len()],
+}
+
+impl Told {
+    fn of(datagram: &Beat) -> Self {
+        let revisions = [
+            datagram.configuration_at,
+            datagram.servers_at,
+            datagram.evacuations_at,
+        ];
+        let ages_ms = [
+            datagram.configuration_age_ms,
+            datagram.servers_age_ms,
+            datagram.evacuations_age_ms,
+        ];
+        Told {
+            by: Arc::from(&*datagram.name),
+            incarnation: datagram.incarnation,
+            sent: datagram.sent_us.map(Instant::from_micros),
+            confirmed: std::array::from_fn(|part| (revisions[part].map(from_wire), ages_ms[part])),
+        }
+    }
+}
+
 /// State shared by the sending and receiving tasks.
 pub struct Gossip {
     /// The traffic side of the entry.
@@ -62,6 +99,8 @@
     pub sequence: Cell<u64>,
     /// Rounds of load datagrams so far.
     pub rounds: Cell<u64>,
+    /// Longest time that a datagram waited since the gauges were exported.
+    pub longest_delay: Cell<Duration>,
 }
 
 impl Gossip {
@@ -88,9 +127,9 @@
         if *datagram.name == *self.gateway.settings.name {
             return;
         }
-        let known = self.gateway.with_state(|state, _| state.view.revisions());
-        self.take_confirmations(&known, &datagram);
-        let more_quarantined = self.gateway.with_state(|state, now| {
+        let received = uptime();
+        let told = Told::of(&datagram);
+        let (more_quarantined, known, delay) = self.gateway.with_state(|state, now| {
             let more_quarantined = state.merge_crashes(now, &datagram.crashes);
             state.merge_rate_limits(now, &datagram.rate_limits);
             let left = state.merge_leaving(&datagram.leaving_servers);
@@ -99,30 +138,34 @@
             if state.peers.apply(now, address, datagram) {
                 state.grant_permits(now);
             }
-            more_quarantined
+            let delay = told.sent.and_then(|sent| {
+                let Told {
+                    by, incarnation, ..
+                } = &told;
+                state.peers.delay(by, *incarnation, sent, received)
+            });
+            (more_quarantined, state.view.revisions(), delay)
         });
         if more_quarantined {
             self.gateway.quarantine_changed.notify_waiters();
         }
+        if let Some(delay) = delay {
+            self.longest_delay.set(self.longest_delay.get().max(delay));
+            self.take_confirmations(&known, &told, received.before(delay));
+        }
         self.request_newer_view();
     }
 
     /// Takes over what the store has confirmed to the sender itself, for the parts that
-    /// are not newer than the `known` ones.
-    fn take_confirmations(&self, known: &Revisions, datagram: &Beat) {
-        let confirmed = [
-            (datagram.configuration_at, datagram.configuration_age_ms),
-            (datagram.servers_at, datagram.servers_age_ms),
-            (datagram.evacuations_at, datagram.evacuations_age_ms),
-        ];
-        let sender = Arc::from(&*datagram.name);
-        for (section, (at, age_ms)) in Section::ALL.into_iter().zip(confirmed) {
-            let (Some(at), Some(age_ms)) = (at.map(from_wire), age_ms) else {
+    /// are not newer than the `known` ones, as of the time at which the datagram came.
+    fn take_confirmations(&self, known: &Revisions, told: &Told, came: Instant) {
+        for (section, &(at, age_ms)) in Section::ALL.into_iter().zip(&told.confirmed) {
+            let (Some(at), Some(age_ms)) = (at, age_ms) else {
                 continue;
             };
             if at <= known.of(section) {
                 let age = Duration::from_millis(age_ms.into());
-                self.views.report(section, age, &sender);
+                self.views.report(section, came.before(age), &told.by);
             }
         }
     }
@@ -257,6 +300,7 @@
             configuration_age_ms,
             servers_age_ms,
             evacuations_age_ms,
+            sent_us: Some(uptime().as_micros()),
         };
         let bytes = datagram.encode_to_vec();
         let mut failed = 0;
@@ -350,6 +394,8 @@
             self.status.send_replace(Arc::new(status));
         }
         gateway.with_state(|state, _| state.export_gauges(&gateway.metrics));
+        let delay = self.longest_delay.take();
+        gateway.metrics.datagram_delay.set(delay.as_millis() as i64);
         gateway.metrics.export_ages(&self.views.store_ages());
         for section in Section::ALL {
             if let Some(age) = self.views.confirmation_age(section) {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -128,6 +128,8 @@
     pub peers: IntGauge,
     /// Datagrams that the host could not send at once, and dropped.
     pub unsent_datagrams: IntCounter,
+    /// Longest time that a datagram of another entry waited lately, in milliseconds.
+    pub datagram_delay: IntGauge,
     /// Requests whose server crashed before it answered them.
     pub crashes: IntCounter,
     notices: IntCounterVec,
@@ -218,6 +220,10 @@
                 "berylgw_direct_unsent_datagrams_total",
                 "Datagrams to other entries that were dropped before they were sent",
             )?,
+            datagram_delay: IntGauge::new(
+                "berylgw_direct_datagram_delay_ms",
+                "Longest time that a datagram of another entry waited in the last 0.4 s",
+            )?,
             crashes: IntCounter::new(
                 "berylgw_direct_crashes_total",
                 "Requests whose server crashed before it answered them",
@@ -242,6 +248,7 @@
         registry.register(Box::new(metrics.task_restarts.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
         registry.register(Box::new(metrics.unsent_datagrams.clone()))?;
+        registry.register(Box::new(metrics.datagram_delay.clone()))?;
         registry.register(Box::new(metrics.crashes.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
         Ok(metrics)
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -7,6 +7,7 @@
 use berylgw_core::clock::Instant;
 use berylgw_core::freshness::Turn;
 use berylgw_core::revision::Revision;
+use berylgw_core::transit::Transit;
 use berylgw_wire::direct::{self as wire, Beat};
 
 use crate::backend;
@@ -78,6 +79,8 @@
     /// Random number of its process.
     pub incarnation: u64,
     sequence: u64,
+    /// Of its datagrams, from the first one on that told when it was sent.
+    transit: Option<Transit>,
     /// Address that it sends datagrams from and accepts calls at.
     pub address: SocketAddr,
     /// Address that callers connect to.
@@ -131,13 +134,12 @@
         let found = self
             .peers
             .binary_search_by(|peer| (*peer.name).cmp(&datagram.name));
-        if let Ok(index) = found {
-            let known = &self.peers[index];
-            let same = known.incarnation == datagram.incarnation;
-            if same && known.sequence >= datagram.sequence {
-                return false;
-            }
+        let known = found.ok().map(|index| &self.peers[index]);
+        let same = known.filter(|known| known.incarnation == datagram.incarnation);
+        if same.is_some_and(|known| known.sequence >= datagram.sequence) {
+            return false;
         }
+        let transit = same.and_then(|known| known.transit);
         let mut loads: Vec<(u32, u32)> = datagram
             .loads
             .iter()
@@ -154,6 +156,7 @@
             name: datagram.name.into(),
             incarnation: datagram.incarnation,
             sequence: datagram.sequence,
+            transit,
             address,
             callers,
             domain: datagram.domain.into(),
@@ -189,6 +192,30 @@
         true
     }
 
+    /// Returns how long a datagram of the process `incarnation` at the host `name` waited,
+    /// which was sent at `sent` by its clock. `None` if that is not known: the process is
+    /// not, or this is the first one of it.
+    pub fn delay(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        sent: Instant,
+        received: Instant,
+    ) -> Option<Duration> {
+        let found = self.peers.binary_search_by(|peer| (*peer.name).cmp(name));
+        let peer = &mut self.peers[found.ok()?];
+        if peer.incarnation != incarnation {
+            return None;
+        }
+        match &mut peer.transit {
+            Some(transit) => Some(transit.delay(sent, received)),
+            None => {
+                peer.transit = Some(Transit::new(sent, received));
+                None
+            }
+        }
+    }
+
     /// Takes entries whose last datagram is too old out of the sums.
     pub fn expire(&mut self, now: Instant) {
         if now.since(self.expired_at) < EXPIRY_INTERVAL {
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use berylgw_core::clock;
 use berylgw_core::freshness::Confirmation;
 use berylgw_core::group::drained;
 use berylgw_core::revision::Revision;
@@ -275,10 +276,10 @@
         self.lock_confirmations()[section as usize].confirm(revision, at);
     }
 
-    /// Records that the store confirmed a part `age` ago to the entry at the host `by`:
-    /// no change until then was above the revision that the view has.
-    pub fn report(&self, section: Section, age: Duration, by: &Arc<str>) {
-        let at = uptime().before(age);
+    /// Records that the store confirmed a part at `at`, by the time since the host booted,
+    /// to the entry at the host `by`: no change until then was above the revision that the
+    /// view has.
+    pub fn report(&self, section: Section, at: clock::Instant, by: &Arc<str>) {
         self.lock_confirmations()[section as usize].report(at, by);
     }
 
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -92,7 +92,7 @@
     )
         .prop_map(
             |(identity, callers, loads, bounds, crashes, limits, leaving_servers)| {
-                let (name, incarnation, sequence, [version, era, number, _], leaving) = identity;
+                let (name, incarnation, sequence, [version, era, number, sent], leaving) = identity;
                 let at = wire::Revision {
                     version,
                     era,
@@ -134,6 +134,7 @@
                     configuration_age_ms: Some(sequence as u32),
                     servers_age_ms: None,
                     evacuations_age_ms: Some(u32::MAX),
+                    sent_us: Some(sent),
                 }
             },
         )
@@ -174,7 +175,10 @@
         state.merge_crashes(now, &datagram.crashes);
         state.merge_rate_limits(now, &datagram.rate_limits);
         state.merge_leaving(&datagram.leaving_servers);
+        let (name, incarnation) = (datagram.name.clone(), datagram.incarnation);
+        let sent = Instant::from_micros(datagram.sent_us.unwrap_or_default());
         state.peers.apply(now, address, datagram);
+        state.peers.delay(&name, incarnation, sent, now);
         state.peers.expire(now);
         state.grant_permits(now);
         let service = state.service_key(&SERVICE.into());
--- a/crates/testkit/tests/direct_fleet.rs
+++ b/crates/testkit/tests/direct_fleet.rs
@@ -11,12 +11,13 @@
 use berylgw_testkit::direct::caller::{Call, send};
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration, register};
 use berylgw_testkit::direct::store::{Store, Treatment};
-use berylgw_wire::direct::Beat;
+use berylgw_wire::direct::{Beat, Revision};
 use nix::sys::signal::Signal;
 use prost::Message;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
+use tokio::sync::Notify;
 
 type Result<T = ()> = std::result::Result<T, Failure>;
 
@@ -257,6 +258,28 @@
     Ok(())
 }
 
+/// Sends datagrams of entries that tell that their configuration, of revision `known`,
+/// was confirmed `age` ago.
+async fn send_confirmations(
+    socket: &UdpSocket,
+    peers: SocketAddr,
+    sequence: u64,
+    known: Option<Revision>,
+    age: Duration,
+    sent: Duration,
+) -> Result {
+    for number in 0..6 {
+        let datagram = Beat {
+            configuration_at: known,
+            configuration_age_ms: Some(age.as_millis() as u32),
+            sent_us: Some(sent.as_micros() as u64),
+            ..beat(number, sequence)
+        };
+        socket.send_to(&datagram.encode_to_vec(), peers).await?;
+    }
+    Ok(())
+}
+
 /// Plays entries whose datagrams are 20 ms under way: they tell `entry` that the store
 /// confirms its configuration, until `lost`, and from then on only pass on the youngest
 /// age that they hear. Never returns.
@@ -264,7 +287,8 @@
     const WAY: Duration = Duration::from_millis(20);
     let socket = UdpSocket::bind("127.0.0.1:0").await?;
     let mut heard = VecDeque::new();
-    let (mut confirmed, mut known) = (Instant::now(), None);
+    let started = Instant::now();
+    let (mut confirmed, mut known) = (started, None);
     let mut buffer = vec![0; 16 << 10];
     for sequence in 1.. {
         let end = Instant::now() + WAY;
@@ -286,15 +310,74 @@
         if !lost.load(Ordering::Relaxed) {
             confirmed = Instant::now();
         }
-        for number in 0..6 {
-            let datagram = Beat {
-                configuration_at: known,
-                configuration_age_ms: Some(confirmed.elapsed().as_millis() as u32),
-                ..beat(number, sequence)
-            };
-            socket.send_to(&datagram.encode_to_vec(), peers).await?;
+        let (age, sent) = (confirmed.elapsed(), started.elapsed());
+        send_confirmations(&socket, peers, sequence, known, age, sent).await?;
+    }
+    Ok(())
+}
+
+/// Plays entries that the store confirms the configuration to, and whose datagrams are
+/// read ever later once they are `late`: each at twice the time that has passed since.
+/// They are lost 1.5 s after that.
+async fn play_late(peers: SocketAddr, known: Revision, late: Arc<Notify>) -> Result {
+    const LOST_AFTER: Duration = Duration::from_millis(1_500);
+    let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    let started = Instant::now();
+    let mut late_since = None;
+    let late = late.notified();
+    tokio::pin!(late);
+    for sequence in 1.. {
+        let step = Duration::from_millis(20);
+        if late_since.is_some() {
+            tokio::time::sleep(step).await;
+        } else if tokio::time::timeout(step, &mut late).await.is_ok() {
+            late_since = Some(started.elapsed());
+        }
+        let now = started.elapsed();
+        let sent = late_since.map_or(now, |since| since + (now - since) / 2);
+        if late_since.is_some_and(|since| sent > since + LOST_AFTER) {
+            break;
         }
+        let age = Duration::ZERO;
+        send_confirmations(&socket, peers, sequence, Some(known), age, sent).await?;
     }
+    std::future::pending().await
+}
+
+/// Guards against an entry that takes what a datagram tells as of the time at which it
+/// reads it, though the datagram waited for more than a second.
+#[tokio::test]
+async fn change_in_force_beside_late_datagrams() -> Result {
+    let store = Store::default();
+    store.put("config", "main", configuration(3, &[KEY]));
+    let entry = Entry::start(&store, "edge-own", "shed").await?;
+    entry.wait_for_view(&[("configuration", json!(3))]).await?;
+    let revision = store.put("config", "main", configuration(4, &[KEY]));
+    entry.wait_for_view(&[("configuration", json!(4))]).await?;
+    let known = Revision {
+        version: 4,
+        era: 0,
+        number: revision,
+        step: 0,
+    };
+    let late = Arc::new(Notify::new());
+    let peers = entry.process.address("peers").await?;
+    let playing = play_late(peers, known, late.clone());
+    let playing = tokio::spawn(async move { playing.await.map_err(|error| error.to_string()) });
+    let others = [("observing", json!(false))];
+    entry
+        .wait_for_line("following the store changed", &others)
+        .await?;
+    // Until the end of the watch that the entry began before it heard the others.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    late.notify_one();
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    let changed = Instant::now();
+    store.put("config", "main", configuration(5, &["another key"]));
+    entry.wait_for_view(&[("configuration", json!(5))]).await?;
+    let time = changed.elapsed();
+    playing.abort();
+    assert!(time < CHANGE_TIMEOUT, "in force after {time:?}");
     Ok(())
 }
 
