Give the entries that follow the store the last turns to read it

Callers saw: with all observers lost, a change comes into force later than it need.

Cause: the order in which entries read a view that is not confirmed was the same for all live entries, and lost ones count as live for 2.5 s. The observers, whose loss is the reason for such a read, passed their turns in vain: up to 0.3 s of the bound of 2 s in a fleet of five.

Change: Peers::role decides both whether an entry observes and its turn, and orders observers behind all others. One pass over the sorted live entries, as before.

--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -351,12 +351,9 @@
     /// Decides how this entry takes part in reading the store.
     fn update_role(&self) {
         let settings = &self.gateway.settings;
-        let role = self.gateway.with_state(|state, now| Role {
-            observing: state
-                .peers
-                .is_observer(now, &settings.name, &settings.domain),
-            turn: state.peers.turn(now, state.digest()),
-        });
+        let role = self
+            .gateway
+            .with_state(|state, now| state.peers.role(now, &settings.name, &settings.domain));
         let known = *self.role.borrow();
         if known.observing != role.observing {
             tracing::info!(observing = role.observing, "following the store changed");
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -69,6 +69,29 @@
     }
 }
 
+/// A live entry that may read the store.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    domain: &'a str,
+    name: &'a str,
+    /// Digest of the name.
+    digest: u32,
+    store_lost: bool,
+    is_self: bool,
+}
+
+impl<'a> Candidate<'a> {
+    fn of(peer: &'a Peer) -> Self {
+        Candidate {
+            domain: &peer.domain,
+            name: &peer.name,
+            digest: peer.digest,
+            store_lost: peer.store_lost,
+            is_self: false,
+        }
+    }
+}
+
 /// Another entry, as of its last datagram.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -289,43 +312,55 @@
             .filter(move |peer| now.since(peer.updated) < FAILURE_TIMEOUT)
     }
 
-    /// Returns whether the entry `name` in `domain` watches the store itself.
+    /// Returns how an entry takes part in reading the store.
     ///
     /// The observers are the first live entries by name of each failure domain,
     /// then the second ones, and so on. Entries that do not reach the store are
     /// passed over, up to a limit: in an outage of the whole store, all others
     /// would take a turn. An entry without live peers watches the store.
-    pub fn is_observer(&self, now: Instant, name: &str, domain: &str) -> bool {
+    ///
+    /// Observers have the last turns: when the others miss a confirmation, those are
+    /// lost, and a turn of theirs would pass in vain.
+    pub fn role(&self, now: Instant, name: &str, domain: &str) -> Role {
         let live = self.live(now).filter(|peer| !peer.leaving);
-        let mut live: Vec<(&str, &str, bool)> = live
-            .map(|peer| (&*peer.domain, &*peer.name, peer.store_lost))
-            .collect();
-        live.sort_unstable();
-        let observers = MIN_OBSERVERS.max(live.len() / ENTRIES_PER_OBSERVER);
-        let is_before = |other: &&(&str, &str, bool)| other.0 == domain && other.1 < name;
-        let own_turn = live.iter().filter(is_before).count();
-        let (mut before, mut able_before) = (0, 0);
-        let mut turn = 0;
-        for (index, &(of_domain, _, store_lost)) in live.iter().enumerate() {
-            let same_domain = index > 0 && live[index - 1].0 == of_domain;
-            turn = if same_domain { turn + 1 } else { 0 };
-            if (turn, of_domain) < (own_turn, domain) {
-                before += 1;
-                able_before += usize::from(!store_lost);
-            }
+        let mut entries: Vec<Candidate> = live.map(Candidate::of).collect();
+        entries.push(Candidate {
+            domain,
+            name,
+            digest: backend::digest(name),
+            store_lost: false,
+            is_self: true,
+        });
+        entries.sort_unstable_by_key(|entry| (entry.domain, entry.name));
+        // By place in their domain, then by domain.
+        let mut places: Vec<(usize, usize)> = Vec::with_capacity(entries.len());
+        for index in 0..entries.len() {
+            let same_domain = index > 0 && entries[index - 1].domain == entries[index].domain;
+            let place = match same_domain {
+                true => places[index - 1].0 + 1,
+                false => 0,
+            };
+            places.push((place, index));
         }
-        able_before < observers && before < observers * CANDIDATES_PER_OBSERVER
-    }
-
-    /// Returns the place of the entry with the digest `own` among the live ones in the
-    /// order in which they read the store, on which all agree.
-    pub fn turn(&self, now: Instant, own: u32) -> Turn {
-        let (mut position, mut entries) = (0, 1);
-        for peer in self.live(now).filter(|peer| !peer.leaving) {
-            position += usize::from(order(peer.digest, 0) < order(own, 0));
-            entries += 1;
+        places.sort_unstable();
+        let observers = MIN_OBSERVERS.max((entries.len() - 1) / ENTRIES_PER_OBSERVER);
+        let candidates = observers * CANDIDATES_PER_OBSERVER;
+        let (mut able_before, mut observing) = (0, false);
+        let mut turns: Vec<(bool, (u64, u32), bool)> = Vec::with_capacity(entries.len());
+        for (before, (_, index)) in places.into_iter().enumerate() {
+            let entry = &entries[index];
+            let observes = able_before < observers && before < candidates;
+            able_before += usize::from(!entry.store_lost);
+            observing |= observes && entry.is_self;
+            turns.push((observes, order(entry.digest, 0), entry.is_self));
         }
-        Turn { position, entries }
+        turns.sort_unstable();
+        let position = turns.iter().position(|(.., is_self)| *is_self);
+        let turn = Turn {
+            position: position.unwrap_or(0),
+            entries: turns.len(),
+        };
+        Role { observing, turn }
     }
 
     /// Returns the number of entries that may send requests, this one included.
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -517,11 +517,6 @@
         self.pools[service.0].limit.adjust(now, in_flight, target);
     }
 
-    /// Returns the digest of this entry's name.
-    pub fn digest(&self) -> u32 {
-        self.digest
-    }
-
     /// Records that a group is down because one of its ranks does not run.
     pub fn mark_group_down(&mut self, now: Instant, service: ServiceKey) {
         let pool = &mut self.pools[service.0];
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -192,7 +192,7 @@
         if let Some((key, _)) = state.choose_server(now, service, &[], &content) {
             state.finish_request(key);
         }
-        state.peers.is_observer(now, "edge-own", "shed");
+        state.peers.role(now, "edge-own", "shed");
         state.rate_limit_report(now);
         state.crash_report(now);
         state.leaving_report(now, true);
--- a/crates/direct/tests/peer.rs
+++ b/crates/direct/tests/peer.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_direct::peer::{FAILURE_TIMEOUT, Peers};
+use berylgw_core::freshness::Turn;
+use berylgw_direct::peer::{FAILURE_TIMEOUT, Peers, Role};
 use berylgw_wire::direct::{Beat, Bound, Load};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -42,10 +43,10 @@
     SocketAddr::from(([127, 0, 0, 1], 7_000))
 }
 
-/// Returns the observers if the entries in `lost` do not reach the store.
-fn observers(fleet: &[(String, String)], lost: impl Fn(usize) -> bool) -> Vec<usize> {
+/// Returns the role of each entry if those in `lost` do not reach the store.
+fn roles(fleet: &[(String, String)], lost: impl Fn(usize) -> bool) -> Vec<Role> {
     let now = Instant::from_millis(1_000);
-    let is_observer = |&own: &usize| {
+    let role = |own: usize| {
         let mut peers = Peers::default();
         for (number, (name, domain)) in fleet.iter().enumerate() {
             if number == own {
@@ -57,9 +58,33 @@
             };
             peers.apply(now, address(), datagram);
         }
-        peers.is_observer(now, &fleet[own].0, &fleet[own].1)
+        peers.role(now, &fleet[own].0, &fleet[own].1)
     };
-    (0..fleet.len()).filter(is_observer).collect()
+    (0..fleet.len()).map(role).collect()
+}
+
+/// Returns the observers if the entries in `lost` do not reach the store.
+fn observers(fleet: &[(String, String)], lost: impl Fn(usize) -> bool) -> Vec<usize> {
+    let roles = roles(fleet, lost);
+    let observers = (0..fleet.len()).filter(|&entry| roles[entry].observing);
+    observers.collect()
+}
+
+/// Guards against turns that pass in vain when all that follow the store are lost, and
+/// against two entries with the same turn.
+#[test]
+fn turns_of_observers_last() {
+    for (entries, domains) in [(4, 3), (8, 3), (40, 3), (149, 5)] {
+        let mut roles = roles(&fleet(entries, domains), |_| false);
+        roles.sort_unstable_by_key(|role| role.turn.position);
+        for (position, role) in roles.iter().enumerate() {
+            let turn = Turn { position, entries };
+            assert_eq!(role.turn, turn);
+        }
+        let others = roles.partition_point(|role| !role.observing);
+        assert!(roles[others..].iter().all(|role| role.observing));
+        assert!(others < entries, "no observer of {entries} entries");
+    }
 }
 
 /// Guards against observers of a single failure domain. The store may fall silent
