Let a crash that one entry has forgotten not come back from another

Callers may see: requests that hold a part of one that crashed a server are held or refused for longer than the 600 s for which crashes are remembered, without end.

Change: in the last 10 s of the memory a crash is not taken over from others; those that know it already keep it until its end.

Related paths looked at: rate limits and servers that leave are told only by those who heard them from the server; the time since the store came back from a copy is not told to others, each entry takes that of its own discovery.

Measured: crash_forgotten_by_all (three entries, datagrams each 10 ms, 10 ms under way) fails before: still told 30 s after the end, with an age of 599.99 s; passes now.

--- a/crates/core/src/group/blame.rs
+++ b/crates/core/src/group/blame.rs
@@ -38,6 +38,11 @@
 /// Time for which a crash is remembered, and the longest quarantine.
 const MEMORY: Duration = Duration::from_secs(600);
 
+/// Last part of [`MEMORY`] in which a crash is not taken over from others. An entry that
+/// has forgotten it would else hear it back from one that heard it a little later, with
+/// an age that lacks the time on the way, and so on without end.
+const FORGETTING: Duration = Duration::from_secs(10);
+
 /// Quarantine after the first crash; it doubles with each further one, so that a
 /// part that still crashes servers is tried more and more rarely.
 const QUARANTINE: Duration = Duration::from_secs(30);
@@ -443,7 +448,8 @@
             same && known.crash.service == crash.service && distance < SAME_CRASH
         });
         let Some(Known { crash: known, .. }) = same else {
-            if self.same_time(crash.service, at).count() >= MAX_SAME_TIME {
+            let is_forgotten = crash.age >= MEMORY - FORGETTING;
+            if is_forgotten || self.same_time(crash.service, at).count() >= MAX_SAME_TIME {
                 return;
             }
             if self.crashes.len() >= MAX_CRASHES {
--- a/crates/core/tests/blame.rs
+++ b/crates/core/tests/blame.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_core::group::blame::{Content, Table, Turn};
+use berylgw_core::group::blame::{Content, Crash, Table, Turn};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -522,3 +522,29 @@
     };
     assert_eq!(tables[0].hold(now, &suspect, turn, false), None);
 }
+
+/// Guards against a crash that entries tell each other for good: one that has forgotten
+/// it hears it back from one that heard it a little later.
+#[test]
+fn crash_forgotten_by_all() {
+    const ENTRIES: usize = 3;
+    const MEMORY_MS: u64 = 600_000;
+    const WAY_MS: u64 = 10;
+    let suspect = Content::new([], 1_000);
+    let mut tables: Vec<Table> = (0..ENTRIES).map(|_| warm_table()).collect();
+    tables[0].record_crash(Instant::from_millis(1_000), SERVICE, SERVER, &suspect);
+    let mut on_way = Vec::new();
+    for time in (1_000..MEMORY_MS + 30_000).step_by(WAY_MS as usize) {
+        let now = Instant::from_millis(time);
+        for crash in std::mem::take(&mut on_way) {
+            for table in &mut tables {
+                table.merge(now, Crash::clone(&crash));
+            }
+        }
+        on_way = tables
+            .iter_mut()
+            .flat_map(|table| table.report(now))
+            .collect();
+    }
+    assert_eq!(on_way, [], "still told");
+}
