--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -292,7 +292,7 @@
             async move { gossip.announce().await }
         });
         let announcing = gossip.clone();
-        run_for_good("announce reads", move || {
+        run_for_good("announce confirmations", move || {
             let gossip = announcing.clone();
             async move { gossip.announce_confirmations().await }
         });
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -139,10 +139,8 @@
                 state.grant_permits(now);
             }
             let delay = told.sent.and_then(|sent| {
-                let Told {
-                    by, incarnation, ..
-                } = &told;
-                state.peers.delay(by, *incarnation, sent, received)
+                let peers = &mut state.peers;
+                peers.delay(&told.by, told.incarnation, sent, received)
             });
             (more_quarantined, state.view.revisions(), delay)
         });
