Tell when a suspicion of a request ends, and do not begin it anew

Callers may see: a request that was in flight at a crash once runs alone on its server for as long as the fleet lives, not for the 600 s after which a suspicion ends.

Entries and agents tell each other suspicions; whoever hears one takes it over with its whole lifetime, and so does an agent that is sent a suspected request. The one that has forgotten it hears it back from one that heard it later, and so on.

Change: a suspicion is told with the time until it ends, between processes and with the request that has to run alone. What ends in the last sixtieth of the lifetime is not taken over by a process that does not know it: it loses the time on each way. Such a request runs alone whether or not the agent takes the suspicion over. The two copies of the conversion to messages are one.

Measured: suspicion_forgotten_by_all, three processes, 10 ms on the way: fails with the former take-over (still told 30 s after the end), passes now. suspect_of_dispatch_ends fails with the former take-over (599,040 ms left of 60,000 told), passes now.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -18,7 +18,6 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::control::Published;
-use crate::convert::millis;
 use crate::idempotency::{AtMostOnce, claim_key};
 use crate::permit::{CrashDetector, Permit};
 use crate::settings::Settings;
@@ -202,24 +201,14 @@
         let now = self.clock.now();
         let mut state = self.lock();
         for suspect in suspects {
-            let suspect = quarantine::Suspect {
-                fingerprint: suspect.fingerprint,
-                crashes: suspect.crashes,
-                quarantined: Duration::from_millis(suspect.convicted_ms),
-            };
-            state.quarantine.merge(now, suspect);
+            state.quarantine.merge(now, suspect.into());
         }
     }
 
     /// Returns the suspected and convicted fingerprints.
     pub fn suspects(&self) -> Vec<wire::Suspect> {
         let suspects = self.lock().quarantine.suspects(self.clock.now());
-        let wire = suspects.iter().map(|suspect| wire::Suspect {
-            fingerprint: suspect.fingerprint,
-            crashes: suspect.crashes,
-            convicted_ms: millis(suspect.quarantined),
-        });
-        wire.collect()
+        suspects.into_iter().map(wire::Suspect::from).collect()
     }
 
     /// Returns the load as reported to entries.
@@ -277,10 +266,11 @@
         self.check_claim(request.claim.as_ref())?;
         if request.isolate {
             // The sender knows of a crash that this agent may not know of.
+            let remaining_ms = request.suspected_ms;
             let suspect = quarantine::Suspect {
                 fingerprint: request.fingerprint,
                 crashes: 1,
-                quarantined: Duration::ZERO,
+                remaining: remaining_ms.map_or(Duration::MAX, Duration::from_millis),
             };
             state.quarantine.merge(now, suspect);
         }
@@ -291,7 +281,7 @@
         let id = state.next_id;
         state.next_id += 1;
         let deadline = now + Duration::from_millis(request.timeout_ms);
-        let alone = verdict == Verdict::Suspected;
+        let alone = request.isolate || verdict != Verdict::Clear;
         let account: Arc<str> = request.account.as_str().into();
         let known = state.published.snapshot.account(&account);
         let Some((weight, concurrency)) = known.map(|known| (known.weight, known.concurrency))
--- a/crates/agent/tests/failure.rs
+++ b/crates/agent/tests/failure.rs
@@ -101,6 +101,7 @@
             fingerprint: 666,
             crashes: 2,
             convicted_ms: 600_000,
+            suspected_ms: None,
         }];
     });
     agent.probe_until(|reply| reply.suspects.len() == 1).await;
@@ -110,6 +111,30 @@
     assert_eq!(refusal(&agent.frames(poison).await), quarantined);
 }
 
+/// Guards against a suspicion that begins again with each agent that a suspected request
+/// is sent to: entries would hear it back, and it would never end.
+#[tokio::test]
+async fn suspect_of_dispatch_ends() {
+    const LEFT_MS: u64 = 60_000;
+    let (_entry, backend, agent) = system(Kind::Plain, 4, 2).await;
+    let mut suspect = request(1, "r", "hold");
+    suspect.fingerprint = 666;
+    suspect.isolate = true;
+    suspect.suspected_ms = Some(LEFT_MS);
+    let running = agent.dispatch(suspect).await;
+    backend.arrived.notified().await;
+    let mut left_ms = None;
+    agent
+        .probe_until(|reply| {
+            left_ms = reply.suspects.first().and_then(|first| first.suspected_ms);
+            left_ms.is_some()
+        })
+        .await;
+    assert!(left_ms <= Some(LEFT_MS), "{left_ms:?}");
+    backend.release.notify_one();
+    assert!(last(&collect(running).await).is_some());
+}
+
 /// A request that never reached a stopped server is not suspected.
 #[tokio::test]
 async fn refused_connection_not_run() {
--- a/crates/agent/tests/input.rs
+++ b/crates/agent/tests/input.rs
@@ -73,6 +73,7 @@
             fingerprint: numbers.3,
             stream: flags.1,
             isolate: flags.2,
+            suspected_ms: flags.1.then_some(numbers.1),
         }
     }
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -8,7 +8,12 @@
 /// Number of crashes after which a request is quarantined.
 ///
 /// One crash is not enough: every request in flight at a crash is suspected.
-const QUARANTINE_CRASHES: u32 = 2;
+pub const QUARANTINE_CRASHES: u32 = 2;
+
+/// The last part of its lifetime in which a record is not taken over from others, one in
+/// this many. A process that has forgotten it would else hear it back from one that heard
+/// it a little later, and so on without end.
+const FORGETTING_SHARE: u32 = 60;
 
 /// Crash record of one fingerprint, as exchanged between processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,8 +22,9 @@
     pub fingerprint: u64,
     /// Crashes during which it was in flight.
     pub crashes: u32,
-    /// Remaining time of the quarantine; zero while it is only suspected.
-    pub quarantined: Duration,
+    /// Time until the suspicion, or from [`QUARANTINE_CRASHES`] crashes on the
+    /// quarantine, ends. It is at most the lifetime of the table that takes it over.
+    pub remaining: Duration,
 }
 
 /// How to treat a request.
@@ -26,8 +32,9 @@
 pub enum Verdict {
     /// It runs normally.
     Clear,
-    /// It runs alone, so that a further crash identifies it.
-    Suspected,
+    /// It runs alone, so that a further crash identifies it; the suspicion ends after
+    /// this time.
+    Suspected(Duration),
     /// It is refused for this time.
     Quarantined(Duration),
 }
@@ -49,7 +56,7 @@
 /// let now = Instant::ORIGIN;
 /// let mut table = Table::new(Duration::from_secs(600), 8);
 /// table.record_crash(now, &[7]);
-/// assert_eq!(table.verdict(now, 7), Verdict::Suspected);
+/// assert_eq!(table.verdict(now, 7), Verdict::Suspected(Duration::from_secs(600)));
 /// table.record_crash(now, &[7]);
 /// assert_eq!(table.verdict(now, 7), Verdict::Quarantined(Duration::from_secs(600)));
 /// ```
@@ -92,28 +99,32 @@
         }
     }
 
+    /// Records that this process suspects a fingerprint, whose crash others may count.
+    pub fn suspect(&mut self, now: Instant, fingerprint: u64) {
+        let suspect = Suspect {
+            fingerprint,
+            crashes: 1,
+            remaining: self.duration,
+        };
+        self.merge(now, suspect);
+    }
+
     /// Merges a record of another process.
     ///
     /// Crash counts are not added, because both may include the same crash.
     pub fn merge(&mut self, now: Instant, suspect: Suspect) {
         let known = self.crashes(now, suspect.fingerprint);
-        let crashes = if suspect.quarantined.is_zero() {
-            suspect.crashes.min(QUARANTINE_CRASHES - 1)
-        } else {
-            suspect.crashes.max(QUARANTINE_CRASHES)
-        };
         // A repeated report does not extend an existing record.
-        if crashes <= known {
+        if suspect.crashes <= known {
+            return;
+        }
+        let remaining = suspect.remaining.min(self.duration);
+        if known == 0 && remaining <= self.duration / FORGETTING_SHARE {
             return;
         }
-        let remaining = if suspect.quarantined.is_zero() {
-            self.duration
-        } else {
-            suspect.quarantined.min(self.duration)
-        };
         let record = Record {
             fingerprint: suspect.fingerprint,
-            crashes,
+            crashes: suspect.crashes,
             expires: now + remaining,
         };
         self.put(now, record);
@@ -124,10 +135,11 @@
         let Some(record) = self.unexpired(now, fingerprint) else {
             return Verdict::Clear;
         };
-        if record.crashes < QUARANTINE_CRASHES {
-            return Verdict::Suspected;
+        let remaining = record.expires.since(now);
+        match record.crashes < QUARANTINE_CRASHES {
+            true => Verdict::Suspected(remaining),
+            false => Verdict::Quarantined(remaining),
         }
-        Verdict::Quarantined(record.expires.since(now))
     }
 
     /// Removes a suspect that ran alone without a crash; a quarantine stays.
@@ -144,11 +156,7 @@
             .map(|record| Suspect {
                 fingerprint: record.fingerprint,
                 crashes: record.crashes,
-                quarantined: if record.crashes >= QUARANTINE_CRASHES {
-                    record.expires.since(now)
-                } else {
-                    Duration::ZERO
-                },
+                remaining: record.expires.since(now),
             })
             .collect()
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -30,9 +30,9 @@
     for _ in 0..5 {
         table.merge(now, report);
     }
-    assert_eq!(table.verdict(now, 1), Verdict::Suspected);
+    assert_eq!(table.verdict(now, 1), Verdict::Suspected(QUARANTINE));
     let quarantined = Suspect {
-        quarantined: Duration::from_secs(5),
+        remaining: Duration::from_secs(5),
         crashes: 2,
         ..report
     };
@@ -65,3 +65,28 @@
     assert_eq!(table.suspects(now).len(), 3);
     assert_eq!(table.verdict(now, 1), Verdict::Quarantined(QUARANTINE));
 }
+
+/// Guards against a suspicion, or a quarantine, that processes tell each other for good.
+#[test]
+fn suspicion_forgotten_by_all() {
+    const PROCESSES: usize = 3;
+    const WAY_MS: u64 = 10;
+    let end_ms = QUARANTINE.as_millis() as u64 + 30_000;
+    for crashes in [1, 2] {
+        let mut tables = vec![Table::new(QUARANTINE, 8); PROCESSES];
+        for _ in 0..crashes {
+            tables[0].record_crash(Instant::ORIGIN, &[1]);
+        }
+        let mut on_way = Vec::new();
+        for time in (0..=end_ms).step_by(WAY_MS as usize) {
+            let now = Instant::from_millis(time);
+            for suspect in std::mem::take(&mut on_way) {
+                for table in &mut tables {
+                    table.merge(now, suspect);
+                }
+            }
+            on_way.extend(tables.iter().flat_map(|table| table.suspects(now)));
+        }
+        assert_eq!(on_way, [], "still told after {crashes} crashes");
+    }
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -110,7 +110,7 @@
         may_have_run: false,
         crashes: 0,
         free_retry: true,
-        isolate: false,
+        suspected: None,
         last_refusal: None,
         stored_head: None,
         collected: Vec::new(),
@@ -153,8 +153,9 @@
     /// request has one such retry, and a slow server sends heartbeats, so its
     /// connection does not count as lost.
     free_retry: bool,
-    /// Whether the request is suspected of crashing servers and must run alone.
-    isolate: bool,
+    /// For how long the request is still suspected of crashing servers and must run
+    /// alone.
+    suspected: Option<Duration>,
     /// Refusal of the last failed attempt.
     last_refusal: Option<Refusal>,
     scope: Scope,
@@ -184,7 +185,8 @@
                 .map_or_else(String::new, |ticket| ticket.token.clone()),
             fingerprint: call.fingerprint,
             stream: call.mode == Mode::Events,
-            isolate: self.isolate,
+            isolate: self.suspected.is_some(),
+            suspected_ms: self.suspected.map(|time| time.as_millis() as u64),
         }
     }
 
@@ -329,7 +331,7 @@
         if now >= self.call.deadline {
             return Err(Refusal::not_run(Reason::Deadline, NO_SERVER_RETRY_AFTER));
         }
-        self.isolate = suspects::check(&self.shared, self.call.fingerprint)?;
+        self.suspected = suspects::check(&self.shared, self.call.fingerprint)?;
         let request = Request {
             service: &self.call.service,
             affinity: self.call.affinity.filter(|_| self.tried.is_empty()),
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use berylgw_core::outcome::{Reason, Refusal};
-use berylgw_core::quarantine::{Suspect, Table, Verdict};
+use berylgw_core::quarantine::{Table, Verdict};
 use berylgw_wire as wire;
 use berylgw_wire::agent_client::AgentClient;
 use futures_util::future::join_all;
@@ -34,12 +34,7 @@
     let now = shared.now();
     let mut table = shared.quarantine();
     for suspect in suspects {
-        let suspect = Suspect {
-            fingerprint: suspect.fingerprint,
-            crashes: suspect.crashes,
-            quarantined: Duration::from_millis(suspect.convicted_ms),
-        };
-        table.merge(now, suspect);
+        table.merge(now, suspect.into());
     }
 }
 
@@ -47,24 +42,20 @@
 pub fn to_wire(shared: &Shared) -> Vec<wire::Suspect> {
     let now = shared.now();
     let suspects = shared.quarantine().suspects(now);
-    let encode = |suspect: &Suspect| wire::Suspect {
-        fingerprint: suspect.fingerprint,
-        crashes: suspect.crashes,
-        convicted_ms: suspect.quarantined.as_millis() as u64,
-    };
-    suspects.iter().map(encode).collect()
+    suspects.into_iter().map(wire::Suspect::from).collect()
 }
 
-/// Returns whether the request must run alone.
+/// Returns for how long the request is still suspected and must run alone, `None` if it
+/// is not.
 ///
 /// # Errors
 ///
 /// Fails if the request is quarantined.
-pub fn check(shared: &Shared, fingerprint: u64) -> Result<bool, Refusal> {
+pub fn check(shared: &Shared, fingerprint: u64) -> Result<Option<Duration>, Refusal> {
     let now = shared.now();
     match shared.quarantine().verdict(now, fingerprint) {
-        Verdict::Clear => Ok(false),
-        Verdict::Suspected => Ok(true),
+        Verdict::Clear => Ok(None),
+        Verdict::Suspected(remaining) => Ok(Some(remaining)),
         Verdict::Quarantined(remaining) => {
             let message = "the request crashed the backend servers that ran it";
             Err(Refusal::not_run(Reason::Quarantined, remaining).with_message(message))
@@ -81,12 +72,7 @@
 /// reply could crash another server.
 pub async fn server_failed(shared: &Shared, address: SocketAddr, fingerprint: u64) {
     let now = shared.now();
-    let suspect = Suspect {
-        fingerprint,
-        crashes: 1,
-        quarantined: Duration::ZERO,
-    };
-    shared.quarantine().merge(now, suspect);
+    shared.quarantine().suspect(now, fingerprint);
     let call = async {
         let channel = shared.pool.get(address).await.ok()?;
         let sender = Some(shared.sender());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,5 +21,6 @@
 
 mod codec;
 mod outcome;
+mod suspect;
 
 pub use generated::*;
