--- a/crates/testkit/src/direct/store.rs
+++ b/crates/testkit/src/direct/store.rs
@@ -13,6 +13,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::any;
 use axum::{Json, Router};
+use futures_util::TryStreamExt;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -55,6 +56,8 @@
     forgotten: u64,
     /// Whether watches report no changes, while reads work.
     stalled: bool,
+    /// Time after which a waiting watch is cut off.
+    cut_after: Option<Duration>,
     calls: u64,
     /// Values that no JSON value can hold, by the text that stands for each.
     raw: Vec<(String, Vec<u8>)>,
@@ -150,6 +153,11 @@
         self.changed.send_replace(revision);
     }
 
+    /// Cuts off all watches that begin from now on after they have waited for `after`.
+    pub fn cut_watches(&self, after: Duration) {
+        self.lock().cut_after = Some(after);
+    }
+
     /// Copies the objects, for [`Store::restore`].
     pub fn copy(&self) -> Copy {
         let inner = self.lock();
@@ -328,8 +336,10 @@
     if let Some(after) = parameters.watch {
         let wait = Duration::from_millis(parameters.wait_ms);
         let mut treatment = access.treatment.clone();
+        let cut_after = access.store.lock().cut_after;
         return tokio::select! {
             answer = access.store.watch(&kind, after, wait) => answer,
+            () = tokio::time::sleep(cut_after.unwrap_or(Duration::MAX)) => broken_off(),
             silent = became_silent(&mut treatment) => match silent {
                 // Nothing is sent on the connection, not even an error.
                 true => std::future::pending().await,
@@ -343,6 +353,12 @@
     Json(json!({ "Items": items, "More": false, "At": inner.revision })).into_response()
 }
 
+/// Returns an answer that ends with the connection before its body.
+fn broken_off() -> Response {
+    let body = futures_util::stream::once(async { Err::<String, _>(io::ErrorKind::BrokenPipe) });
+    axum::body::Body::from_stream(body.map_err(io::Error::from)).into_response()
+}
+
 fn create(store: &Store, kind: &str, body: &str) -> Response {
     let Ok(object) = serde_json::from_str::<Value>(body) else {
         return StatusCode::BAD_REQUEST.into_response();
--- a/crates/testkit/tests/direct_fleet.rs
+++ b/crates/testkit/tests/direct_fleet.rs
@@ -33,6 +33,9 @@
 /// time in which a store that falls silent does not count as stable.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after which a removed server gets no requests, on the users' sheets.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time within which a change of the configuration or the servers is in force in all
 /// fleets of the users.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -170,6 +173,42 @@
     Ok(())
 }
 
+/// Waits until the entry uses `count` servers; returns the time that it took.
+async fn wait_for_servers(entry: &Entry, count: usize) -> Result<Duration> {
+    let start = Instant::now();
+    let listed = [("servers", json!(count)), ("configuration", json!(3))];
+    let waiting = entry.wait_for_view(&listed);
+    let in_force = tokio::time::timeout(Duration::from_secs(10), waiting).await;
+    in_force.map_err(|_| format!("not {count} servers after 10 s"))??;
+    Ok(start.elapsed())
+}
+
+/// Guards against a removed server that is kept as after an outage, although its store
+/// answers and only cuts off watches that wait.
+#[tokio::test]
+async fn server_removed_beside_cut_watches() -> Result {
+    for cut_after_ms in [400, 150, 700] {
+        let store = Store::default();
+        store.put("config", "main", configuration(3, &[KEY]));
+        store.cut_watches(Duration::from_millis(cut_after_ms));
+        let mut servers = Vec::new();
+        for number in 0..6 {
+            let server = Server::start(&format!("i-{number}"), Reply::Complete).await?;
+            register(&store, "yard", &[&server]);
+            servers.push(server);
+        }
+        let entry = Entry::start(&store, "edge-0", "shed").await?;
+        wait_for_servers(&entry, servers.len()).await?;
+        for left in [5, 4] {
+            tokio::time::sleep(Duration::from_millis(900)).await;
+            store.remove("servers", &format!("i-{left}"));
+            let time = wait_for_servers(&entry, left).await?;
+            assert!(time < DRAIN_TIMEOUT, "in force after {time:?}");
+        }
+    }
+    Ok(())
+}
+
 /// Starts entries, the first three of which follow the store, and returns them with
 /// those three first.
 async fn start_fleet(store: &Store) -> Result<Vec<Entry>> {
