Keep a large share of removed servers for less than the time of a drain

Cause: when over three in ten servers are missing at once, they are kept for 2.2 s, the time after an outage in which objects are written again. That is longer than the bound of the sheet for a removed server, and here the store answers: it counts as stable.

Change: without an outage of their own, entries keep them for 0.75 of the bound of the sheet (`DrainMs`), so that the rest is left for the way to the other entries. After an outage or a restore the 2.2 s stay.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -24,6 +24,10 @@
 const READ_SHARE: f64 = 0.5;
 const LAST_READ_SHARE: f64 = 0.75;
 
+/// Share of the same time for which a copy keeps what the store lacks. The rest is for the
+/// way to the other entries.
+const KEEP_SHARE: f64 = 0.75;
+
 /// Shortest pause between two reads of a fleet that all fail. Their number does not
 /// grow with the fleet, and one that succeeds confirms the copies of all entries.
 const FAILED_READ_SPACING: Duration = Duration::from_millis(100);
@@ -73,6 +77,11 @@
         self.bound.mul_f64(ANNOUNCEMENT_SHARE)
     }
 
+    /// Returns the time for which a copy may keep what a store that answers does not list.
+    pub fn keep(self) -> Duration {
+        self.bound.mul_f64(KEEP_SHARE)
+    }
+
     /// Returns the age of the last confirmation at which an entry reads the store.
     pub fn read_age(self, turn: Turn) -> Duration {
         let share = turn.position as f64 / turn.entries.max(1) as f64;
--- a/crates/core/src/group/grace.rs
+++ b/crates/core/src/group/grace.rs
@@ -28,14 +28,26 @@
     pub restored: bool,
 }
 
+/// What a large share of missing objects means while the store answers. They may have
+/// expired in an outage that only their writers have noticed, or have been removed.
+#[derive(Clone, Copy, Debug)]
+pub struct Many {
+    /// Share of the objects that may be missing at once.
+    pub above: f64,
+    /// Time for which they are kept. It is below the time after which removed objects
+    /// must not hold.
+    pub keep: Duration,
+}
+
 /// Decides which objects hold after each read of a list.
 ///
 /// ```
 /// use berylgw_core::clock::Instant;
-/// use berylgw_core::group::grace::{Grace, Read};
+/// use berylgw_core::group::grace::{Grace, Many, Read};
 /// use std::time::Duration;
 ///
-/// let mut grace = Grace::new(Duration::from_secs(2), 0.3);
+/// let many = Many { above: 0.3, keep: Duration::from_secs(1) };
+/// let mut grace = Grace::new(Duration::from_secs(2), many);
 /// let read = Read {
 ///     listed: vec![("b", 4), ("c", 5)],
 ///     number: 6,
@@ -48,7 +60,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Grace {
     keep: Duration,
-    max_missing_share: f64,
+    many: Many,
     missing_until: Option<Instant>,
     /// End of the time in which unknown objects are ignored, and the last change
     /// before it.
@@ -56,13 +68,12 @@
 }
 
 impl Grace {
-    /// Keeps missing objects for `keep` after an outage or a restore, or when a larger
-    /// share than `max_missing_share` is missing at once: an outage may be noticed by
-    /// nothing else.
-    pub fn new(keep: Duration, max_missing_share: f64) -> Self {
+    /// Keeps missing objects for `keep` after an outage or a restore, and as `many` says
+    /// otherwise.
+    pub fn new(keep: Duration, many: Many) -> Self {
         Grace {
             keep,
-            max_missing_share,
+            many,
             missing_until: None,
             unknown_until: None,
         }
@@ -89,9 +100,11 @@
             .iter()
             .filter(|object| keeps(object) && !contains(&read.listed, object));
         let missing: Vec<T> = missing.cloned().collect();
-        let many = missing.len() as f64 > known.len() as f64 * self.max_missing_share;
-        if read.recovered || read.restored || (many && !in_period) {
+        let many = missing.len() as f64 > known.len() as f64 * self.many.above;
+        if read.recovered || read.restored {
             self.missing_until = Some(now + self.keep);
+        } else if many && !in_period {
+            self.missing_until = Some(now + self.many.keep);
         }
         if read.restored {
             self.unknown_until = Some((now + UNKNOWN_IGNORED, read.number));
--- a/crates/core/tests/revision.rs
+++ b/crates/core/tests/revision.rs
@@ -4,7 +4,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::drained::Table;
-use berylgw_core::group::grace::{Grace, Read};
+use berylgw_core::group::grace::{Grace, Many, Read};
 use berylgw_core::revision::Revision;
 use proptest::prelude::*;
 
@@ -111,6 +111,11 @@
     }
 }
 
+const MANY: Many = Many {
+    above: 0.3,
+    keep: Duration::from_secs(2),
+};
+
 fn read(listed: &[(&'static str, u64)], number: u64) -> Read<&'static str> {
     Read {
         listed: listed.to_vec(),
@@ -139,7 +144,7 @@
 /// against ones that are kept for ever.
 #[test]
 fn missing_kept_for_a_while() {
-    let mut grace = Grace::new(Duration::from_secs(2), 0.3);
+    let mut grace = Grace::new(Duration::from_secs(2), MANY);
     let known = ["a", "b", "c"];
     // A large share is missing at once.
     assert_eq!(merge(&mut grace, 0, &known, read(&[("a", 1)], 5)), known);
@@ -159,11 +164,32 @@
     assert_eq!(held, known);
 }
 
+/// Guards against objects that are kept as long as after an outage although the store
+/// answers, and an outage that is taken for a removal of many.
+#[test]
+fn many_removed_kept_shorter() {
+    let many = Many {
+        keep: Duration::from_secs(1),
+        ..MANY
+    };
+    let mut grace = Grace::new(Duration::from_secs(2), many);
+    let known = ["a", "b", "c"];
+    let listed = [("a", 1)];
+    assert_eq!(merge(&mut grace, 0, &known, read(&listed, 5)), known);
+    assert_eq!(merge(&mut grace, 999, &known, read(&listed, 5)), known);
+    assert_eq!(merge(&mut grace, 1_000, &known, read(&listed, 5)), ["a"]);
+    let mut recovered = read(&listed, 5);
+    recovered.recovered = true;
+    assert_eq!(merge(&mut grace, 2_000, &known, recovered), known);
+    assert_eq!(merge(&mut grace, 3_999, &known, read(&listed, 5)), known);
+    assert_eq!(merge(&mut grace, 4_000, &known, read(&listed, 5)), ["a"]);
+}
+
 /// Guards against objects that were removed and come back with a copy, and against new
 /// ones that wait for the end of the grace period.
 #[test]
 fn unknown_of_copy_ignored() {
-    let mut grace = Grace::new(Duration::from_secs(2), 0.3);
+    let mut grace = Grace::new(Duration::from_secs(2), MANY);
     let mut restored = read(&[("gone", 3), ("known", 4)], 9);
     restored.restored = true;
     let held = merge(&mut grace, 0, &["known", "lost"], restored);
--- a/crates/testkit/tests/direct_fleet.rs
+++ b/crates/testkit/tests/direct_fleet.rs
@@ -209,6 +209,31 @@
     Ok(())
 }
 
+/// Guards against servers that are kept for too long because a large share of them is
+/// removed at once.
+#[tokio::test]
+async fn servers_removed_at_once() -> Result {
+    for (before, left) in [(3, 2), (6, 3)] {
+        let store = Store::default();
+        store.put("config", "main", configuration(3, &[KEY]));
+        let mut servers = Vec::new();
+        for number in 0..before {
+            let server = Server::start(&format!("i-{number}"), Reply::Complete).await?;
+            register(&store, "yard", &[&server]);
+            servers.push(server);
+        }
+        let entry = Entry::start(&store, "edge-0", "shed").await?;
+        wait_for_servers(&entry, before).await?;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for number in left..before {
+            store.remove("servers", &format!("i-{number}"));
+        }
+        let time = wait_for_servers(&entry, left).await?;
+        assert!(time < DRAIN_TIMEOUT, "in force after {time:?}");
+    }
+    Ok(())
+}
+
 /// Starts entries, the first three of which follow the store, and returns them with
 /// those three first.
 async fn start_fleet(store: &Store) -> Result<Vec<Entry>> {
