Let tests of slow callers not fail for the silence timeout of other tests

Cause, by the refusals that the waits now report: `connection_lost`, `deadline`, then `no_server`. The tests took over the silence timeout of 300 ms and a deadline of 300 ms from tests of silent servers. While processors are busy, the answers of 64 MiB do not begin in time, the entry refuses, as it should, and no caller is slow.

Change: tests of slow callers run with the timeout in use, 2 s, and a deadline of 5 s. What they check is the same: the reader is ended, nothing stays buffered, no token is lost. A wait ends after 60 s with the refusals; before, it had no end.

--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -206,6 +206,15 @@
     }
 }
 
+/// Limits of tests about slow callers, not silent servers: while the processors are busy,
+/// a shorter timeout for these fails answers that the test needs.
+pub fn slow_reader_limits() -> Limits {
+    Limits {
+        progress_ms: Limits::default().progress_ms,
+        ..short_limits()
+    }
+}
+
 impl TestEntry {
     pub async fn start(agents: &[SocketAddr], limits: Limits) -> TestEntry {
         let entries = [("e1", "127.0.0.1:1".parse().unwrap())];
@@ -297,6 +306,21 @@
         self.sum("berylgw_refusals_total", |value| value == reason)
     }
 
+    /// Refusals so far, by their labels.
+    pub fn refusal_counts(&self) -> Vec<(String, f64)> {
+        let families = self.registry.gather();
+        let refusals = families
+            .iter()
+            .filter(|family| family.name() == "berylgw_refusals_total");
+        let metrics = refusals.flat_map(|family| family.get_metric());
+        let counts = metrics.map(|metric| {
+            let labels = metric.get_label().iter().map(|label| label.value());
+            let labels: Vec<&str> = labels.collect();
+            (labels.join(" "), metric.get_counter().get_value())
+        });
+        counts.filter(|(_, count)| *count > 0.0).collect()
+    }
+
     /// Value of a gauge.
     pub fn gauge(&self, name: &str) -> f64 {
         let families = self.registry.gather();
--- a/crates/entry/tests/retry.rs
+++ b/crates/entry/tests/retry.rs
@@ -6,7 +6,10 @@
 use std::sync::{Arc, Mutex};
 
 use berylgw_wire::Outcome;
-use common::{Arrival, TestEntry, agents, any_port, chat, short_limits, text, token, tokens};
+use common::{
+    Arrival, TestEntry, agents, any_port, chat, short_limits, slow_reader_limits, text, token,
+    tokens,
+};
 use serde_json::json;
 
 /// Runs `first` for the first dispatch and `then` for the others.
@@ -306,7 +309,7 @@
     let limits = berylgw_entry::Limits {
         stream_buffer_bytes: 1_024,
         slow_reader_ms: 50,
-        ..short_limits()
+        ..slow_reader_limits()
     };
     let script = |arrival: Arrival| {
         arrival.answer(200, &vec!["x".repeat(64 << 10); 400]);
--- a/crates/entry/tests/slow.rs
+++ b/crates/entry/tests/slow.rs
@@ -2,13 +2,22 @@
 
 mod common;
 
-use common::{Arrival, TOKEN, TestEntry, agents, chat, short_limits, tokens};
+use std::time::{Duration, Instant};
+
+use berylgw_entry::Limits;
+use common::{Arrival, TOKEN, TestEntry, agents, chat, slow_reader_limits, tokens};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
 /// Larger than all socket and connection buffers between entry and caller.
 const LARGE_BYTES: usize = 64 << 20;
 
+/// Timeout of [`wait_until`].
+const WAIT: Duration = Duration::from_secs(60);
+
+/// Deadline of a request whose caller reads nothing. The answer begins long before it.
+const REQUEST_MS: u64 = 5_000;
+
 /// Sends a request and reads nothing.
 ///
 /// The answer to HTTP/1.0 has no chunks and ends with the connection.
@@ -25,9 +34,13 @@
     stream
 }
 
+/// Waits until `wanted` holds for the entry; fails with its refusals if it does not.
 async fn wait_until(rig: &TestEntry, wanted: impl Fn(&TestEntry) -> bool) {
+    let end = Instant::now() + WAIT;
     while !wanted(rig) {
-        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        let refusals = rig.refusal_counts();
+        assert!(Instant::now() < end, "not within {WAIT:?}; {refusals:?}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
 
@@ -40,9 +53,9 @@
 /// has failed, which would reduce the process budget for all others.
 #[tokio::test]
 async fn stalled_plain_reader_frees_buffer() {
-    let limits = berylgw_entry::Limits {
+    let limits = Limits {
         slow_reader_ms: 50,
-        ..short_limits()
+        ..slow_reader_limits()
     };
     let rig = TestEntry::start(&agents(1, large).await, limits).await;
     let reader = stalled_reader(&rig, "GET", "/services/p/x", "").await;
@@ -55,10 +68,10 @@
 /// a slow reader.
 #[tokio::test]
 async fn stalled_plain_reader_deadline() {
-    let limits = berylgw_entry::Limits {
+    let limits = Limits {
         slow_reader_ms: 600_000,
-        request_ms: 300,
-        ..short_limits()
+        request_ms: REQUEST_MS,
+        ..slow_reader_limits()
     };
     let rig = TestEntry::start(&agents(1, large).await, limits).await;
     let reader = stalled_reader(&rig, "GET", "/services/p/x", "").await;
@@ -71,11 +84,11 @@
 /// reads nor closes its connection.
 #[tokio::test]
 async fn stalled_reader_connection_ends() {
-    let limits = berylgw_entry::Limits {
+    let limits = Limits {
         stream_buffer_bytes: LARGE_BYTES * 2,
         buffer_bytes: LARGE_BYTES * 2,
-        request_ms: 300,
-        ..short_limits()
+        request_ms: REQUEST_MS,
+        ..slow_reader_limits()
     };
     let rig = TestEntry::start(&agents(1, large).await, limits).await;
     let mut reader = stalled_reader(&rig, "GET", "/services/p/x", "").await;
@@ -93,10 +106,10 @@
     const STREAMS: usize = 8;
     const COUNT: u64 = 20_000;
     let event = tokens(0, 1)[0].len();
-    let limits = berylgw_entry::Limits {
+    let limits = Limits {
         stream_buffer_bytes: 32 << 10,
         buffer_bytes: 48 << 10,
-        ..short_limits()
+        ..slow_reader_limits()
     };
     let bound = (limits.buffer_bytes + STREAMS * event) as f64;
     let script = |arrival: Arrival| {
