Report the pace of ranks to entries, and place requests by it

Cause: the ranks of a group execute each pass together, so one slow rank delays the responses of all others, and entries cannot see which one it is.

Change: each sidecar reports the pace of its rank to up to three entries (message Pace of berylgw.rank.v1, at the port of hold orders) every 2 s and at once when it changes by more than a tenth. Entries pass on what they heard themselves in Beat field 26. Ratios are relative to the median of the group, so nothing changes if all ranks are slow alike. A slow rank counts as loaded with the requests that would take a usual rank as long, by the Engine figures; one that takes longer for one request than the others for their load gets none while there is another server. The setting group.capacity is measured (default) or fixed.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -9,6 +9,7 @@
 //! - [`pace`]: rate at which requests begin.
 //! - [`client_timeout`]: recognition of client retries.
 //! - [`selection`]: choice of the backend server for a request.
+//! - [`capacity`]: servers that are slower than the others.
 //! - [`arrival`]: rate limit of a server in cold start.
 //! - [`rate`]: rate limit that a server names.
 //! - [`pause`]: pause that a server asks for.
@@ -21,6 +22,7 @@
 
 pub mod arrival;
 pub mod blame;
+pub mod capacity;
 pub mod client_timeout;
 pub mod concurrency;
 pub mod drained;
--- a/crates/core/src/group/selection.rs
+++ b/crates/core/src/group/selection.rs
@@ -11,6 +11,12 @@
 //! prefers, its home slots, and finds further ones in a small random sample. Both
 //! rules set in gradually with the number of requests that other entries begin
 //! while a report is on its way.
+//!
+//! A slow server counts as loaded with the requests that would take a usual server as
+//! long. One that takes longer for a single request than the others do for their load is
+//! chosen only if there is no other, as all ranks of a group wait for it.
+
+use super::capacity::Slowdown;
 
 /// A server that a request may be sent to, as known to an entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,12 +31,18 @@
     pub recovering: bool,
     /// Home slots of the entry at this server that none of its requests uses.
     pub home_slots: u32,
+    /// How much slower the server is than the others.
+    pub slowdown: Slowdown,
 }
 
 /// Cost of a server in another failure domain, in requests in flight. Such a
 /// server is preferred only if it has at least three requests fewer.
 const CROSS_DOMAIN_COST: f64 = 2.9;
 
+/// Load of usual servers below which a slow one is not compared with it. With hardly any
+/// request in flight, a mean below 1 would exclude servers that are little slower.
+const MIN_USUAL_LOAD: f64 = 2.0;
+
 /// Smallest number of candidates without a free home slot that are compared.
 const MIN_SAMPLE: f64 = 2.0;
 
@@ -43,10 +55,12 @@
 /// from a random one on, so that entries break them differently.
 ///
 /// ```
+/// use berylgw_core::group::capacity::Slowdown;
 /// use berylgw_core::group::selection::{Candidate, choose};
 ///
 /// let busy = Candidate {
 ///     in_flight: 3, slots: 12, same_domain: true, recovering: false, home_slots: 0,
+///     slowdown: Slowdown::default(),
 /// };
 /// let idle = Candidate { in_flight: 1, ..busy };
 /// assert_eq!(choose(&[busy, idle], 0.0, |_| 0), Some(1));
@@ -61,9 +75,15 @@
         return None;
     }
     let unseen_per_server = unseen / count as f64;
+    // Load up to which slow candidates may be chosen, if there are any.
+    let bound = usual_mean(candidates).map(|mean| (mean + 1.0).max(MIN_USUAL_LOAD));
+    let excluded = |candidate: &Candidate| {
+        let slowdown = candidate.slowdown;
+        bound.is_some_and(|bound| !slowdown.is_usual() && slowdown.usual_load(1.0) > bound)
+    };
     let others = candidates
         .iter()
-        .filter(|candidate| candidate.home_slots == 0)
+        .filter(|candidate| candidate.home_slots == 0 && !excluded(candidate))
         .count();
     // As many candidates as there are requests that would choose the same one.
     let sample = (others as f64 / (1.0 + unseen)).max(MIN_SAMPLE).ceil() as usize;
@@ -74,6 +94,9 @@
     for offset in 0..count {
         let index = (first + offset) % count;
         let candidate = &candidates[index];
+        if excluded(candidate) {
+            continue;
+        }
         let mut cost = cost(candidate);
         if candidate.home_slots == 0 {
             let sampled = random(left) < wanted;
@@ -113,8 +136,26 @@
     (before(end) - before(begin)) as u32
 }
 
+/// Returns the mean number of requests in flight at the usual candidates; `None` if all
+/// candidates are usual or none is.
+fn usual_mean(candidates: &[Candidate]) -> Option<f64> {
+    let (mut in_flight, mut usual) = (0.0, 0_usize);
+    for candidate in candidates {
+        if candidate.slowdown.is_usual() {
+            in_flight += f64::from(candidate.in_flight);
+            usual += 1;
+        }
+    }
+    (usual > 0 && usual < candidates.len()).then(|| in_flight / usual as f64)
+}
+
 fn cost(candidate: &Candidate) -> f64 {
-    let in_flight = f64::from(candidate.in_flight);
+    let slowdown = candidate.slowdown;
+    let mut in_flight = f64::from(candidate.in_flight);
+    if !slowdown.is_usual() {
+        // The load with the new request, as for a usual server.
+        in_flight = slowdown.usual_load(in_flight + 1.0) - 1.0;
+    }
     let slots = f64::from(candidate.slots.max(1));
     // A request beyond the slots waits until another one has ended.
     let queued = (in_flight + 1.0 - slots).max(0.0);
--- a/crates/core/tests/group.rs
+++ b/crates/core/tests/group.rs
@@ -4,6 +4,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::arrival::{self, Window};
+use berylgw_core::group::capacity::Slowdown;
 use berylgw_core::group::client_timeout::Table;
 use berylgw_core::group::concurrency::{Limit, Tuning};
 use berylgw_core::group::health::Record;
@@ -160,6 +161,7 @@
         same_domain: true,
         recovering: false,
         home_slots: 0,
+        slowdown: Slowdown::default(),
     };
     let candidates = [candidate; 4];
     let chosen: Vec<_> = (0..4)
@@ -179,6 +181,7 @@
         same_domain: true,
         recovering: false,
         home_slots: 0,
+        slowdown: Slowdown::default(),
     };
     let cross_domain = Candidate {
         same_domain: false,
--- /dev/null
+++ b/crates/core/tests/group_capacity.rs
@@ -0,0 +1,314 @@
+//! Simulates lock-step groups and fleets in which servers are slower than the others.
+//!
+//! In the model a pass takes a fixed time and the own part of the slowest rank, as in
+//! [`Step`]. Every request gets one event in each pass.
+
+use std::time::Duration;
+
+use berylgw_core::clock::Instant;
+use berylgw_core::group::capacity::{Paces, Rejected, Report, Slowdown, Source, Step, VALIDITY};
+use berylgw_core::group::selection::{Candidate, choose};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SEED: u64 = 5;
+const SLOTS: u32 = 12;
+/// Accepted pause between two events, in milliseconds.
+const ACCEPTED_MS: f64 = 120.0;
+/// Time of a pass besides the own part of the slowest rank, in milliseconds.
+const SHARED_MS: f64 = 30.0;
+const STEP: Step = Step {
+    base_ms: 2.0,
+    per_request_ms: 0.6,
+    steps: 8.0,
+};
+const SECONDS: f64 = 20.0;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+fn report(rank: u32, size: u32, pace: f64, millis: u64) -> Report {
+    Report {
+        rank,
+        group: 1,
+        epoch: 1,
+        size,
+        pace,
+        read: at(millis),
+    }
+}
+
+/// Records a report of each rank, as read at `millis`.
+fn record(paces: &mut Paces, now: u64, size: u32, pace: impl Fn(u32) -> f64) {
+    for rank in 0..size {
+        let report = report(rank, size, pace(rank), now);
+        paces
+            .record(at(now), report, Duration::ZERO, Source::Rank)
+            .expect("the report is newer");
+    }
+    paces.evaluate(at(now));
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    events: usize,
+    late: usize,
+    /// Largest number of requests at the slow ranks after the first two seconds.
+    at_slow: u32,
+    longest_ms: f64,
+}
+
+impl Outcome {
+    fn late_share(&self) -> f64 {
+        self.late as f64 / self.events as f64
+    }
+}
+
+/// Simulates a group with a rank for each of `paces`, and `per_second` requests per
+/// second. If `known` is false, requests are placed as if all ranks were usual.
+fn replay(paces: &[f64], per_second: f64, known: bool) -> Outcome {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut table = Paces::default();
+    record(&mut table, 0, paces.len() as u32, |rank| {
+        paces[rank as usize]
+    });
+    let slowdown = |rank: usize| match known {
+        true => Slowdown::of_pace(table.ratio(rank as u32), Some(STEP)),
+        false => Slowdown::default(),
+    };
+    let slowdowns: Vec<Slowdown> = (0..paces.len()).map(slowdown).collect();
+    let mut running: Vec<Vec<u32>> = vec![Vec::new(); paces.len()];
+    let mut outcome = Outcome::default();
+    let (mut now_ms, mut due) = (0.0, 0.0);
+    while now_ms < SECONDS * 1_000.0 {
+        let own = |rank: usize| {
+            paces[rank] * (STEP.base_ms + STEP.per_request_ms * running[rank].len() as f64)
+        };
+        let slowest = (0..paces.len()).map(own).fold(0.0, f64::max);
+        let pass_ms = SHARED_MS + STEP.steps * slowest;
+        now_ms += pass_ms;
+        outcome.longest_ms = outcome.longest_ms.max(pass_ms);
+        for requests in &mut running {
+            outcome.events += requests.len();
+            outcome.late += if pass_ms > ACCEPTED_MS {
+                requests.len()
+            } else {
+                0
+            };
+            requests.iter_mut().for_each(|left| *left -= 1);
+            requests.retain(|left| *left > 0);
+        }
+        due += per_second * pass_ms / 1_000.0;
+        while due >= 1.0 {
+            due -= 1.0;
+            let candidate = |rank: usize| Candidate {
+                in_flight: running[rank].len() as u32,
+                slots: SLOTS,
+                same_domain: true,
+                recovering: false,
+                home_slots: 0,
+                slowdown: slowdowns[rank],
+            };
+            let candidates: Vec<Candidate> = (0..paces.len()).map(candidate).collect();
+            let rank = choose(&candidates, 0.0, |below| rng.random_range(0..below.max(1)));
+            let rank = rank.expect("there are ranks");
+            running[rank].push(rng.random_range(8..=48));
+        }
+        for (rank, requests) in running.iter().enumerate() {
+            if now_ms > 2_000.0 && paces[rank] > 1.5 {
+                outcome.at_slow = outcome.at_slow.max(requests.len() as u32);
+            }
+        }
+    }
+    outcome
+}
+
+fn one_slow(size: usize, pace: f64) -> Vec<f64> {
+    let mut paces = vec![1.0; size];
+    paces[size / 3] = pace;
+    paces
+}
+
+/// Guards against requests at one slow rank that delay the responses of all others.
+#[test]
+fn place_one_slow_rank() {
+    for size in [32, 64] {
+        let paces = one_slow(size, 4.0);
+        let per_second = size as f64 * 1.6;
+        let before = replay(&paces, per_second, false);
+        let after = replay(&paces, per_second, true);
+        println!("{size} ranks: as if usual {before:?}, by pace {after:?}");
+        assert!(before.late_share() > 0.9, "{before:?}");
+        assert!(after.late_share() < 0.01, "{after:?}");
+        assert_eq!(after.at_slow, 0);
+    }
+}
+
+/// Guards against a rank that is only a little slower and gets no requests at all, or as
+/// many as the others.
+#[test]
+fn place_somewhat_slow_rank() {
+    let paces = one_slow(32, 1.6);
+    let usual = replay(&vec![1.0; 32], 60.0, true);
+    let before = replay(&paces, 60.0, false);
+    let after = replay(&paces, 60.0, true);
+    println!("no slow rank {usual:?}, as if usual {before:?}, by pace {after:?}");
+    assert!(after.at_slow > 0);
+    assert!(before.longest_ms > usual.longest_ms * 1.3, "{before:?}");
+    assert!(after.longest_ms < usual.longest_ms * 1.15, "{after:?}");
+}
+
+/// Guards against a change of any choice while no server is slow: the same random numbers
+/// lead to the same server, whatever is known.
+#[test]
+fn place_all_slow_alike() {
+    let slow = vec![4.0; 32];
+    let (before, after) = (replay(&slow, 40.0, false), replay(&slow, 40.0, true));
+    assert_eq!(format!("{before:?}"), format!("{after:?}"));
+    let even: Vec<f64> = (0..32)
+        .map(|rank| 1.0 + f64::from(rank % 3) / 32.0)
+        .collect();
+    let (before, after) = (replay(&even, 40.0, false), replay(&even, 40.0, true));
+    assert_eq!(format!("{before:?}"), format!("{after:?}"));
+}
+
+/// Guards against a slow rank that is chosen while others are merely full, and against
+/// refusing it if there is no other.
+#[test]
+fn choose_only_slow_server_left() {
+    let slow = Candidate {
+        in_flight: 0,
+        slots: SLOTS,
+        same_domain: true,
+        recovering: false,
+        home_slots: 0,
+        slowdown: Slowdown::of_pace(12.0, Some(STEP)),
+    };
+    let full = Candidate {
+        in_flight: SLOTS,
+        same_domain: false,
+        slowdown: Slowdown::default(),
+        ..slow
+    };
+    assert_eq!(choose(&[slow, full], 0.0, |_| 0), Some(1));
+    assert_eq!(choose(&[slow], 0.0, |_| 0), Some(0));
+    let unknown_step = Candidate {
+        slowdown: Slowdown::of_pace(4.0, None),
+        ..slow
+    };
+    assert_eq!(choose(&[unknown_step, full], 0.0, |_| 0), Some(1));
+    assert_eq!(choose(&[unknown_step, unknown_step], 0.0, |_| 0), Some(0));
+}
+
+/// Guards against a slow rank that keeps its requests after it is sound again, and
+/// against a sound one that stays avoided when its reports end.
+#[test]
+fn ratio_follows_reports() {
+    let mut paces = Paces::default();
+    record(&mut paces, 0, 32, |_| 1.0);
+    record(
+        &mut paces,
+        300,
+        32,
+        |rank| if rank == 3 { 4.0 } else { 1.0 },
+    );
+    assert_eq!(paces.ratio(3), 4.0);
+    record(&mut paces, 600, 32, |_| 1.0);
+    assert_eq!(paces.ratio(3), 1.0);
+    record(
+        &mut paces,
+        900,
+        32,
+        |rank| if rank == 3 { 4.0 } else { 1.0 },
+    );
+    let expired = 900 + VALIDITY.as_millis() as u64;
+    paces.evaluate(at(expired - 1));
+    assert_eq!(paces.ratio(3), 4.0);
+    paces.evaluate(at(expired + 300));
+    assert_eq!(paces.ratio(3), 1.0);
+}
+
+/// Guards against a report that another entry passes on late and that replaces a newer
+/// one, and against reports without meaning.
+#[test]
+fn record_rejected() {
+    let mut paces = Paces::default();
+    let mut recorded = |now: u64, report, age_ms| {
+        let age = Duration::from_millis(age_ms);
+        paces.record(at(now), report, age, Source::Entry)
+    };
+    let sound = report(1, 32, 1.0, 1_000);
+    assert_eq!(recorded(1_000, sound, 0), Ok(()));
+    let earlier = report(1, 32, 4.0, 500);
+    assert_eq!(recorded(1_100, earlier, 600), Err(Rejected::Old));
+    let expired = report(2, 32, 4.0, 1_000);
+    assert_eq!(recorded(7_000, expired, 6_000), Err(Rejected::Expired));
+    for pace in [f64::NAN, f64::INFINITY, 0.0, -4.0] {
+        let invalid = report(1, 32, pace, 2_000);
+        assert_eq!(recorded(2_000, invalid, 0), Err(Rejected::Invalid));
+    }
+    assert_eq!(
+        recorded(2_000, report(1, 0, 4.0, 2_000), 0),
+        Err(Rejected::Invalid)
+    );
+    // A host that restarted counts its uptime from zero.
+    let restarted = report(1, 32, 4.0, 0);
+    assert_eq!(recorded(7_100, restarted, 0), Ok(()));
+}
+
+/// Guards against one rank that reports a pace far below 1 and makes all others look
+/// slow.
+#[test]
+fn ratio_misreported_pace() {
+    let mut paces = Paces::default();
+    record(
+        &mut paces,
+        0,
+        32,
+        |rank| if rank == 0 { 0.001 } else { 1.0 },
+    );
+    for rank in 0..32 {
+        assert_eq!(paces.ratio(rank), 1.0, "rank {rank}");
+    }
+    // Half of the ranks have not reported yet.
+    let mut paces = Paces::default();
+    for rank in 0..16 {
+        let report = report(rank, 32, 4.0, 0);
+        paces
+            .record(at(0), report, Duration::ZERO, Source::Rank)
+            .expect("valid");
+    }
+    paces.evaluate(at(0));
+    assert_eq!(paces.ratio(0), 4.0);
+}
+
+/// Guards against a pace that is known only to the entry that the rank reported to: 47
+/// entries tell each other what they heard, and every one derives the same.
+#[test]
+fn direct_of_47_entries() {
+    let size = 47;
+    let pace = |rank: u32| if rank == 9 { 3.0 } else { 1.0 };
+    let mut entries: Vec<Paces> = vec![Paces::default(); size as usize];
+    for (rank, entry) in entries.iter_mut().enumerate() {
+        let rank = rank as u32;
+        let report = report(rank, size, pace(rank), 0);
+        entry
+            .record(at(5), report, Duration::from_millis(5), Source::Rank)
+            .expect("valid");
+    }
+    let told: Vec<_> = entries
+        .iter()
+        .map(|entry| entry.direct(at(10), None))
+        .collect();
+    assert!(told.iter().all(|reports| reports.len() == 1));
+    for entry in &mut entries {
+        for (report, age) in told.iter().flatten() {
+            let _ = entry.record(at(12), *report, *age, Source::Entry);
+        }
+        entry.evaluate(at(12));
+        assert!((0..size).all(|rank| entry.ratio(rank) == pace(rank)));
+        // What was heard from others is not passed on.
+        assert_eq!(entry.direct(at(12), None).len(), 1);
+    }
+}
--- a/crates/core/tests/group_placement.rs
+++ b/crates/core/tests/group_placement.rs
@@ -1,5 +1,6 @@
 //! Simulates many entries that choose servers by reports of different age.
 
+use berylgw_core::group::capacity::Slowdown;
 use berylgw_core::group::selection::{Candidate, choose, home_slots};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -112,6 +113,7 @@
                     } else {
                         0
                     },
+                    slowdown: Slowdown::default(),
                 }
             };
             let candidates: Vec<Candidate> = (0..servers).map(candidate).collect();
--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylgw_core::group::capacity::Step;
 use serde::{Deserialize, Serialize};
 
 /// A complete configuration.
@@ -96,6 +97,9 @@
     /// Whether the servers are ranks of lock-step groups, in which concurrent
     /// requests slow each other down.
     pub grouped: bool,
+    /// Time of a step of each rank, if it is known.
+    #[serde(default)]
+    pub step: Option<Step>,
 }
 
 /// An API key of a client account.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_runtime::clock::Clock;
+use berylgw_runtime::clock::{Clock, uptime};
 use berylgw_runtime::{log, metrics as endpoint, task};
+use berylgw_wire::rank::Pace;
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 use crate::gateway::Gateway;
@@ -33,6 +34,10 @@
 /// callers with an outdated directory answer are still served.
 const MIN_STOP_TIME: Duration = Duration::from_millis(4_000);
 
+/// Largest number of reports of ranks that wait for the traffic thread. Each rank sends
+/// one in two seconds to each of three entries.
+const MAX_WAITING_PACES: usize = 1_024;
+
 /// Polling interval for the end of the last request.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -78,6 +83,7 @@
     members: watch::Sender<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
     role: watch::Sender<Role>,
+    paces: (mpsc::Sender<Pace>, mpsc::Receiver<Pace>),
 }
 
 impl Entry {
@@ -110,6 +116,7 @@
             members: watch::Sender::new(Arc::from([])),
             status: watch::Sender::new(Arc::default()),
             role: watch::Sender::default(),
+            paces: mpsc::channel(MAX_WAITING_PACES),
         })
     }
 
@@ -128,6 +135,11 @@
         self.members.clone()
     }
 
+    /// Returns the sender for the paces that ranks report to this entry.
+    pub fn paces(&self) -> mpsc::Sender<Pace> {
+        self.paces.0.clone()
+    }
+
     /// Returns how this entry takes part in reading the store. If it does not observe
     /// it, it gets the view from other entries.
     pub fn role(&self) -> watch::Receiver<Role> {
@@ -166,6 +178,7 @@
             members: self.members.subscribe(),
             status: self.status,
             role: self.role,
+            paces: self.paces,
             leaving,
             pulls,
         };
@@ -227,6 +240,8 @@
     members: watch::Receiver<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
     role: watch::Sender<Role>,
+    /// The sender keeps the channel open without a receiver of reports.
+    paces: (mpsc::Sender<Pace>, mpsc::Receiver<Pace>),
     leaving: watch::Receiver<bool>,
     pulls: pull::Queues,
 }
@@ -276,6 +291,13 @@
             let gossip = receiving.clone();
             async move { gossip.receive().await }
         });
+        let recording = gateway.clone();
+        let (_paces, mut paces) = self.paces;
+        tokio::task::spawn_local(async move {
+            while let Some(pace) = paces.recv().await {
+                recording.record_pace(uptime(), &pace);
+            }
+        });
         let sending = gossip.clone();
         run_for_good("send datagrams", move || {
             let gossip = sending.clone();
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -10,6 +10,7 @@
 use berylgw_core::group::health;
 use berylgw_core::stop::Schedule;
 use berylgw_runtime::clock::Clock;
+use berylgw_wire::rank::Pace;
 use tokio::sync::{Notify, watch};
 
 use crate::backend::Server;
@@ -78,6 +79,18 @@
         decide(&mut state, now)
     }
 
+    /// Records the pace that a rank has reported to this entry, received at the uptime
+    /// `now`.
+    pub fn record_pace(&self, now: Instant, pace: &Pace) {
+        let outcome = self.with_state(|state, _| {
+            let outcome = state.record_pace(now, pace);
+            state.evaluate_capacity(now);
+            outcome
+        });
+        self.metrics.count_pace("rank", outcome);
+        self.state_changed.notify_one();
+    }
+
     /// Begins to drain: the directory no longer lists this entry.
     pub fn leave(&self) {
         self.stop.send_if_modified(|stop| {
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -129,6 +129,8 @@
         }
         let received = uptime();
         let told = Told::of(&datagram);
+        let mut datagram = datagram;
+        let paces = std::mem::take(&mut datagram.paces);
         let (more_quarantined, known, delay) = self.gateway.with_state(|state, now| {
             let more_quarantined = state.merge_crashes(now, &datagram.crashes);
             state.merge_rate_limits(now, &datagram.rate_limits);
@@ -142,6 +144,12 @@
                 let peers = &mut state.peers;
                 peers.delay(&told.by, told.incarnation, sent, received)
             });
+            let came = received.before(delay.unwrap_or_default());
+            for pace in &paces {
+                let outcome = state.merge_pace(received, came, pace);
+                metrics.count_pace("entry", outcome);
+            }
+            state.evaluate_capacity(received);
             (more_quarantined, state.view.revisions(), delay)
         });
         if more_quarantined {
@@ -261,7 +269,7 @@
         let settings = &self.gateway.settings;
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
-        let (loads, limits, crashes, rate_limits, leaving_servers, revisions) =
+        let (loads, limits, crashes, rate_limits, leaving_servers, paces, revisions) =
             self.gateway.with_state(|state, now| {
                 let (loads, limits) = state.load_report();
                 let crashes = if with_crashes {
@@ -271,8 +279,17 @@
                 };
                 let rate_limits = state.rate_limit_report(now);
                 let leaving = state.leaving_report(now, periodic);
+                let paces = state.pace_report(uptime(), periodic);
                 let revisions = state.view.revisions();
-                (loads, limits, crashes, rate_limits, leaving, revisions)
+                (
+                    loads,
+                    limits,
+                    crashes,
+                    rate_limits,
+                    leaving,
+                    paces,
+                    revisions,
+                )
             });
         let [configuration_age_ms, servers_age_ms, evacuations_age_ms] =
             self.views.told_ages_ms(&revisions);
@@ -299,6 +316,8 @@
             servers_age_ms,
             evacuations_age_ms,
             sent_us: Some(uptime().as_micros()),
+            paces,
+            responses: Vec::new(),
         };
         let bytes = datagram.encode_to_vec();
         let mut failed = 0;
@@ -388,7 +407,12 @@
             tracing::info!(entries, ready = status.ready, "directory changed");
             self.status.send_replace(Arc::new(status));
         }
-        gateway.with_state(|state, _| state.export_gauges(&gateway.metrics));
+        gateway.with_state(|state, _| {
+            state.evaluate_capacity(uptime());
+            state.log_capacity(uptime());
+            state.export_capacities(&gateway.metrics);
+            state.export_gauges(&gateway.metrics);
+        });
         let delay = self.longest_delay.take();
         gateway.metrics.datagram_delay.set(delay.as_millis() as i64);
         gateway.metrics.export_ages(&self.views.store_ages());
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use berylgw_core::group::capacity::Rejected;
 use berylgw_runtime::{log, task};
 use derive_more::Display;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
 };
 
 use crate::view::Section;
@@ -16,6 +18,9 @@
     0.005, 0.01, 0.025, 0.05, 0.08, 0.1, 0.12, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
 ];
 
+/// Largest number of servers with a capacity of their own in the metrics.
+pub const MAX_SERVER_LABELS: usize = 20;
+
 /// How a request ended, a label value.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum End {
@@ -133,6 +138,9 @@
     /// Requests whose server crashed before it answered them.
     pub crashes: IntCounter,
     notices: IntCounterVec,
+    paces: IntCounterVec,
+    server_capacity: GaugeVec,
+    slow_servers: IntGaugeVec,
 }
 
 /// Phases of a request with a histogram.
@@ -233,6 +241,23 @@
                 "Changes that servers have named in their answers, by subject and source",
                 &["subject", "source"],
             )?,
+            paces: counter(
+                "berylgw_direct_pace_reports_total",
+                "Paces of ranks received, by source and outcome",
+                &["source", "outcome"],
+            )?,
+            server_capacity: GaugeVec::new(
+                Opts::new(
+                    "berylgw_direct_server_capacity",
+                    "Requests in flight that a slow server handles, of the slowest servers",
+                ),
+                &["server"],
+            )?,
+            slow_servers: gauges(
+                "berylgw_direct_slow_servers",
+                "Servers that are slower than the others",
+                "service",
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -251,6 +276,9 @@
         registry.register(Box::new(metrics.datagram_delay.clone()))?;
         registry.register(Box::new(metrics.crashes.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
+        registry.register(Box::new(metrics.paces.clone()))?;
+        registry.register(Box::new(metrics.server_capacity.clone()))?;
+        registry.register(Box::new(metrics.slow_servers.clone()))?;
         Ok(metrics)
     }
 
@@ -295,6 +323,25 @@
             .inc_by(count);
     }
 
+    /// Counts a report of a rank's pace, which came from the rank or another entry.
+    pub fn count_pace(&self, source: &str, outcome: Result<(), Rejected>) {
+        let outcome = outcome.map_or_else(|rejected| rejected.to_string(), |()| "used".to_owned());
+        self.paces.with_label_values(&[source, &outcome]).inc();
+    }
+
+    /// Sets the gauges of the slow servers: their number by service, and the capacities
+    /// by server. Servers set before that are not among them are removed.
+    pub fn export_capacities(&self, slow: &[(&str, i64)], capacities: &[(f64, &str)]) {
+        for (service, count) in slow {
+            self.slow_servers.with_label_values(&[service]).set(*count);
+        }
+        self.server_capacity.reset();
+        for (capacity, server) in capacities {
+            let gauge = self.server_capacity.with_label_values(&[server]);
+            gauge.set(*capacity);
+        }
+    }
+
     /// Records the duration of a phase.
     pub fn record(&self, phase: Phase, kind: &str, domain: &str, time: Duration) {
         let phase = phase.to_string();
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -139,6 +139,19 @@
     pub late_share: f64,
     /// Factor by which an entry may exceed its own recent admission rate.
     pub pace_headroom: f64,
+    /// How the capacity of a server is determined.
+    pub capacity: Capacity,
+}
+
+/// How the capacity of a server is determined.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Capacity {
+    /// From its reported pace or its response times.
+    #[default]
+    Measured,
+    /// Its slots.
+    Fixed,
 }
 
 impl Default for Group {
@@ -153,6 +166,7 @@
             wait_share: 0.125,
             late_share: 0.9,
             pace_headroom: 1.2,
+            capacity: Capacity::Measured,
         }
     }
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -3,6 +3,7 @@
 //! The modules below hold its decisions, one load or failure each.
 
 mod admission;
+mod capacity;
 mod crash;
 mod notice;
 mod placement;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
+use berylgw_core::group::capacity::{Paces, Slowdown};
 use berylgw_core::group::concurrency::Limit;
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::queue::Queue;
@@ -53,6 +55,8 @@
     /// The server as listed when it was first seen.
     listed: Arc<Server>,
     digest: u32,
+    /// Digest of its address, under which a rank reports its pace.
+    address_digest: u32,
     /// Whether the view allows new requests: listed, not draining and not in an
     /// evacuated failure domain.
     eligible: bool,
@@ -76,6 +80,9 @@
     /// Time at which this entry itself heard that it leaves.
     leaving_heard: Option<Instant>,
     pause: pause::Pause,
+    slowdown: Slowdown,
+    /// Ratio to the usual pace that was logged last, and when.
+    logged: Option<(f64, Instant)>,
 }
 
 impl ServerState {
@@ -104,6 +111,7 @@
     left: drained::Table,
     /// Digests of their processes, sorted: others report them again and again.
     left_processes: Vec<u32>,
+    paces: Paces,
     pools: Vec<Pool>,
     /// Source of queue ids.
     counter: u64,
@@ -123,6 +131,7 @@
             quarantined: Vec::new(),
             left: drained::Table::default(),
             left_processes: Vec::new(),
+            paces: Paces::default(),
             pools: Vec::new(),
             counter: rand::random(),
         }
@@ -153,6 +162,7 @@
             let added = ServerState {
                 listed: Arc::new(server.clone()),
                 digest: backend::digest(&server.id),
+                address_digest: backend::digest(&server.address.to_string()),
                 eligible: is_eligible(server, evacuated),
                 other_process_answered: false,
                 superseded: false,
@@ -165,6 +175,8 @@
                 leaving: self.left.contains(&server.id, server.born),
                 leaving_heard: None,
                 pause: pause::Pause::default(),
+                slowdown: Slowdown::default(),
+                logged: None,
             };
             match self.servers.iter_mut().find(|known| known.is_none()) {
                 Some(free) => *free = Some(added),
@@ -172,6 +184,7 @@
             }
         }
         self.mark_superseded();
+        self.update_slowdowns();
         self.update_ceilings();
     }
 
--- a/crates/direct/src/state/placement.rs
+++ b/crates/direct/src/state/placement.rs
@@ -83,6 +83,7 @@
                 home_slots: homes
                     .slots_at(server.digest, slots)
                     .saturating_sub(server.in_flight),
+                slowdown: server.slowdown,
             });
         }
         let unseen = self.unseen_begins(now, service);
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -135,6 +135,7 @@
                     servers_age_ms: None,
                     evacuations_age_ms: Some(u32::MAX),
                     sent_us: Some(sent),
+                    ..Default::default()
                 }
             },
         )
--- a/crates/rank/src/leader.rs
+++ b/crates/rank/src/leader.rs
@@ -18,6 +18,7 @@
 
 use crate::engine::{Action, State};
 use crate::member::{self, MAX_DATAGRAM_BYTES, Member, SAMPLE_INTERVAL};
+use crate::pace;
 use crate::plan;
 use crate::settings::{Map as MapSettings, Settings};
 use crate::view::{Hold, Sidecar, View};
@@ -226,7 +227,7 @@
             return;
         }
         view.hello_sent_at = Some(Instant::now());
-        for host in view.hosts() {
+        for (index, host) in view.hosts().into_iter().enumerate() {
             let address = SocketAddr::new(host, self.port);
             let at_address = |sidecar: &Option<Sidecar>| {
                 sidecar.is_some_and(|sidecar| sidecar.address == address)
@@ -237,6 +238,7 @@
                 sample: rank.is_some_and(|rank| view.is_sampled(rank)),
                 sample_interval_ms: view.sample_interval().as_millis() as u32,
                 lists: unknown_experts && view.maps.is_none(),
+                entries: pace::entries(&view.service.holders, index),
                 ..self.hello(view)
             };
             self.send(address, &hello);
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -12,6 +12,7 @@
 //! unfinished. The decisions are made in
 //! `berylgw_core::expert::{demand, rebalance, switch}`. An adapter to a platform
 //! provides the [`engine`]'s calls. An [`outbox`] paces the datagrams to the link.
+//! [`pace`] reports to entries how slow the rank is.
 //! [`process`] assembles the parts.
 
 pub mod deputy;
@@ -21,6 +22,7 @@
 pub mod member;
 pub mod metrics;
 pub mod outbox;
+pub mod pace;
 pub mod plan;
 pub mod process;
 pub mod settings;
--- a/crates/rank/src/member.rs
+++ b/crates/rank/src/member.rs
@@ -8,6 +8,7 @@
 
 use berylgw_core::expert::Map;
 use berylgw_core::expert::switch::Armed;
+use berylgw_runtime::clock::uptime;
 use berylgw_wire::rank as wire;
 use bytes::Bytes;
 use prost::Message;
@@ -18,6 +19,7 @@
 use crate::engine::{Action, Counts, Engine, Order, State};
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
+use crate::pace;
 use crate::plan::{self, Parts, Plan};
 
 /// Time between two samples of the counts, about one pass of a fully loaded group.
@@ -92,6 +94,9 @@
     /// Maps that are known whole, by version, newest last.
     maps: Vec<(u64, Arc<Vec<Map>>)>,
     plan: Option<Plan>,
+    /// Addresses of the entries that get reports of the pace.
+    entries: Vec<SocketAddr>,
+    reporter: pace::Reporter,
 }
 
 impl Inner {
@@ -100,6 +105,20 @@
         found.map(|(_, maps)| maps.clone())
     }
 
+    /// Replaces the entries that get reports, unless `hosts` is empty: without a leader
+    /// that reaches the store, the last known ones are used.
+    fn set_entries(&mut self, hosts: &[u32], port: u16) {
+        let hosts = hosts.iter().take(pace::MAX_ENTRIES);
+        let address = |host: &u32| SocketAddr::new(Ipv4Addr::from(*host).into(), port);
+        let entries: Vec<SocketAddr> = hosts.map(address).collect();
+        if entries.is_empty() || entries == self.entries {
+            return;
+        }
+        tracing::info!(?entries, "pace reported to entries");
+        self.entries = entries;
+        self.reporter.reset();
+    }
+
     fn add_part(&mut self, part: &wire::Plan) {
         if self.map(part.version).is_some() {
             return;
@@ -160,7 +179,7 @@
 
     /// Reads the state of the rank.
     pub async fn observe(&self) -> Option<State> {
-        let started_at = Instant::now();
+        let (started_at, started_up) = (Instant::now(), uptime());
         let read = (self.engine.state)(self.rank, ()).await;
         let mut inner = self.inner.borrow_mut();
         let before = inner.state.map(|(state, _)| state);
@@ -174,6 +193,7 @@
         match read {
             Ok(state) => {
                 inner.state = Some((state, started_at));
+                self.report_pace(&mut inner, &state, started_up);
                 let changed = before.is_none_or(|before| {
                     (before.report.epoch, before.report.open)
                         != (state.report.epoch, state.report.open)
@@ -195,6 +215,22 @@
         inner.state.map(|(state, _)| state)
     }
 
+    /// Reports the pace of the rank, which was read at the uptime `read`, to entries if
+    /// that is due.
+    fn report_pace(&self, inner: &mut Inner, state: &State, read: berylgw_core::clock::Instant) {
+        self.metrics.pace.set(state.pace);
+        let now = uptime();
+        if inner.entries.is_empty() || !inner.reporter.is_due(now, state) {
+            return;
+        }
+        let message = pace::message(self.rank, state, read, now).encode_to_vec();
+        for entry in &inner.entries {
+            self.outbox.send(*entry, &message);
+        }
+        let reports = inner.entries.len() as u64;
+        self.metrics.pace_reports.inc_by(reports);
+    }
+
     /// Sends an order to the local rank; returns whether it was accepted.
     pub async fn order(&self, epoch: u64, action: Action) -> bool {
         send_order(&self.engine, &self.metrics, self.rank, epoch, action).await
@@ -255,7 +291,7 @@
             tracing::warn!(%from, "map with too many sets");
             return;
         }
-        let Ok(leader) = hello.leader.parse() else {
+        let Ok(leader) = hello.leader.parse::<SocketAddr>() else {
             tracing::warn!(%from, leader = hello.leader, "invalid address of the leader");
             return;
         };
@@ -267,6 +303,7 @@
             let interval = Duration::from_millis(hello.sample_interval_ms.into());
             inner.sample_interval = interval.max(SAMPLE_INTERVAL);
             inner.experts_requested |= hello.lists;
+            inner.set_entries(&hello.entries, leader.port());
         }
         match hello.plan {
             Some(plan) => self.accept_plan(hello.epoch, plan),
--- a/crates/rank/src/metrics.rs
+++ b/crates/rank/src/metrics.rs
@@ -20,6 +20,10 @@
     pub ranks: IntGauge,
     /// Datagrams dropped before they were sent.
     pub dropped: IntCounter,
+    /// Pace that the rank states.
+    pub pace: Gauge,
+    /// Reports of the pace sent to entries.
+    pub pace_reports: IntCounter,
 }
 
 impl Metrics {
@@ -47,6 +51,14 @@
                 "berylgw_rank_unsent_datagrams_total",
                 "Datagrams to other ranks that were dropped before they were sent",
             )?,
+            pace: Gauge::new(
+                "berylgw_rank_pace",
+                "Time of the rank for a unit of work over that of another rank",
+            )?,
+            pace_reports: IntCounter::new(
+                "berylgw_rank_pace_reports_total",
+                "Reports of the pace sent to entries",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.orders.clone()))?;
@@ -56,6 +68,8 @@
         registry.register(Box::new(metrics.skew.clone()))?;
         registry.register(Box::new(metrics.ranks.clone()))?;
         registry.register(Box::new(metrics.dropped.clone()))?;
+        registry.register(Box::new(metrics.pace.clone()))?;
+        registry.register(Box::new(metrics.pace_reports.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/testkit/src/direct/group.rs
+++ b/crates/testkit/src/direct/group.rs
@@ -76,6 +76,8 @@
     prepared: Option<(u64, Map)>,
     armed: Option<(u64, u64, Map)>,
     counts: Vec<f64>,
+    /// Pace that it states, if any.
+    pace: Option<f64>,
 }
 
 /// Experts by set and rank.
@@ -176,6 +178,11 @@
         self.lock().demand = (0..experts).map(|expert| weight(expert) / total).collect();
     }
 
+    /// Sets the pace that a rank states.
+    pub fn set_pace(&self, rank: usize, pace: f64) {
+        self.lock().ranks[rank].pace = Some(pace);
+    }
+
     /// Leaves one in `each` orders without an answer and carries it out after
     /// `late`.
     pub fn lose_orders(&self, each: u64, late: Duration) {
@@ -275,6 +282,7 @@
             *rank = Rank {
                 map: first.clone(),
                 counts,
+                pace: rank.pace,
                 ..Rank::default()
             };
         }
@@ -357,7 +365,7 @@
         "size": inner.shape.ranks, "Busy": false, "step": inner.pass, "Mapping": rank.version,
         "Prepared": rank.prepared.as_ref().map(|(version, _)| version),
         "Armed": armed.map(|(version, step, _)| json!({ "Version": version, "step": step })),
-        "held": inner.held.filter(|_| access.rank == 0),
+        "held": inner.held.filter(|_| access.rank == 0), "pace": rank.pace,
     }))
 }
 
--- a/crates/testkit/src/direct/site.rs
+++ b/crates/testkit/src/direct/site.rs
@@ -2,7 +2,7 @@
 
 use std::error::Error;
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 use serde_json::{Value, json};
@@ -75,9 +75,18 @@
 ///
 /// Fails if the file cannot be written.
 pub fn settings(name: &str, domain: &str, store: SocketAddr) -> Result<PathBuf, Failure> {
+    settings_on([127, 0, 0, 1].into(), name, domain, store)
+}
+
+fn settings_on(
+    host: IpAddr,
+    name: &str,
+    domain: &str,
+    store: SocketAddr,
+) -> Result<PathBuf, Failure> {
     let text = format!(
         "entry:\n  name: {name}\n  domain: {domain}\n  listen:\n    callers: 127.0.0.1:0\n    \
-         peers: 127.0.0.1:0\n    metrics: 127.0.0.1:0\n  retry: {{window_s: 10, ratio: 0.2, \
+         peers: {host}:0\n    metrics: 127.0.0.1:0\n  retry: {{window_s: 10, ratio: 0.2, \
          extra: 90}}\n  cold: {{overshoot: 1.5, slack: 5}}\n  stop_s: 8\nplatform:\n  \
          store: {store}\n  directory: 127.0.0.1:0\n  ready: 127.0.0.1:0\n  seeds: []\n  \
          lifetime_s: 5\n"
@@ -112,9 +121,25 @@
         name: &str,
         domain: &str,
         further: &str,
+    ) -> Result<Self, Failure> {
+        Self::start_on([127, 0, 0, 1].into(), store, name, domain, further).await
+    }
+
+    /// Starts an entry that is reached by other entries at the loopback address `host`,
+    /// with additional lines in the platform's settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub async fn start_on(
+        host: IpAddr,
+        store: &Store,
+        name: &str,
+        domain: &str,
+        further: &str,
     ) -> Result<Self, Failure> {
         let (address, treatment) = store.listen().await?;
-        let settings = settings(name, domain, address)?;
+        let settings = settings_on(host, name, domain, address)?;
         std::fs::OpenOptions::new()
             .append(true)
             .open(&settings)?
