Add the interface of the usage ledger

The task that holds the duty is built at the same time and needs the types and signatures of usage::Ledger and usage::Office. The bodies do nothing yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,5 +55,6 @@
 pub mod stream;
 pub mod ticket;
 pub mod transit;
+pub mod usage;
 
 pub use error::{Error, Result};
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -22,6 +22,7 @@
 use crate::peer::Role;
 use crate::serve::Stopping;
 use crate::settings::Settings;
+use crate::usage::Office;
 use crate::view::Publisher;
 use crate::{pull, serve};
 
@@ -78,6 +79,7 @@
     members: watch::Sender<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
     role: watch::Sender<Role>,
+    office: Option<Office>,
 }
 
 impl Entry {
@@ -99,6 +101,7 @@
         let datagrams = UdpSocket::bind(settings.listen.peers).map_err(at("peers"))?;
         datagrams.set_nonblocking(true).map_err(at("peers"))?;
         let metrics = Metrics::new().map_err(|error| Error::new("metrics", error))?;
+        let office = settings.duties.map(|duties| Office::new(duties.usage()));
         Ok(Entry {
             settings,
             names,
@@ -110,6 +113,7 @@
             members: watch::Sender::new(Arc::from([])),
             status: watch::Sender::new(Arc::default()),
             role: watch::Sender::default(),
+            office,
         })
     }
 
@@ -134,6 +138,12 @@
         self.role.subscribe()
     }
 
+    /// Returns the ledger of this entry for the task that writes the record and sends
+    /// the reports; `None` if the settings name no duties.
+    pub fn office(&self) -> Option<Office> {
+        self.office.clone()
+    }
+
     /// Returns the status of this entry and the entries that callers may use.
     pub fn status(&self) -> watch::Receiver<Arc<Status>> {
         self.status.subscribe()
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod serve;
 pub mod settings;
 pub mod state;
+pub mod usage;
 pub mod view;
 
 pub use entry::{Entry, Error, Status};
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -7,6 +7,7 @@
 use berylgw_core::freshness::Schedule;
 use berylgw_core::group::concurrency::Tuning;
 use berylgw_core::retry::Allowance;
+use berylgw_core::usage;
 use berylgw_runtime::settings::Finding;
 use serde::Deserialize;
 
@@ -34,6 +35,33 @@
     /// Concurrency limit of model groups.
     #[serde(default)]
     pub group: Group,
+    /// Duties that one entry of the fleet performs at a time; off if absent.
+    pub duties: Option<Duties>,
+}
+
+/// Duties that one entry of the fleet performs at a time.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// Length of a usage window in seconds.
+    pub window_s: u64,
+    /// Seconds after the end of a window at which its report is due.
+    #[serde(default = "default_late_s")]
+    pub late_s: f64,
+}
+
+fn default_late_s() -> f64 {
+    10.0
+}
+
+impl Duties {
+    /// Converts the times of the windows to the type of `berylgw_core`.
+    pub fn usage(self) -> usage::Settings {
+        usage::Settings {
+            window: Duration::from_secs(self.window_s),
+            due: Duration::from_secs_f64(self.late_s),
+        }
+    }
 }
 
 /// Listener addresses.
@@ -217,6 +245,15 @@
             freshness.evacuations_ms > 0,
             expected,
         );
+        if let Some(duties) = self.duties {
+            // At most a day, so that the numbers of windows stay exact.
+            let window = (1..=86_400).contains(&duties.window_s);
+            require("duties.window_s", window, "must be 1 to 86,400 s");
+            // A window is not decided before 2.5 s after its end, and must be before
+            // three fifths of this time.
+            let late = (5.0..=3_600.0).contains(&duties.late_s);
+            require("duties.late_s", late, "must be 5 to 3,600 s");
+        }
         let group = self.group;
         let share = |value: f64| value > 0.0 && value <= 1.0;
         let expected = "must be above 0 and at most 1";
