--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -12,6 +12,11 @@
 //!   the renewal was sent, the holder has stopped by then.
 //!
 //! Conditional updates decide races between several processes.
+//!
+//! Two failures need more than that. A store that is restored from a copy gives revisions
+//! again and may name a former holder: it states its era in each response, and in a new
+//! era all processes wait for one term ([`Event::Era`]). Duties whose holders may not act
+//! in the order A, B, A within one term use [`Role::with_rest`].
 
 mod observer;
 mod role;
@@ -41,7 +46,7 @@
 pub struct Record {
     /// Process that wrote the object last.
     pub holder: Holder,
-    /// Fencing token, incremented by each acquisition.
+    /// Number of the acquisition, incremented by each one.
     pub token: u64,
     /// Number of the write, unique within one incarnation. If the response to a
     /// write is lost, it identifies the write in the object.
--- a/crates/core/src/lease/observer.rs
+++ b/crates/core/src/lease/observer.rs
@@ -5,7 +5,7 @@
 
 /// Divisor of the term that yields the additional wait before a takeover, which
 /// allows for clocks of different speed.
-const DRIFT_DIVISOR: u32 = 8;
+pub(super) const DRIFT_DIVISOR: u32 = 8;
 
 /// The lease of another process, as observed by reads of its object.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/core/src/lease/role.rs
+++ b/crates/core/src/lease/role.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::observer::DRIFT_DIVISOR;
 use super::{Holder, Lease, Observer, Record, Update};
 use crate::clock::Instant;
 
@@ -20,6 +21,10 @@
 pub enum Event {
     /// Time passed.
     Tick,
+    /// A response of the store named this era, or another process told it. The store
+    /// counts in it how often it was restored from a copy. To be given before the
+    /// response itself.
+    Era(u64),
     /// The outstanding [`Action::Write`] has ended.
     Written(Update),
     /// The outstanding [`Action::Read`] has returned the object with its version, or
@@ -43,7 +48,8 @@
         /// New value of the object.
         record: Record,
     },
-    /// The role is now held, with this fencing token.
+    /// The role is now held, with this fencing token: the era of the store x 2^32 + the
+    /// number of the acquisition.
     LeaseAcquired(u64),
     /// The role is no longer held; stop acting before anything else.
     LeaseEnded,
@@ -90,6 +96,16 @@
     lease: Option<Lease>,
     attempt: Option<Attempt>,
     next_call: Instant,
+    /// Highest era of the store, `None` if no response has named one.
+    era: Option<u64>,
+    /// Highest number of an acquisition that was read in this era.
+    highest_number: u64,
+    /// Whether the outstanding call began before the era was known.
+    is_call_outdated: bool,
+    /// Whether the process waits for a term after a loss or release.
+    rests: bool,
+    /// Time before which the role is not acquired.
+    compete_at: Instant,
 }
 
 impl Role {
@@ -105,13 +121,53 @@
             lease: None,
             attempt: None,
             next_call: Instant::ORIGIN,
+            era: None,
+            highest_number: 0,
+            is_call_outdated: false,
+            rests: false,
+            compete_at: Instant::ORIGIN,
         }
     }
 
+    /// Makes the process wait for one term after its start at `now`, and after each loss
+    /// or release of the role, before it acquires the role. Holders then never act in the
+    /// order A, B, A within one term, even if A is another process at the same host.
+    pub fn with_rest(mut self, now: Instant) -> Self {
+        self.rests = true;
+        self.compete_at = now + self.rest();
+        self
+    }
+
     /// Returns the fencing token if the role is held at `now`.
     pub fn token(&self, now: Instant) -> Option<u64> {
+        Some(self.lease(now)?.token)
+    }
+
+    /// Returns the lease, with the fencing token, if the role is held at `now`.
+    pub fn lease(&self, now: Instant) -> Option<Lease> {
         let lease = self.lease.filter(|lease| lease.is_valid(now))?;
-        Some(lease.token)
+        let token = self.fencing_token(lease.token);
+        Some(Lease { token, ..lease })
+    }
+
+    /// Returns the highest era of the store, `None` if no response has named one.
+    pub fn era(&self) -> Option<u64> {
+        self.era
+    }
+
+    /// Returns the time before which the role is not acquired.
+    pub fn compete_at(&self) -> Instant {
+        self.compete_at
+    }
+
+    /// Combines the era of the store and the number of an acquisition. A restored store
+    /// gives numbers again.
+    fn fencing_token(&self, number: u64) -> u64 {
+        (self.era.unwrap_or(0) << 32).saturating_add(number)
+    }
+
+    fn rest(&self) -> Duration {
+        self.settings.term + self.settings.term / DRIFT_DIVISOR
     }
 
     /// Returns when to send the next [`Event::Tick`] unless another event precedes it.
@@ -134,6 +190,11 @@
         self.expire(now, &mut actions);
         match event {
             Event::Tick => {}
+            Event::Era(era) => self.see_era(era, now, &mut actions),
+            Event::Written(_) | Event::ReadDone(_) | Event::ReadFailed if self.is_call_outdated => {
+                self.is_call_outdated = false;
+                self.call_outstanding = false;
+            }
             Event::SetWanted(wanted) => self.want(wanted, now),
             Event::Written(update) => self.written(update, now, &mut actions),
             Event::ReadDone(object) => self.read_done(object, now, &mut actions),
@@ -151,10 +212,27 @@
         self.next_call = now;
     }
 
+    /// Stops in a new era of the store. What is known of the object, and a call that is
+    /// outstanding, belong to the former era: a restored store gives revisions again, so
+    /// that it may accept an update for a stale one. The holder before the restore, or
+    /// of writes that the copy lacks, may act until its term is over.
+    fn see_era(&mut self, era: u64, now: Instant, actions: &mut Vec<Action>) {
+        if self.era.is_some_and(|known| era <= known) {
+            return;
+        }
+        self.stop(now, actions);
+        self.era = Some(era);
+        self.highest_number = 0;
+        self.attempt = None;
+        self.known = None;
+        self.observer.reset();
+        self.is_call_outdated = self.call_outstanding;
+        self.compete_at = self.compete_at.max(now + self.rest());
+    }
+
     fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.lease.is_some_and(|lease| !lease.is_valid(now)) {
-            self.lease = None;
-            actions.push(Action::LeaseEnded);
+            self.stop(now, actions);
         }
     }
 
@@ -170,7 +248,7 @@
             }
             Update::Conflict if !attempt.outcome_unknown => {
                 self.known = None;
-                self.stop(actions);
+                self.stop(now, actions);
             }
             // A refusal or conflict of a repeated write does not show the outcome of
             // the earlier one.
@@ -197,7 +275,7 @@
         }
         self.lease = Some(lease);
         if !held {
-            actions.push(Action::LeaseAcquired(lease.token));
+            actions.push(Action::LeaseAcquired(self.fencing_token(lease.token)));
         }
     }
 
@@ -214,6 +292,7 @@
         };
         if let Some(record) = &record {
             self.observer.observe(version, record, now);
+            self.highest_number = self.highest_number.max(record.token);
         }
         self.known = Some((version, record.clone()));
         let Some(attempt) = self.attempt.take() else {
@@ -228,14 +307,18 @@
             return;
         }
         if version != attempt.expected {
-            self.stop(actions);
+            self.stop(now, actions);
         }
     }
 
-    fn stop(&mut self, actions: &mut Vec<Action>) {
-        if self.lease.take().is_some() {
-            actions.push(Action::LeaseEnded);
+    fn stop(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.lease.take().is_none() {
+            return;
+        }
+        if self.rests {
+            self.compete_at = self.compete_at.max(now + self.rest());
         }
+        actions.push(Action::LeaseEnded);
     }
 
     // If no lease is held, the record is not repeated: its lease would count its
@@ -268,11 +351,14 @@
             }
             return;
         }
-        let token = record.as_ref().map_or(0, |record| record.token) + 1;
+        // Also higher than in an object that was deleted since.
+        let number = record.as_ref().map_or(0, |record| record.token);
+        let token = number.max(self.highest_number).saturating_add(1);
         // The lease in the record is an earlier one of this process, which no longer
         // holds it.
         let own_lease = record.is_some_and(|record| record.holder == self.settings.holder);
-        if version == 0 || own_lease || self.observer.expired(version, now) {
+        let is_free = version == 0 || own_lease || self.observer.expired(version, now);
+        if is_free && now >= self.compete_at {
             self.begin(version, token, false, now, actions);
             return;
         }
@@ -284,7 +370,7 @@
         let Some(lease) = self.lease else {
             return;
         };
-        self.stop(actions);
+        self.stop(now, actions);
         self.begin(version, lease.token, true, now, actions);
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,8 @@
 //! - Membership: [`member`] merges the membership states that entries gossip,
 //!   [`identity`] decides between processes of the same name.
 //! - Load balancing for services that entries reach without an agent: [`group`].
-//! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`].
+//! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`]. Calls of the
+//!   holder of a role: [`duty`].
 
 pub mod admission;
 pub mod backend;
@@ -29,6 +30,7 @@
 pub mod config;
 pub mod directory;
 pub mod drain;
+pub mod duty;
 pub mod error;
 pub mod expert;
 pub mod failure;
--- a/crates/core/tests/lease_role.rs
+++ b/crates/core/tests/lease_role.rs
@@ -127,3 +127,101 @@
     let actions = next.step(Event::ReadDone(Some((2, released))), at(1));
     assert_eq!(record(&actions).token, 2);
 }
+
+// Guards against a process that takes a free role right after its start: it may follow
+// another process of the same host, which has just acted.
+#[test]
+fn step_start_rests() {
+    let mut role = role("e1").with_rest(at(0));
+    let mut actions = role.step(Event::Tick, at(0));
+    let mut now = 0;
+    while !matches!(actions[..], [Action::Write { .. }]) {
+        now += 50;
+        let event = match actions[..] {
+            [Action::Read] => Event::ReadDone(None),
+            _ => Event::Tick,
+        };
+        actions = role.step(event, at(now));
+        assert!(now < 2_000, "never acquired");
+    }
+    assert!(now > 900, "acquired after {now} ms");
+}
+
+// Guards against the order A, B, A of holders within one term after a release.
+#[test]
+fn step_release_rests() {
+    let (role, _) = held();
+    let mut role = role.with_rest(at(0));
+    role.step(Event::SetWanted(false), at(1_000 - 500));
+    role.step(Event::Written(Update::Applied(2)), at(510));
+    let actions = role.step(Event::SetWanted(true), at(520));
+    assert!(actions.is_empty() || actions == [Action::Read], "{actions:?}");
+    assert!(role.compete_at() >= at(500 + 900));
+}
+
+// Guards against a holder that goes on, with what it knew of the object, after the store
+// was restored from a copy.
+#[test]
+fn step_era_stops() {
+    let (mut role, first) = held();
+    role.step(Event::Era(0), at(20));
+    let (mut role, _) = match role.token(at(20)) {
+        // The first era that is named may be any.
+        None => (role, first.clone()),
+        Some(token) => panic!("held with {token}"),
+    };
+    let mut now = 20;
+    let mut actions = role.step(Event::Tick, at(now));
+    // The object of the copy names this process.
+    while !matches!(actions[..], [Action::Write { .. }]) {
+        now += 50;
+        let event = match actions[..] {
+            [Action::Read] => Event::ReadDone(Some((1, first.clone()))),
+            _ => Event::Tick,
+        };
+        actions = role.step(event, at(now));
+        assert!(now < 5_000, "never acquired");
+    }
+    assert!(now >= 20 + 900, "acquired after {now} ms");
+    // The restore comes between the update and its answer, which names the new era.
+    let actions = role.step(Event::Era(1), at(now + 10));
+    assert!(!actions.contains(&Action::LeaseEnded));
+    role.step(Event::Written(Update::Applied(2)), at(now + 10));
+    assert_eq!(role.token(at(now + 10)), None);
+    assert!(role.compete_at() >= at(now + 10 + 900));
+}
+
+// Guards against a token after a restore that is below one from before it.
+#[test]
+fn token_rises_with_era() {
+    let (mut role, _) = held();
+    role.step(Event::Era(3), at(20));
+    let mut now = 20;
+    let mut actions = role.step(Event::Tick, at(now));
+    while !matches!(actions[..], [Action::LeaseAcquired(_)]) {
+        now += 50;
+        let event = match actions[..] {
+            [Action::Read] => Event::ReadDone(None),
+            [Action::Write { .. }] => Event::Written(Update::Applied(1)),
+            _ => Event::Tick,
+        };
+        actions = role.step(event, at(now));
+        assert!(now < 5_000, "never acquired");
+    }
+    assert_eq!(actions, [Action::LeaseAcquired((3 << 32) + 1)]);
+    assert_eq!(role.token(at(now)), Some((3 << 32) + 1));
+}
+
+// Guards against a token that goes back because the object was deleted.
+#[test]
+fn token_rises_after_deletion() {
+    let (_, mut first) = held();
+    first.token = 7;
+    let mut next = role("e2");
+    next.step(Event::Tick, at(0));
+    next.step(Event::ReadDone(Some((4, first))), at(1));
+    let actions = next.step(Event::Tick, at(101));
+    assert_eq!(actions, [Action::Read]);
+    let actions = next.step(Event::ReadDone(None), at(102));
+    assert_eq!(record(&actions).token, 8);
+}
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -138,6 +138,11 @@
         self.role.subscribe()
     }
 
+    /// Returns the registry of the metrics that the entry serves.
+    pub fn registry(&self) -> prometheus::Registry {
+        self.metrics.registry()
+    }
+
     /// Returns the ledger of this entry for the task that writes the record and sends
     /// the reports; `None` if the settings name no duties.
     pub fn office(&self) -> Option<Office> {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod backend;
 pub mod call;
 pub mod config;
+pub mod duty;
 pub mod entry;
 pub mod event;
 pub mod gateway;
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -48,6 +48,32 @@
     /// Seconds after the end of a window at which its report is due.
     #[serde(default = "default_late_s")]
     pub late_s: f64,
+    /// Term of the lease of the duties in milliseconds.
+    #[serde(default = "default_lease_ms")]
+    pub lease_ms: u64,
+    /// What is done about numbers of servers.
+    #[serde(default)]
+    pub scaling: Scaling,
+}
+
+/// What the holder of the duties does about numbers of servers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, derive_more::Display)]
+#[serde(rename_all = "snake_case")]
+pub enum Scaling {
+    /// Nothing.
+    #[default]
+    #[display("off")]
+    Off,
+    /// Decides, logs and exports, and orders nothing.
+    #[display("observe")]
+    Observe,
+    /// Orders what it decides.
+    #[display("order")]
+    Order,
+}
+
+fn default_lease_ms() -> u64 {
+    3_000
 }
 
 fn default_late_s() -> f64 {
@@ -55,6 +81,11 @@
 }
 
 impl Duties {
+    /// Returns the term of the lease.
+    pub fn lease(self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
     /// Converts the times of the windows to the type of `berylgw_core`.
     pub fn usage(self) -> usage::Settings {
         usage::Settings {
@@ -253,6 +284,9 @@
             // three fifths of this time.
             let late = (5.0..=3_600.0).contains(&duties.late_s);
             require("duties.late_s", late, "must be 5 to 3,600 s");
+            // A call takes up to 0.6 s, and a renewal that gets no answer another 0.5 s.
+            let lease = (2_000..=60_000).contains(&duties.lease_ms);
+            require("duties.lease_ms", lease, "must be 2,000 to 60,000 ms");
         }
         let group = self.group;
         let share = |value: f64| value > 0.0 && value <= 1.0;
--- a/crates/testkit/src/direct.rs
+++ b/crates/testkit/src/direct.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod duty;
 pub mod group;
 pub mod loss;
 pub mod rank;
--- a/crates/testkit/src/direct/site.rs
+++ b/crates/testkit/src/direct/site.rs
@@ -75,10 +75,25 @@
 ///
 /// Fails if the file cannot be written.
 pub fn settings(name: &str, domain: &str, store: SocketAddr) -> Result<PathBuf, Failure> {
+    settings_with(name, domain, store, "")
+}
+
+/// Writes a settings file with additional lines in the entry's settings and returns its
+/// path.
+///
+/// # Errors
+///
+/// Fails if the file cannot be written.
+pub fn settings_with(
+    name: &str,
+    domain: &str,
+    store: SocketAddr,
+    further: &str,
+) -> Result<PathBuf, Failure> {
     let text = format!(
         "entry:\n  name: {name}\n  domain: {domain}\n  listen:\n    callers: 127.0.0.1:0\n    \
          peers: 127.0.0.1:0\n    metrics: 127.0.0.1:0\n  retry: {{window_s: 10, ratio: 0.2, \
-         extra: 90}}\n  cold: {{overshoot: 1.5, slack: 5}}\n  stop_s: 8\nplatform:\n  \
+         extra: 90}}\n  cold: {{overshoot: 1.5, slack: 5}}\n  stop_s: 8\n{further}platform:\n  \
          store: {store}\n  directory: 127.0.0.1:0\n  ready: 127.0.0.1:0\n  seeds: []\n  \
          lifetime_s: 5\n"
     );
@@ -112,13 +127,29 @@
         name: &str,
         domain: &str,
         further: &str,
+    ) -> Result<Self, Failure> {
+        Self::start_with_sections(store, name, domain, "", further).await
+    }
+
+    /// Starts an entry with additional lines in the settings of the entry and in those
+    /// of the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub async fn start_with_sections(
+        store: &Store,
+        name: &str,
+        domain: &str,
+        entry: &str,
+        platform: &str,
     ) -> Result<Self, Failure> {
         let (address, treatment) = store.listen().await?;
-        let settings = settings(name, domain, address)?;
+        let settings = settings_with(name, domain, address, entry)?;
         std::fs::OpenOptions::new()
             .append(true)
             .open(&settings)?
-            .write_all(further.as_bytes())?;
+            .write_all(platform.as_bytes())?;
         let process = launch::start("berylgw-direct", [Path::new("--settings"), &*settings])?;
         Ok(Entry {
             callers: process.address("callers").await?,
--- a/crates/testkit/src/direct/store.rs
+++ b/crates/testkit/src/direct/store.rs
@@ -28,6 +28,8 @@
     Refusing,
     /// Accepts calls and never answers.
     Silent,
+    /// Carries out calls, also updates, and never answers.
+    AnswerLost,
 }
 
 /// A store with one address for each process that uses it.
@@ -102,6 +104,7 @@
         let router = Router::new()
             .route("/v1/objects/{kind}", any(kind))
             .route("/v1/objects/{kind}/{name}", any(object))
+            .layer(middleware::from_fn_with_state(access.clone(), lose_answer))
             .layer(middleware::from_fn_with_state(self.clone(), write_raw))
             .layer(middleware::from_fn_with_state(self.clone(), name_era))
             .with_state(access);
@@ -123,6 +126,34 @@
         revision
     }
 
+    /// Writes an object if `condition` holds for the known one, at one point in time.
+    fn put_if(
+        &self,
+        kind: &str,
+        name: &str,
+        spec: Value,
+        condition: impl Fn(Option<&Value>) -> bool,
+    ) -> Result<Value, Option<Value>> {
+        let mut inner = self.lock();
+        let key = (kind.to_owned(), name.to_owned());
+        let known = inner.objects.get(&key);
+        if !condition(known) {
+            return Err(known.cloned());
+        }
+        let written = inner.write(kind, name, spec);
+        let revision = inner.revision;
+        drop(inner);
+        self.changed.send_replace(revision);
+        Ok(written)
+    }
+
+    /// Returns the value of an object, `None` if it does not exist.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        let object = self.lock().objects.get(&key).cloned()?;
+        Some(object["Spec"].clone())
+    }
+
     /// Writes an object whose value is sent as it is here, well formed or not.
     pub fn put_raw(&self, kind: &str, name: &str, value: &[u8]) -> u64 {
         let stand_in = format!("raw value of {kind}/{name}");
@@ -263,6 +294,16 @@
     }
 }
 
+/// Withholds the answers of calls that were carried out.
+async fn lose_answer(State(access): State<Access>, request: Request, next: Next) -> Response {
+    let response = next.run(request).await;
+    let treatment = *access.treatment.borrow();
+    match treatment {
+        Treatment::AnswerLost => std::future::pending().await,
+        _ => response,
+    }
+}
+
 /// Adds the era to each answer.
 async fn name_era(State(store): State<Store>, request: Request, next: Next) -> Response {
     let mut response = next.run(request).await;
@@ -301,7 +342,7 @@
 async fn intercept(access: &Access) -> Option<Response> {
     let treatment = *access.treatment.borrow();
     match treatment {
-        Treatment::Open => {
+        Treatment::Open | Treatment::AnswerLost => {
             access.store.lock().calls += 1;
             None
         }
@@ -317,7 +358,7 @@
     // The sender ends with the test.
     changed
         .await
-        .is_ok_and(|treatment| *treatment == Treatment::Silent)
+        .is_ok_and(|treatment| *treatment != Treatment::Refusing)
 }
 
 async fn kind(
@@ -364,12 +405,10 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let name = object["Metadata"]["Name"].as_str().unwrap_or_default();
-    let key = (kind.to_owned(), name.to_owned());
-    if let Some(known) = store.lock().objects.get(&key) {
-        return (StatusCode::CONFLICT, Json(known.clone())).into_response();
+    match store.put_if(kind, name, object["Spec"].clone(), |known| known.is_none()) {
+        Ok(written) => Json(written).into_response(),
+        Err(known) => (StatusCode::CONFLICT, Json(known)).into_response(),
     }
-    store.put(kind, name, object["Spec"].clone());
-    Json(object).into_response()
 }
 
 async fn object(
@@ -393,8 +432,16 @@
     match method {
         Method::PUT => match serde_json::from_str::<Value>(&body) {
             Ok(object) => {
-                store.put(&kind, &name, object["Spec"].clone());
-                Json(object).into_response()
+                let revision = object["Metadata"]["Revision"].as_u64().unwrap_or(0);
+                let matches = |known: Option<&Value>| {
+                    known.is_some_and(|known| {
+                        revision == 0 || known["Metadata"]["Revision"] == revision
+                    })
+                };
+                match store.put_if(&kind, &name, object["Spec"].clone(), matches) {
+                    Ok(written) => Json(written).into_response(),
+                    Err(known) => (StatusCode::CONFLICT, Json(known)).into_response(),
+                }
             }
             Err(_) => StatusCode::BAD_REQUEST.into_response(),
         },
