Count usage by account and window, and add up batches at the holder

Counts starts of requests in batches, estimates true time by the median of the clocks of all entries, delivers batches in field 23 of the datagrams and acknowledges them in field 24.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,8 @@
 //! - Membership: [`member`] merges the membership states that entries gossip,
 //!   [`identity`] decides between processes of the same name.
 //! - Load balancing for services that entries reach without an agent: [`group`].
+//! - Metering: [`usage`] counts the starts of requests by account, in the true time of
+//!   [`wall`].
 //! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`].
 
 pub mod admission;
@@ -56,5 +58,6 @@
 pub mod ticket;
 pub mod transit;
 pub mod usage;
+pub mod wall;
 
 pub use error::{Error, Result};
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -10,24 +10,65 @@
 //! ([`Batch`]). [`Ledger`] is the state of the entry that holds the duty; [`Record`] is
 //! its durable form.
 
+mod counter;
 mod ledger;
+mod record;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+pub use counter::Counter;
+pub use ledger::{Decision, Ledger, Tally};
+pub use record::Record;
 
-pub use ledger::Ledger;
+/// Time after the end of a window at which an entry reports it complete. Requests that
+/// are counted only when their response arrives have begun at most this long before.
+const COMPLETE_AFTER: Duration = Duration::from_secs(2);
+
+/// Longest name of an account in bytes. Longer ones come from a malformed batch.
+pub const MAX_ACCOUNT_BYTES: usize = 256;
 
 /// Times of the windows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Length of a window; at least 1 s.
     pub window: Duration,
-    /// Time after the end of a window at which its report is due.
+    /// Time after the end of a window at which its report is due; at least 5 s.
     pub due: Duration,
 }
 
+impl Settings {
+    /// Returns the number of the window that a true time is in.
+    pub fn window_at(self, time: Duration) -> u64 {
+        let window = time.as_micros() / self.window.as_micros().max(1);
+        u64::try_from(window).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the true time of the end of a window.
+    pub fn end(self, window: u64) -> Duration {
+        let end_us = (u128::from(window) + 1) * self.window.as_micros();
+        Duration::from_micros(u64::try_from(end_us).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the time after its end at which a window is decided at the latest. The
+    /// rest of the time until the report is due is for writing the record and for
+    /// repeating the report.
+    fn decide_by(self) -> Duration {
+        self.due.mul_f64(0.6)
+    }
+
+    /// Returns the time after its end at which a window without an accepted report is
+    /// given up.
+    fn give_up(self) -> Duration {
+        self.due * 3
+    }
+
+    /// Returns the number of the first window that ended at most `age` before `now`.
+    fn first_within(self, now: Duration, age: Duration) -> u64 {
+        self.window_at(now.saturating_sub(age))
+    }
+}
+
 /// Starts of requests that an entry counted between two points in time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -35,7 +76,7 @@
     pub number: u64,
     /// Windows below this number are complete at this process.
     pub through: u64,
-    /// Window, account and starts.
+    /// Window, account and starts, sorted by window and account.
     pub counts: Vec<(u64, Arc<str>, u64)>,
 }
 
@@ -57,9 +98,10 @@
     pub counts: Vec<(Arc<str>, u64)>,
 }
 
-/// Durable form of a [`Ledger`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Era of the store in which the record was written.
-    pub era: u64,
+/// Adds starts to counts that are sorted by account.
+fn add(counts: &mut Vec<(Arc<str>, u64)>, account: &Arc<str>, starts: u64) {
+    match counts.binary_search_by(|(known, _)| known.cmp(account)) {
+        Ok(at) => counts[at].1 = counts[at].1.saturating_add(starts),
+        Err(at) => counts.insert(at, (account.clone(), starts)),
+    }
 }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::record::Record;
 use crate::send::{self, Exchange, Failure};
 use crate::state::{Notice, Readiness, State, Value};
+use crate::usage::Start;
 
 /// Servers tried for one request, including those that could not be connected
 /// to.
@@ -373,9 +374,19 @@
     let slow_after = slow_after.min(left / 2);
     let server = assignment.server.id.clone();
     let request = call.request(gateway, &server, last_event);
+    // A stream counts with its first event instead.
+    let plain = !call.kind().streams();
+    let start = plain.then(|| Start::new(gateway, &call.account));
+    let may_send = || {
+        let may_send = assignment.may_send();
+        if let Some(start) = start.as_ref().filter(|_| may_send) {
+            start.sent();
+        }
+        may_send
+    };
     let exchange = async {
         let address = assignment.server.address;
-        let exchange = match send::send(address, request, || assignment.may_send()).await {
+        let exchange = match send::send(address, request, may_send).await {
             Ok(exchange) => exchange,
             Err(Failure::Withheld) => return Outcome::Withheld,
             Err(Failure::Unreachable(error)) => {
@@ -389,7 +400,11 @@
                 return Outcome::Broken;
             }
         };
-        read(gateway, call, assignment, exchange).await
+        let outcome = read(gateway, call, assignment, exchange).await;
+        if let (Some(start), Outcome::NotRun { .. } | Outcome::Replaced) = (&start, &outcome) {
+            start.not_run();
+        }
+        outcome
     };
     let mut exchange = std::pin::pin!(exchange);
     let exchange = async {
@@ -477,7 +492,7 @@
         return Outcome::Lost(End::AnswerLost);
     }
     if call.kind().streams() && status.is_success() {
-        return open_stream(exchange, assignment).await;
+        return open_stream(gateway, call, exchange, assignment).await;
     }
     match read_response(gateway, exchange).await {
         Ok(buffered) if buffered.status.is_server_error() => {
@@ -545,10 +560,18 @@
     })
 }
 
-async fn open_stream(mut exchange: Exchange, assignment: Assignment) -> Outcome {
+async fn open_stream(
+    gateway: &Gateway,
+    call: &Call,
+    mut exchange: Exchange,
+    assignment: Assignment,
+) -> Outcome {
     let mut splitter = Splitter::default();
     match next_events(&mut exchange.response, &mut splitter).await {
         Ok(Some(first)) => {
+            if let Some(meter) = &gateway.meter {
+                meter.record(meter.true_now(), &call.account);
+            }
             assignment.report(|health, _| health.succeeded());
             let status = exchange.response.status();
             let mut headers = exchange.response.headers().clone();
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -22,7 +22,7 @@
 use crate::peer::Role;
 use crate::serve::Stopping;
 use crate::settings::Settings;
-use crate::usage::Office;
+use crate::usage::{Meter, Office};
 use crate::view::Publisher;
 use crate::{pull, serve};
 
@@ -176,6 +176,7 @@
             members: self.members.subscribe(),
             status: self.status,
             role: self.role,
+            office: self.office,
             leaving,
             pulls,
         };
@@ -237,6 +238,7 @@
     members: watch::Receiver<Arc<[SocketAddr]>>,
     status: watch::Sender<Arc<Status>>,
     role: watch::Sender<Role>,
+    office: Option<Office>,
     leaving: watch::Receiver<bool>,
     pulls: pull::Queues,
 }
@@ -254,7 +256,10 @@
         let at = |context| move |error: io::Error| Error::new(context, error);
         let listener = TcpListener::from_std(self.callers).map_err(at("callers"))?;
         let socket = tokio::net::UdpSocket::from_std(self.datagrams).map_err(at("peers"))?;
-        let gateway = Gateway::new(self.settings, self.names, self.metrics, Clock::start());
+        let duties = self.settings.duties.zip(self.office);
+        let meter = duties.map(|(duties, office)| Meter::new(duties.usage(), office));
+        let clock = Clock::start();
+        let gateway = Gateway::new(self.settings, self.names, self.metrics, clock, meter);
         let gateway = Rc::new(gateway);
         let gossip = Rc::new(Gossip {
             gateway: gateway.clone(),
@@ -306,6 +311,18 @@
             let gossip = announcing.clone();
             async move { gossip.announce_confirmations().await }
         });
+        if gateway.meter.is_some() {
+            let delivering = gossip.clone();
+            run_for_good("deliver usage", move || {
+                let gossip = delivering.clone();
+                async move { gossip.deliver_usage().await }
+            });
+            let answering = gossip.clone();
+            run_for_good("answer usage", move || {
+                let gossip = answering.clone();
+                async move { gossip.answer_usage().await }
+            });
+        }
         let mut leaving = self.leaving;
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return Err(Error::new("traffic thread", "control thread ended"));
@@ -315,7 +332,7 @@
         accepting
             .await
             .map_err(|error| Error::new("accepting connections", error))?;
-        finish(&gateway).await;
+        finish(&gateway, &gossip).await;
         Ok(())
     }
 }
@@ -375,11 +392,12 @@
 
 /// Waits for the last connections: an answer that is complete here may not have been
 /// sent yet.
-async fn finish(gateway: &Gateway) {
+async fn finish(gateway: &Gateway, gossip: &Gossip) {
     let Some(stop) = gateway.stop() else { return };
     while gateway.connections() > 0 && gateway.clock.now() < stop.exit() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    gossip.deliver_last_usage(stop.exit()).await;
     gateway.mark_stopped();
     let (in_progress, connections) = (gateway.in_progress(), gateway.connections());
     // The other connections have an answer that is not written, or no request yet.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::state::{Notice, ServerKey, ServiceKey, State};
+use crate::usage::Meter;
 
 /// State and resources shared by all requests of an entry.
 #[derive(Debug)]
@@ -29,6 +30,8 @@
     pub metrics: Metrics,
     /// The clock for all time-dependent decisions.
     pub clock: Clock,
+    /// Counts usage; `None` if the settings name no duties.
+    pub meter: Option<Meter>,
     /// Signalled when the load or the view changes or the entry begins to drain,
     /// so that other entries receive a datagram.
     pub state_changed: Notify,
@@ -52,8 +55,15 @@
 
 impl Gateway {
     /// Creates a gateway without a configuration.
-    pub fn new(settings: Settings, names: Names, metrics: Metrics, clock: Clock) -> Self {
+    pub fn new(
+        settings: Settings,
+        names: Names,
+        metrics: Metrics,
+        clock: Clock,
+        meter: Option<Meter>,
+    ) -> Self {
         Gateway {
+            meter,
             state: RefCell::new(State::new(settings.clone())),
             settings,
             names,
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -1,6 +1,8 @@
 //! Gossip between entries: datagrams with the load, limits and view revisions
 //! of the sender.
 
+mod usage;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::peer::Role;
 use crate::pull::{Queues, Subject, from_wire, to_wire};
+use crate::usage::Meter;
 use crate::view::{Publisher, Revisions, Section};
 
 /// Time after which an entry whose load does not change sends a datagram, a
@@ -123,27 +126,34 @@
         }
     }
 
-    fn apply(&self, address: SocketAddr, datagram: Beat) {
+    fn apply(&self, address: SocketAddr, mut datagram: Beat) {
         if *datagram.name == *self.gateway.settings.name {
             return;
         }
         let received = uptime();
+        self.receive_batches(address, &mut datagram);
+        let (usage, usage_ack) = (datagram.usage.clone(), datagram.usage_ack);
         let told = Told::of(&datagram);
-        let (more_quarantined, known, delay) = self.gateway.with_state(|state, now| {
+        let (more_quarantined, newer, known, delay) = self.gateway.with_state(|state, now| {
             let more_quarantined = state.merge_crashes(now, &datagram.crashes);
             state.merge_rate_limits(now, &datagram.rate_limits);
             let left = state.merge_leaving(&datagram.leaving_servers);
             let metrics = &self.gateway.metrics;
             metrics.count_notice("leaving", "peer", left);
-            if state.peers.apply(now, address, datagram) {
+            let newer = state.peers.apply(now, address, datagram);
+            if newer {
                 state.grant_permits(now);
             }
             let delay = told.sent.and_then(|sent| {
                 let peers = &mut state.peers;
                 peers.delay(&told.by, told.incarnation, sent, received)
             });
-            (more_quarantined, state.view.revisions(), delay)
+            (more_quarantined, newer, state.view.revisions(), delay)
         });
+        if newer {
+            let came = received.before(delay.unwrap_or_default());
+            self.receive_usage(told.incarnation, usage, usage_ack, came);
+        }
         if more_quarantined {
             self.gateway.quarantine_changed.notify_waiters();
         }
@@ -193,6 +203,7 @@
         loop {
             self.request_newer_view();
             self.update_role();
+            self.evaluate_usage();
             self.publish_status();
             tokio::time::sleep(INTERVAL).await;
         }
@@ -258,6 +269,32 @@
     }
 
     fn send_beat(&self, targets: Vec<SocketAddr>, with_crashes: bool, periodic: bool) {
+        let bytes = self.beat(with_crashes, periodic).encode_to_vec();
+        let failed = targets
+            .into_iter()
+            .filter(|target| !self.send_bytes(&bytes, *target));
+        let failed = failed.count() as u64;
+        self.gateway.metrics.unsent_datagrams.inc_by(failed);
+    }
+
+    /// Sends a datagram; returns whether the host took it.
+    fn send_bytes(&self, bytes: &[u8], target: SocketAddr) -> bool {
+        if target == self.gateway.settings.listen.peers {
+            return true;
+        }
+        // Does not wait for a full or blocked link, where the datagram
+        // would be outdated once it is sent.
+        match self.socket.try_send_to(bytes, target) {
+            Ok(_) => true,
+            Err(error) => {
+                tracing::debug!(%target, %error, "sending a datagram failed");
+                false
+            }
+        }
+    }
+
+    /// Returns the next datagram.
+    fn beat(&self, with_crashes: bool, periodic: bool) -> Beat {
         let settings = &self.gateway.settings;
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
@@ -276,7 +313,7 @@
             });
         let [configuration_age_ms, servers_age_ms, evacuations_age_ms] =
             self.views.told_ages_ms(&revisions);
-        let datagram = Beat {
+        Beat {
             name: settings.name.to_string(),
             incarnation: self.incarnation,
             sequence,
@@ -299,21 +336,9 @@
             servers_age_ms,
             evacuations_age_ms,
             sent_us: Some(uptime().as_micros()),
-        };
-        let bytes = datagram.encode_to_vec();
-        let mut failed = 0;
-        for target in targets {
-            if target == settings.listen.peers {
-                continue;
-            }
-            // Does not wait for a full or blocked link, where the datagram
-            // would be outdated once it is sent.
-            if let Err(error) = self.socket.try_send_to(&bytes, target) {
-                tracing::debug!(%target, %error, "sending a datagram failed");
-                failed += 1;
-            }
+            usage: self.gateway.meter.as_ref().map(Meter::head),
+            usage_ack: None,
         }
-        self.gateway.metrics.unsent_datagrams.inc_by(failed);
     }
 
     /// Requests the newer parts of the view from entries that have them.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -133,6 +133,12 @@
     /// Requests whose server crashed before it answered them.
     pub crashes: IntCounter,
     notices: IntCounterVec,
+    /// Sealed usage batches that are not known to be durable.
+    pub usage_batches: IntGauge,
+    /// Milliseconds by which the clock of this host is ahead of true time.
+    pub clock_lead: IntGauge,
+    usage_faults: IntCounterVec,
+    usage_windows: IntCounterVec,
 }
 
 /// Phases of a request with a histogram.
@@ -233,6 +239,24 @@
                 "Changes that servers have named in their answers, by subject and source",
                 &["subject", "source"],
             )?,
+            usage_batches: IntGauge::new(
+                "berylgw_direct_usage_batches",
+                "Sealed usage batches that are not known to be durable",
+            )?,
+            clock_lead: IntGauge::new(
+                "berylgw_direct_clock_lead_ms",
+                "Milliseconds by which the clock of the host is ahead of the median of all",
+            )?,
+            usage_faults: counter(
+                "berylgw_direct_usage_faults_total",
+                "Starts, batches or datagrams of usage that could not be used, by reason",
+                &["reason"],
+            )?,
+            usage_windows: counter(
+                "berylgw_direct_usage_windows_total",
+                "Usage windows that this entry decided, by what ended the wait",
+                &["end"],
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -251,6 +275,10 @@
         registry.register(Box::new(metrics.datagram_delay.clone()))?;
         registry.register(Box::new(metrics.crashes.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
+        registry.register(Box::new(metrics.usage_batches.clone()))?;
+        registry.register(Box::new(metrics.clock_lead.clone()))?;
+        registry.register(Box::new(metrics.usage_faults.clone()))?;
+        registry.register(Box::new(metrics.usage_windows.clone()))?;
         Ok(metrics)
     }
 
@@ -295,6 +323,16 @@
             .inc_by(count);
     }
 
+    /// Counts usage that could not be used.
+    pub fn count_usage_fault(&self, reason: &str, count: u64) {
+        self.usage_faults.with_label_values(&[reason]).inc_by(count);
+    }
+
+    /// Counts a usage window that this entry decided.
+    pub fn count_window(&self, end: &str) {
+        self.usage_windows.with_label_values(&[end]).inc();
+    }
+
     /// Records the duration of a phase.
     pub fn record(&self, phase: Phase, kind: &str, domain: &str, time: Duration) {
         let phase = phase.to_string();
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -120,6 +120,10 @@
     pub concurrency_limits: Vec<(u32, u32)>,
     /// Whether its calls to the store fail.
     pub store_lost: bool,
+    /// Whether it counts usage.
+    pub metering: bool,
+    /// Its fencing token while it holds the usage duty.
+    pub duty_token: Option<u64>,
     /// Arrival time of its last datagram.
     pub updated: Instant,
     /// Whether its report is part of the sums.
@@ -192,6 +196,8 @@
             loads,
             concurrency_limits: concurrency_limits.collect(),
             store_lost: datagram.store_lost,
+            metering: datagram.usage.is_some(),
+            duty_token: datagram.usage.and_then(|usage| usage.token),
             updated: now,
             counted: false,
             sharing: false,
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -6,9 +6,12 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::blame::Content;
+use berylgw_core::usage;
 use berylgw_direct::Settings;
 use berylgw_direct::backend::{self, Server};
+use berylgw_direct::metrics::Metrics;
 use berylgw_direct::state::State;
+use berylgw_direct::usage::{Meter, Office};
 use berylgw_direct::view::{Part, View};
 use berylgw_wire::direct as wire;
 use proptest::collection::vec;
@@ -68,6 +71,30 @@
     ]
 }
 
+/// Usage whose counts are sound or out of all bounds, depending on the numbers.
+fn usage(time: u64, number: u64) -> wire::Usage {
+    let count = |account: String, starts| wire::UsageCount { account, starts };
+    let window = |number| wire::UsageWindow {
+        number,
+        counts: vec![
+            count("growers".to_owned(), number),
+            count("a".repeat(300), 1),
+        ],
+    };
+    let batch = |number| wire::UsageBatch {
+        number,
+        through: time,
+        windows: vec![window(number), window(time), window(number)],
+    };
+    wire::Usage {
+        time_of_day_us: time,
+        token: Some(number),
+        dropped: (time % 3 > 0).then_some(number % 3),
+        window_ms: 5_000,
+        batches: vec![batch(1), batch(number), batch(1)],
+    }
+}
+
 fn datagram() -> impl Strategy<Value = wire::Beat> {
     let loads = vec((number(), number()), 0..6);
     let bounds = vec((number(), number()), 0..6);
@@ -135,6 +162,12 @@
                     servers_age_ms: None,
                     evacuations_age_ms: Some(u32::MAX),
                     sent_us: Some(sent),
+                    usage: Some(usage(sent, number)),
+                    usage_ack: Some(wire::UsageAck {
+                        incarnation,
+                        received: number,
+                        durable: sent,
+                    }),
                 }
             },
         )
@@ -168,10 +201,30 @@
 
 /// Applies datagrams as an entry does, and makes each decision after each of them.
 fn apply(state: &mut State, datagrams: Vec<wire::Beat>) {
+    let times = usage::Settings {
+        window: Duration::from_secs(5),
+        due: Duration::from_secs(10),
+    };
+    let office = Office::new(times);
+    office.begin(1, None, 0);
+    let meter = Meter::new(times, office);
+    let metrics = Metrics::new().expect("the names are valid");
     let address: SocketAddr = ([10, 0, 0, 2], 80).into();
     let content = Content::new([1, 2], 3);
     for (number, datagram) in datagrams.into_iter().enumerate() {
         let now = Instant::from_millis(number as u64 * 700);
+        if let Some(usage) = &datagram.usage {
+            meter.receive(address, datagram.incarnation, usage.clone(), &metrics);
+            meter.observe(datagram.incarnation, usage, now);
+        }
+        if let Some(ack) = datagram.usage_ack {
+            meter.acknowledged(7, datagram.incarnation, ack);
+        }
+        let live = vec![datagram.incarnation];
+        meter.evaluate(7, live, None, &metrics);
+        meter.record(meter.true_now(), &"growers".into());
+        meter.deliver(7, None, 0, &metrics);
+        meter.take_acks();
         state.merge_crashes(now, &datagram.crashes);
         state.merge_rate_limits(now, &datagram.rate_limits);
         state.merge_leaving(&datagram.leaving_servers);
