--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -69,6 +69,9 @@
     }
 }
 
+/// Starts by account, sorted by account.
+pub type Counts = Vec<(Arc<str>, u64)>;
+
 /// Starts of requests that an entry counted between two points in time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -94,12 +97,12 @@
 pub struct Report {
     /// Number of the window.
     pub window: u64,
-    /// Starts by account, sorted by account.
-    pub counts: Vec<(Arc<str>, u64)>,
+    /// The starts in it.
+    pub counts: Counts,
 }
 
 /// Adds starts to counts that are sorted by account.
-fn add(counts: &mut Vec<(Arc<str>, u64)>, account: &Arc<str>, starts: u64) {
+fn add(counts: &mut Counts, account: &Arc<str>, starts: u64) {
     match counts.binary_search_by(|(known, _)| known.cmp(account)) {
         Ok(at) => counts[at].1 = counts[at].1.saturating_add(starts),
         Err(at) => counts.insert(at, (account.clone(), starts)),
--- a/crates/core/src/usage/counter.rs
+++ b/crates/core/src/usage/counter.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Batch, COMPLETE_AFTER, MAX_ACCOUNT_BYTES, Settings, add};
+use super::{Batch, COMPLETE_AFTER, Counts, MAX_ACCOUNT_BYTES, Settings, add};
 
 /// Most bytes of the counts of a batch as estimated by [`size`]. A batch is never
 /// divided again, and must fit a datagram of 8 KiB beside the sender's load.
@@ -36,7 +36,7 @@
 pub struct Counter {
     settings: Settings,
     /// Counts that are not sealed, by window, sorted.
-    open: Vec<(u64, Vec<(Arc<str>, u64)>)>,
+    open: Vec<(u64, Counts)>,
     /// Sealed batches with consecutive numbers.
     sealed: VecDeque<Batch>,
     /// Counts in the sealed batches.
--- a/crates/core/src/usage/ledger.rs
+++ b/crates/core/src/usage/ledger.rs
@@ -1,8 +1,7 @@
 use std::cell::Cell;
-use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Ack, Batch, MAX_ACCOUNT_BYTES, Record, Report, Settings, add, record};
+use super::{Ack, Batch, Counts, MAX_ACCOUNT_BYTES, Record, Report, Settings, add, record};
 
 /// Time after the end of a window before which it is not decided. Entries report it
 /// complete after 2 s, and their batches take up to half a second.
@@ -73,7 +72,7 @@
     /// Generation in which it was decided.
     decided: Option<u64>,
     accepted: bool,
-    counts: Vec<(Arc<str>, u64)>,
+    counts: Counts,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/src/usage/record.rs
+++ b/crates/core/src/usage/record.rs
@@ -1,7 +1,7 @@
-use std::sync::Arc;
-
 use serde::{Deserialize, Serialize};
 
+use super::Counts;
+
 /// Durable form of a [`super::Ledger`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -20,8 +20,7 @@
     pub decided: bool,
     /// Whether its report was accepted. Its counts are not needed any more then.
     pub accepted: bool,
-    /// Sorted by account.
-    pub counts: Vec<(Arc<str>, u64)>,
+    pub counts: Counts,
 }
 
 /// What the record contains of a process.
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -377,15 +377,15 @@
     // A stream counts with its first event instead.
     let plain = !call.kind().streams();
     let start = plain.then(|| Start::new(gateway, &call.account));
-    let may_send = || {
-        let may_send = assignment.may_send();
-        if let Some(start) = start.as_ref().filter(|_| may_send) {
-            start.sent();
-        }
-        may_send
-    };
     let exchange = async {
         let address = assignment.server.address;
+        let may_send = || {
+            let may_send = assignment.may_send();
+            if let Some(start) = start.as_ref().filter(|_| may_send) {
+                start.sent();
+            }
+            may_send
+        };
         let exchange = match send::send(address, request, may_send).await {
             Ok(exchange) => exchange,
             Err(Failure::Withheld) => return Outcome::Withheld,
