--- a/crates/core/tests/lease_role.rs
+++ b/crates/core/tests/lease_role.rs
@@ -155,7 +155,10 @@
     role.step(Event::SetWanted(false), at(1_000 - 500));
     role.step(Event::Written(Update::Applied(2)), at(510));
     let actions = role.step(Event::SetWanted(true), at(520));
-    assert!(actions.is_empty() || actions == [Action::Read], "{actions:?}");
+    assert!(
+        actions.is_empty() || actions == [Action::Read],
+        "{actions:?}"
+    );
     assert!(role.compete_at() >= at(500 + 900));
 }
 
--- a/crates/direct/src/duty.rs
+++ b/crates/direct/src/duty.rs
@@ -119,7 +119,9 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let mut order = f.debug_struct("Order");
         let order = order.field("token", &self.token);
-        order.field("content", &self.content).finish_non_exhaustive()
+        order
+            .field("content", &self.content)
+            .finish_non_exhaustive()
     }
 }
 
@@ -260,12 +262,7 @@
 }
 
 /// Performs the duties while this entry holds the lease; never returns.
-pub async fn run(
-    settings: Settings,
-    calls: Calls,
-    surroundings: Surroundings,
-    metrics: Metrics,
-) {
+pub async fn run(settings: Settings, calls: Calls, surroundings: Surroundings, metrics: Metrics) {
     let Surroundings {
         office,
         role,
--- a/crates/direct/src/duty/hold.rs
+++ b/crates/direct/src/duty/hold.rs
@@ -119,7 +119,10 @@
         let Record { holder, token, .. } = record;
         let (era, released) = (self.role.era(), record.released);
         tracing::info!(
-            holder = &*holder.name, number = token, era, released,
+            holder = &*holder.name,
+            number = token,
+            era,
+            released,
             "lease of the duties read"
         );
         self.seen = seen;
@@ -133,7 +136,8 @@
         let answer_age_ms = now.since(self.answered).as_millis() as u64;
         let lease_left_ms = self.left_ms(now);
         tracing::warn!(
-            answer_age_ms, lease_left_ms,
+            answer_age_ms,
+            lease_left_ms,
             "store call about the lease of the duties had no response"
         );
     }
@@ -180,11 +184,13 @@
     fn feed(&mut self, event: Event) {
         let now = uptime();
         let era_before = self.role.era();
-        let is_restore = matches!(event, Event::Era(era) if era_before.is_some_and(|known| era > known));
+        let is_restore =
+            matches!(event, Event::Era(era) if era_before.is_some_and(|known| era > known));
         if is_restore {
             let wait_ms = self.shared.settings.duties.lease_ms;
             tracing::warn!(
-                era_before, wait_ms,
+                era_before,
+                wait_ms,
                 "store came back from a copy; the lease of the duties rests"
             );
         }
@@ -202,7 +208,9 @@
                 }
                 Action::LeaseAcquired(token) => {
                     tracing::info!(
-                        token, era, lease_left_ms = self.left_ms(now),
+                        token,
+                        era,
+                        lease_left_ms = self.left_ms(now),
                         "lease of the duties acquired"
                     );
                     self.shared.metrics.set_holder(Some(token));
@@ -212,7 +220,10 @@
                     self.shared.metrics.set_holder(None);
                     let answer_age_ms = now.since(self.answered).as_millis() as u64;
                     tracing::warn!(
-                        era, answer_age_ms, is_restore, wanted = self.is_wanted,
+                        era,
+                        answer_age_ms,
+                        is_restore,
+                        wanted = self.is_wanted,
                         "lease of the duties ended"
                     );
                 }
--- a/crates/direct/src/duty/keep.rs
+++ b/crates/direct/src/duty/keep.rs
@@ -46,7 +46,10 @@
             kept = None;
             continue;
         };
-        if kept.as_ref().is_none_or(|kept| kept.token != tenure.token()) {
+        if kept
+            .as_ref()
+            .is_none_or(|kept| kept.token != tenure.token())
+        {
             kept = begin(&shared, tenure).await;
         }
         let Some(kept) = &mut kept else {
@@ -61,7 +64,9 @@
             continue;
         };
         if save(&shared, tenure, kept, record).await {
-            shared.office.with_ledger(|ledger, _| ledger.saved(generation));
+            shared
+                .office
+                .with_ledger(|ledger, _| ledger.saved(generation));
         } else {
             tokio::time::sleep(RETRY_INTERVAL).await;
         }
@@ -75,7 +80,9 @@
     let stored = value.and_then(decode);
     let is_malformed = is_malformed && stored.is_none();
     // Another writer may have been the holder since.
-    shared.tenure().filter(|now| now.token() == tenure.token())?;
+    shared
+        .tenure()
+        .filter(|now| now.token() == tenure.token())?;
     let writer = stored.as_ref().map(|stored| stored.token);
     let token = tenure.token();
     let record = stored.map(|stored| stored.record);
@@ -86,7 +93,13 @@
         false => (record, tenure.era),
     };
     shared.office.begin(token, record, era);
-    tracing::info!(token, era = tenure.era, revision, writer, "usage record read; duty begun");
+    tracing::info!(
+        token,
+        era = tenure.era,
+        revision,
+        writer,
+        "usage record read; duty begun"
+    );
     Some(Kept {
         token,
         revision,
@@ -153,7 +166,13 @@
         Update::Unknown => "unknown",
     };
     shared.metrics.count_write(outcome);
-    tracing::warn!(token, revision = kept.revision, took_ms, outcome, "usage record not written");
+    tracing::warn!(
+        token,
+        revision = kept.revision,
+        took_ms,
+        outcome,
+        "usage record not written"
+    );
     // A refused write may be repeated at once: it was none.
     kept.written = Instant::ORIGIN;
     if update == Update::Refused {
--- a/crates/direct/src/duty/send.rs
+++ b/crates/direct/src/duty/send.rs
@@ -157,13 +157,23 @@
         }
         self.accepted = Some(now);
         let shared = &self.shared;
-        shared.office.with_ledger(|ledger, _| ledger.accepted(window));
+        shared
+            .office
+            .with_ledger(|ledger, _| ledger.accepted(window));
         let is_late = age_ms as f64 > shared.settings.duties.late_s * 1_000.0;
         if is_late {
             shared.metrics.count_late();
         }
         tracing::info!(
-            token, window, accounts, requests, age_ms, attempts, took_ms, lease_left_ms, is_late,
+            token,
+            window,
+            accounts,
+            requests,
+            age_ms,
+            attempts,
+            took_ms,
+            lease_left_ms,
+            is_late,
             "usage report accepted"
         );
     }
@@ -207,7 +217,9 @@
             self.silence.reset();
             shared.makes_way.store(true, Ordering::Relaxed);
             tracing::warn!(
-                token = self.token, others, silent_ms = term.as_millis() as u64,
+                token = self.token,
+                others,
+                silent_ms = term.as_millis() as u64,
                 "interface of the duties unreachable; another entry is to try"
             );
         }
--- a/crates/testkit/tests/direct_duty.rs
+++ b/crates/testkit/tests/direct_duty.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use berylgw_testkit::direct::caller::{Call, send};
 use berylgw_testkit::direct::backend::{Reply, Server};
+use berylgw_testkit::direct::caller::{Call, send};
 use berylgw_testkit::direct::duty::{Interface, Rules, Treatment};
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration, register};
 use berylgw_testkit::direct::store::{self, Store};
@@ -64,8 +64,7 @@
              rate_per_s: {}\n",
             RULES.per_s
         );
-        let entry =
-            Entry::start_with_sections(&self.store, name, domain, entry, &platform).await?;
+        let entry = Entry::start_with_sections(&self.store, name, domain, entry, &platform).await?;
         Ok(Member {
             name: name.to_owned(),
             entry,
@@ -167,13 +166,18 @@
     let fleet = Fleet::start(3).await?;
     fleet.report_after(0, Duration::from_secs(10)).await?;
     let (holder, token) = fleet.holder_after(0).await?;
-    fleet.entries[holder].entry.process.signal(Signal::SIGKILL)?;
+    fleet.entries[holder]
+        .entry
+        .process
+        .signal(Signal::SIGKILL)?;
     let killed = Instant::now();
     fleet.holder_after(token).await?;
     let time = killed.elapsed();
     assert!(time < TAKEOVER, "next holder after {time:?}");
     let last = fleet.last_report();
-    fleet.report_after(last + 2, Duration::from_secs(10)).await?;
+    fleet
+        .report_after(last + 2, Duration::from_secs(10))
+        .await?;
     fleet.assert_rules();
     fleet.assert_consecutive();
     Ok(())
@@ -196,9 +200,13 @@
     let resumed = Instant::now();
     fleet.interface.record_resumption(&paused.name);
     let last = fleet.last_report();
-    fleet.report_after(last + 3, Duration::from_secs(10)).await?;
+    fleet
+        .report_after(last + 3, Duration::from_secs(10))
+        .await?;
     let calls = fleet.interface.calls();
-    let stale = calls.iter().find(|call| call.token == token && call.at > resumed);
+    let stale = calls
+        .iter()
+        .find(|call| call.token == token && call.at > resumed);
     assert!(stale.is_none(), "{stale:?}");
     fleet.assert_rules();
     fleet.assert_consecutive();
@@ -222,7 +230,9 @@
         assert!(time < limit, "{treatment:?}: next holder after {time:?}");
         assert_ne!(next, holder, "{treatment:?}");
         let last = fleet.last_report();
-        fleet.report_after(last + 2, Duration::from_secs(10)).await?;
+        fleet
+            .report_after(last + 2, Duration::from_secs(10))
+            .await?;
         fleet.assert_rules();
         fleet.assert_consecutive();
     }
@@ -256,7 +266,9 @@
     }
     fleet.holder_after(token).await?;
     let last = fleet.last_report();
-    fleet.report_after(last + 2, Duration::from_secs(15)).await?;
+    fleet
+        .report_after(last + 2, Duration::from_secs(15))
+        .await?;
     fleet.assert_rules();
     fleet.assert_consecutive();
     Ok(())
@@ -279,7 +291,9 @@
     let (still, last) = fleet.holder_after(0).await?;
     assert_eq!((still, last), (holder, token));
     let last = fleet.last_report();
-    fleet.report_after(last + 2, Duration::from_secs(10)).await?;
+    fleet
+        .report_after(last + 2, Duration::from_secs(10))
+        .await?;
     fleet.assert_rules();
     fleet.assert_consecutive();
     Ok(())
@@ -299,15 +313,22 @@
             true => empty.copy(),
             false => fleet.store.copy(),
         };
-        fleet.report_after(first + 3, Duration::from_secs(10)).await?;
+        fleet
+            .report_after(first + 3, Duration::from_secs(10))
+            .await?;
         fleet.store.restore(copy);
         let restored = Instant::now();
         let (_, next) = fleet.holder_after(token).await?;
         let time = restored.elapsed();
-        assert!(time >= RULES.lease, "empty {is_empty}: next holder after {time:?}");
+        assert!(
+            time >= RULES.lease,
+            "empty {is_empty}: next holder after {time:?}"
+        );
         assert_eq!(next >> 32, 1, "empty {is_empty}");
         let last = fleet.last_report();
-        fleet.report_after(last + 2, Duration::from_secs(15)).await?;
+        fleet
+            .report_after(last + 2, Duration::from_secs(15))
+            .await?;
         fleet.assert_rules();
     }
     Ok(())
@@ -319,13 +340,21 @@
     let fleet = Fleet::start(3).await?;
     fleet.report_after(0, Duration::from_secs(10)).await?;
     let (holder, token) = fleet.holder_after(0).await?;
-    fleet.entries[holder].entry.process.signal(Signal::SIGTERM)?;
+    fleet.entries[holder]
+        .entry
+        .process
+        .signal(Signal::SIGTERM)?;
     let stopped = Instant::now();
     fleet.holder_after(token).await?;
     let time = stopped.elapsed();
-    assert!(time < Duration::from_millis(1_000), "next holder after {time:?}");
+    assert!(
+        time < Duration::from_millis(1_000),
+        "next holder after {time:?}"
+    );
     let last = fleet.last_report();
-    fleet.report_after(last + 2, Duration::from_secs(10)).await?;
+    fleet
+        .report_after(last + 2, Duration::from_secs(10))
+        .await?;
     fleet.assert_rules();
     fleet.assert_consecutive();
     Ok(())
@@ -351,7 +380,9 @@
         for member in &fleet.entries {
             member.calls.send_replace(Treatment::Open);
         }
-        last = fleet.report_after(last + 2, Duration::from_secs(10)).await?;
+        last = fleet
+            .report_after(last + 2, Duration::from_secs(10))
+            .await?;
     }
     let windows: Vec<u64> = fleet.interface.reports().iter().map(|r| r.0).collect();
     assert!(windows.is_sorted(), "{windows:?}");
