--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,10 @@
 //! - Membership: [`member`] merges the membership states that entries gossip,
 //!   [`identity`] decides between processes of the same name.
 //! - Load balancing for services that entries reach without an agent: [`group`].
-//! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`].
+//! - Metering: [`usage`] counts the starts of requests by account, in the true time of
+//!   [`wall`].
+//! - Roles and model groups: [`lease`], [`expert`], [`step`], [`order`]. Calls of the
+//!   holder of a role: [`duty`].
 
 pub mod admission;
 pub mod backend;
@@ -29,6 +32,7 @@
 pub mod config;
 pub mod directory;
 pub mod drain;
+pub mod duty;
 pub mod error;
 pub mod expert;
 pub mod failure;
@@ -55,5 +59,7 @@
 pub mod stream;
 pub mod ticket;
 pub mod transit;
+pub mod usage;
+pub mod wall;
 
 pub use error::{Error, Result};
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -23,6 +23,7 @@
 use crate::peer::Role;
 use crate::serve::Stopping;
 use crate::settings::Settings;
+use crate::usage::{Meter, Office};
 use crate::view::Publisher;
 use crate::{pull, serve};
 
@@ -84,6 +85,7 @@
     status: watch::Sender<Arc<Status>>,
     role: watch::Sender<Role>,
     paces: (mpsc::Sender<Pace>, mpsc::Receiver<Pace>),
+    office: Option<Office>,
 }
 
 impl Entry {
@@ -105,6 +107,7 @@
         let datagrams = UdpSocket::bind(settings.listen.peers).map_err(at("peers"))?;
         datagrams.set_nonblocking(true).map_err(at("peers"))?;
         let metrics = Metrics::new().map_err(|error| Error::new("metrics", error))?;
+        let office = settings.duties.map(|duties| Office::new(duties.usage()));
         Ok(Entry {
             settings,
             names,
@@ -117,6 +120,7 @@
             status: watch::Sender::new(Arc::default()),
             role: watch::Sender::default(),
             paces: mpsc::channel(MAX_WAITING_PACES),
+            office,
         })
     }
 
@@ -146,6 +150,17 @@
         self.role.subscribe()
     }
 
+    /// Returns the registry of the metrics that the entry serves.
+    pub fn registry(&self) -> prometheus::Registry {
+        self.metrics.registry()
+    }
+
+    /// Returns the ledger of this entry for the task that writes the record and sends
+    /// the reports; `None` if the settings name no duties.
+    pub fn office(&self) -> Option<Office> {
+        self.office.clone()
+    }
+
     /// Returns the status of this entry and the entries that callers may use.
     pub fn status(&self) -> watch::Receiver<Arc<Status>> {
         self.status.subscribe()
@@ -179,6 +194,7 @@
             status: self.status,
             role: self.role,
             paces: self.paces,
+            office: self.office,
             leaving,
             pulls,
         };
@@ -242,6 +258,7 @@
     role: watch::Sender<Role>,
     /// The sender keeps the channel open without a receiver of reports.
     paces: (mpsc::Sender<Pace>, mpsc::Receiver<Pace>),
+    office: Option<Office>,
     leaving: watch::Receiver<bool>,
     pulls: pull::Queues,
 }
@@ -259,7 +276,10 @@
         let at = |context| move |error: io::Error| Error::new(context, error);
         let listener = TcpListener::from_std(self.callers).map_err(at("callers"))?;
         let socket = tokio::net::UdpSocket::from_std(self.datagrams).map_err(at("peers"))?;
-        let gateway = Gateway::new(self.settings, self.names, self.metrics, Clock::start());
+        let duties = self.settings.duties.zip(self.office);
+        let meter = duties.map(|(duties, office)| Meter::new(duties.usage(), office));
+        let clock = Clock::start();
+        let gateway = Gateway::new(self.settings, self.names, self.metrics, clock, meter);
         let gateway = Rc::new(gateway);
         let gossip = Rc::new(Gossip {
             gateway: gateway.clone(),
@@ -318,6 +338,18 @@
             let gossip = announcing.clone();
             async move { gossip.announce_confirmations().await }
         });
+        if gateway.meter.is_some() {
+            let delivering = gossip.clone();
+            run_for_good("deliver usage", move || {
+                let gossip = delivering.clone();
+                async move { gossip.deliver_usage().await }
+            });
+            let answering = gossip.clone();
+            run_for_good("answer usage", move || {
+                let gossip = answering.clone();
+                async move { gossip.answer_usage().await }
+            });
+        }
         let mut leaving = self.leaving;
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return Err(Error::new("traffic thread", "control thread ended"));
@@ -327,7 +359,7 @@
         accepting
             .await
             .map_err(|error| Error::new("accepting connections", error))?;
-        finish(&gateway).await;
+        finish(&gateway, &gossip).await;
         Ok(())
     }
 }
@@ -387,11 +419,12 @@
 
 /// Waits for the last connections: an answer that is complete here may not have been
 /// sent yet.
-async fn finish(gateway: &Gateway) {
+async fn finish(gateway: &Gateway, gossip: &Gossip) {
     let Some(stop) = gateway.stop() else { return };
     while gateway.connections() > 0 && gateway.clock.now() < stop.exit() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    gossip.deliver_last_usage(stop.exit()).await;
     gateway.mark_stopped();
     let (in_progress, connections) = (gateway.in_progress(), gateway.connections());
     // The other connections have an answer that is not written, or no request yet.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod backend;
 pub mod call;
 pub mod config;
+pub mod duty;
 pub mod entry;
 pub mod event;
 pub mod gateway;
@@ -37,6 +38,7 @@
 pub mod serve;
 pub mod settings;
 pub mod state;
+pub mod usage;
 pub mod view;
 
 pub use entry::{Entry, Error, Status};
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -141,6 +141,12 @@
     paces: IntCounterVec,
     server_capacity: GaugeVec,
     slow_servers: IntGaugeVec,
+    /// Sealed usage batches that are not known to be durable.
+    pub usage_batches: IntGauge,
+    /// Milliseconds by which the clock of this host is ahead of true time.
+    pub clock_lead: IntGauge,
+    usage_faults: IntCounterVec,
+    usage_windows: IntCounterVec,
 }
 
 /// Phases of a request with a histogram.
@@ -258,6 +264,24 @@
                 "Servers that are slower than the others",
                 "service",
             )?,
+            usage_batches: IntGauge::new(
+                "berylgw_direct_usage_batches",
+                "Sealed usage batches that are not known to be durable",
+            )?,
+            clock_lead: IntGauge::new(
+                "berylgw_direct_clock_lead_ms",
+                "Milliseconds by which the clock of the host is ahead of the median of all",
+            )?,
+            usage_faults: counter(
+                "berylgw_direct_usage_faults_total",
+                "Starts, batches or datagrams of usage that could not be used, by reason",
+                &["reason"],
+            )?,
+            usage_windows: counter(
+                "berylgw_direct_usage_windows_total",
+                "Usage windows that this entry decided, by what ended the wait",
+                &["end"],
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -279,6 +303,10 @@
         registry.register(Box::new(metrics.paces.clone()))?;
         registry.register(Box::new(metrics.server_capacity.clone()))?;
         registry.register(Box::new(metrics.slow_servers.clone()))?;
+        registry.register(Box::new(metrics.usage_batches.clone()))?;
+        registry.register(Box::new(metrics.clock_lead.clone()))?;
+        registry.register(Box::new(metrics.usage_faults.clone()))?;
+        registry.register(Box::new(metrics.usage_windows.clone()))?;
         Ok(metrics)
     }
 
@@ -342,6 +370,16 @@
         }
     }
 
+    /// Counts usage that could not be used.
+    pub fn count_usage_fault(&self, reason: &str, count: u64) {
+        self.usage_faults.with_label_values(&[reason]).inc_by(count);
+    }
+
+    /// Counts a usage window that this entry decided.
+    pub fn count_window(&self, end: &str) {
+        self.usage_windows.with_label_values(&[end]).inc();
+    }
+
     /// Records the duration of a phase.
     pub fn record(&self, phase: Phase, kind: &str, domain: &str, time: Duration) {
         let phase = phase.to_string();
