Bound the sums of usage that a datagram can cause

The test of unsound datagrams found a sum of counts near 2^64 that overflowed in the line about unknown accounts; a process that claims 2^64 - 1 dropped batches would have done the same. Both saturate or compare now.

--- a/crates/core/src/usage/ledger.rs
+++ b/crates/core/src/usage/ledger.rs
@@ -264,7 +264,7 @@
         let Some(index) = self.process(id) else {
             return Ack::default();
         };
-        if batch.number != self.processes[index].applied + 1 {
+        if batch.number.checked_sub(1) != Some(self.processes[index].applied) {
             return self.processes[index].ack();
         }
         let latest = self
--- a/crates/direct/src/usage/meter.rs
+++ b/crates/direct/src/usage/meter.rs
@@ -299,7 +299,7 @@
         let Some((before, ack)) = ack else { return };
         let applied = batches
             .iter()
-            .filter(|batch| (before + 1..=ack.received).contains(&batch.number));
+            .filter(|batch| batch.number > before && batch.number <= ack.received);
         self.report_unknown(address, applied, metrics);
         let answer = wire::UsageAck {
             incarnation,
@@ -322,11 +322,11 @@
         metrics: &Metrics,
     ) {
         let known = &self.accounts.borrow().1;
-        let mut starts = 0;
+        let mut starts: u64 = 0;
         let mut first = None;
         for (_, account, count) in batches.flat_map(|batch| &batch.counts) {
             if known.binary_search(account).is_err() {
-                starts += count;
+                starts = starts.saturating_add(*count);
                 first = first.or(Some(account));
             }
         }
