Bound the log lines about lost usage batches, and test the times of the windows

Without a holder, each batch that is given up wrote a line. They share the limit of the other lines about usage now; the counter still counts each batch.

--- a/crates/direct/src/usage/meter.rs
+++ b/crates/direct/src/usage/meter.rs
@@ -203,11 +203,14 @@
         let dropped = counter.dropped();
         if dropped > delivery.ack.durable.max(self.lost.get()) {
             let from = delivery.ack.durable.max(self.lost.get()) + 1;
-            tracing::error!(
-                from,
-                through = dropped,
-                "usage batches given up: no holder took them"
-            );
+            if let Some(suppressed) = FAULT_LINES.admit(std::time::Instant::now()) {
+                tracing::error!(
+                    from,
+                    through = dropped,
+                    suppressed,
+                    "usage batches given up: no holder took them"
+                );
+            }
             metrics.count_usage_fault("given_up", dropped + 1 - from);
             self.lost.set(dropped);
         }
--- a/crates/direct/tests/usage.rs
+++ b/crates/direct/tests/usage.rs
@@ -9,6 +9,7 @@
 use berylgw_direct::backend::Server;
 use berylgw_direct::config::{ApiKey, Configuration, RequestKind, Route, Target};
 use berylgw_direct::header::Names;
+use berylgw_direct::settings::Duties;
 use berylgw_direct::usage::Office;
 use berylgw_direct::view::{Part, Source};
 use berylgw_direct::{Entry, Settings};
@@ -225,3 +226,24 @@
     );
     Ok(())
 }
+
+/// Guards against times of the windows with which no report can be correct or in time.
+#[test]
+fn unsound_times_found() {
+    let findings = |duties| {
+        let settings = Settings {
+            duties: Some(duties),
+            ..settings("edge-1")
+        };
+        let findings = settings.check().into_iter();
+        findings.map(|finding| finding.field).collect::<Vec<_>>()
+    };
+    let times = |window_s, late_s| Duties { window_s, late_s };
+    assert!(findings(times(5, 10.0)).is_empty());
+    for late_s in [0.0, 4.9, f64::NAN, f64::INFINITY, -1.0] {
+        assert_eq!(findings(times(5, late_s)), ["duties.late_s"]);
+    }
+    for window_s in [0, u64::MAX] {
+        assert_eq!(findings(times(window_s, 10.0)), ["duties.window_s"]);
+    }
+}
