Limit each group of a service, and know at once that a group is late

Cause: a service with two groups had one limit, so half of the requests stayed at the slow group; and a group whose slowest rank makes all responses late was found late only after its limit had fallen, which takes seconds in both directions.

Change: where ranks have reported at least two groups, each group has a limit, and a request goes to a group that has free permits and can be on time if there is one. in_flight(service) counts each group up to its limit. If the reported pace says that no pass can be in time, the limit is the number of requests with most responses per second that end within their time limit, by the events of the last 64 responses; the limit from before is in force again as soon as the pace is usual. Without reports, lateness is known after three adjustments whose pauses no load explains, and the limit returns at once when pauses fall below 0.6 of what the load explains.

--- a/crates/core/src/group/capacity.rs
+++ b/crates/core/src/group/capacity.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Instant;
+use crate::group::concurrency::Delay;
 
 /// Age at which a report is no longer valid: three times the interval of the reports.
 pub const VALIDITY: Duration = Duration::from_secs(6);
@@ -33,6 +34,9 @@
 /// Largest pace that is used. It bounds the sums that a report enters.
 const MAX_PACE: f64 = 1_000.0;
 
+/// Longest delay of a pass that is used, in milliseconds.
+const MAX_DELAY_MS: f64 = 60_000.0;
+
 /// Largest number of ranks whose reports are kept, against reports of ranks that do not
 /// exist.
 const MAX_REPORTS: usize = 8_192;
@@ -330,6 +334,21 @@
         Some((known.report, now.since(known.read)))
     }
 
+    /// Returns the delay of the slowest rank of a group, by the valid reports.
+    pub fn delay(&self, group: u32, step: Step) -> Delay {
+        let ranks = self
+            .known
+            .iter()
+            .filter(|known| known.report.group == group);
+        let pace = ranks.map(|known| known.report.pace).fold(1.0, f64::max);
+        let usual_ms = step.steps * step.base_ms;
+        let millis = |millis: f64| Duration::from_secs_f64(millis.clamp(0.0, MAX_DELAY_MS) / 1e3);
+        Delay {
+            shortest: millis(usual_ms * pace),
+            excess: millis(usual_ms * (pace - 1.0)),
+        }
+    }
+
     fn find(&self, rank: u32) -> Option<&Known> {
         let found = self
             .known
--- a/crates/core/tests/group_capacity.rs
+++ b/crates/core/tests/group_capacity.rs
@@ -7,6 +7,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::capacity::{Paces, Rejected, Report, Slowdown, Source, Step, VALIDITY};
+use berylgw_core::group::concurrency::{Limit, Tolerance, Tuning};
 use berylgw_core::group::selection::{Candidate, choose};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -312,3 +313,157 @@
         assert_eq!(entry.direct(at(12), None).len(), 1);
     }
 }
+
+const TUNING: Tuning = Tuning {
+    pause_share: 0.85,
+    quantile: 0.9,
+    gain: 0.2,
+    load_share: 0.6,
+    floor: 8.0,
+    late_factor: 2.0,
+};
+const RANKS: usize = 32;
+const TOLERANCE: Tolerance = Tolerance {
+    time_limit: Duration::from_secs(8),
+    max_pause: Duration::from_secs(2),
+};
+/// Seconds at which a rank becomes slow and sound again.
+const SLOW: std::ops::Range<f64> = 10.0..20.0;
+/// Seconds of a simulated slowdown.
+const END: f64 = 30.0;
+
+/// What the limit knows of a slowdown.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Known {
+    /// The paces that ranks report.
+    Paces,
+    /// Only the pauses.
+    Pauses,
+}
+
+/// Outcome of a slowdown of one rank.
+#[derive(Debug, Default)]
+struct Slowdowns {
+    /// Responses that ended within their time limit during the slowdown.
+    ended: usize,
+    /// Requests refused during the slowdown.
+    refused: usize,
+    /// Time after which the limit is first below half of that before.
+    fallen_s: Option<f64>,
+    /// Limit before the slowdown, at its end and a second after it.
+    limits: [usize; 3],
+    /// Responses on time in the five seconds from a second after the slowdown on.
+    on_time_after: usize,
+}
+
+/// Simulates a group of which one rank has `pace` times the usual time in [`SLOW`], with
+/// `per_second` requests per second. Requests beyond the limit are refused.
+fn replay_slowdown(pace: f64, per_second: f64, known: Known) -> Slowdowns {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut limit = Limit::new(TUNING, RANKS as f64 * 6.0);
+    limit.set_tolerance(TOLERANCE);
+    // Events left, when the response began, whether it is late, and its events.
+    let mut running: Vec<(u32, f64, bool, u32)> = Vec::new();
+    let mut outcome = Slowdowns::default();
+    let (mut now, mut due) = (0.0, 0.0);
+    let mut placed_slow = 0.0;
+    while now < END {
+        let slow = SLOW.contains(&now);
+        let mean = running.len() as f64 / RANKS as f64;
+        // Requests leave a slow rank as they end if its pace is known.
+        placed_slow = match (slow, known) {
+            (true, Known::Paces) => placed_slow * 0.9,
+            _ => mean,
+        };
+        let pace = if slow { pace } else { 1.0 };
+        let own = |pace: f64, mean: f64| pace * (STEP.base_ms + STEP.per_request_ms * mean);
+        let prompts = rng.random_range(0.0..12.0);
+        let slowest = own(1.0, mean).max(own(pace, placed_slow));
+        let pass_s = (SHARED_MS + prompts + STEP.steps * slowest) / 1_000.0;
+        let before = now;
+        now += pass_s;
+        let crossed = |second: f64| before < second && now >= second;
+        if known == Known::Paces && (crossed(SLOW.start + 0.3) || crossed(SLOW.end + 0.3)) {
+            let mut paces = Paces::default();
+            let slow = crossed(SLOW.start + 0.3);
+            record(&mut paces, 0, RANKS as u32, |rank| {
+                if rank == 4 && slow { pace } else { 1.0 }
+            });
+            limit.set_delay(
+                paces.delay(1, STEP),
+                Duration::from_millis(ACCEPTED_MS as u64),
+            );
+        }
+        for (index, second) in [SLOW.start, SLOW.end, SLOW.end + 1.0]
+            .into_iter()
+            .enumerate()
+        {
+            if crossed(second) {
+                outcome.limits[index] = limit.permits();
+            }
+        }
+        if slow && outcome.fallen_s.is_none() && limit.permits() * 2 < outcome.limits[0] {
+            outcome.fallen_s = Some(now - SLOW.start);
+        }
+        let in_flight = running.len();
+        for (left, _, late, _) in &mut running {
+            *left -= 1;
+            *late |= pass_s * 1_000.0 > ACCEPTED_MS;
+        }
+        running.retain(|&(left, began, late, events)| {
+            let timed_out = now - began > TOLERANCE.time_limit.as_secs_f64();
+            if left == 0 && !timed_out {
+                limit.record_response(events);
+                outcome.ended += usize::from(SLOW.contains(&now));
+                let after = SLOW.end + 1.0..SLOW.end + 6.0;
+                outcome.on_time_after += usize::from(!late && after.contains(&now));
+            }
+            left > 0 && !timed_out && pass_s < TOLERANCE.max_pause.as_secs_f64()
+        });
+        let millis = Instant::from_micros((now * 1e6) as u64);
+        limit.observe(Duration::from_secs_f64(pass_s));
+        limit.adjust(millis, in_flight, Duration::from_millis(ACCEPTED_MS as u64));
+        due += per_second * pass_s;
+        while due >= 1.0 {
+            due -= 1.0;
+            if running.len() < limit.permits() {
+                let events = rng.random_range(8..=48);
+                running.push((events, now, false, events));
+            } else {
+                outcome.refused += usize::from(SLOW.contains(&now));
+            }
+        }
+    }
+    outcome
+}
+
+/// Guards against a limit that needs seconds to fall and to come back, during which the
+/// responses of a group with a slow rank run out of time, or others are refused.
+#[test]
+fn limit_slow_group() {
+    for pace in [8.0, 14.0] {
+        let by_pauses = replay_slowdown(pace, 50.0, Known::Pauses);
+        let by_paces = replay_slowdown(pace, 50.0, Known::Paces);
+        println!("pace {pace}: by pauses {by_pauses:?}, by paces {by_paces:?}");
+        for outcome in [&by_pauses, &by_paces] {
+            let [before, _, after] = outcome.limits;
+            assert!(after * 10 >= before * 8, "{outcome:?}");
+        }
+        assert!(
+            by_paces.ended >= by_pauses.ended,
+            "{by_paces:?} {by_pauses:?}"
+        );
+    }
+}
+
+/// Guards against a slowdown that is noticed only near full load.
+#[test]
+fn limit_slowdown_far_from_full() {
+    let usual = replay_slowdown(1.0, 12.0, Known::Paces);
+    let outcome = replay_slowdown(4.0, 12.0, Known::Paces);
+    println!("usual {usual:?}, slow {outcome:?}");
+    // Responses that take longer end later; none is refused for it.
+    assert_eq!(outcome.refused, 0, "{outcome:?}");
+    assert!(outcome.ended * 10 >= usual.ended * 8, "{outcome:?}");
+    assert!(outcome.on_time_after * 10 >= usual.on_time_after * 9);
+}
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -320,6 +320,18 @@
             .with_state(|state, now| state.may_send(now, self.key))
     }
 
+    /// Records a pause between two events of a stream of the server.
+    pub fn record_pause(&self, service: ServiceKey, pause: Duration, target: Duration) {
+        self.gateway
+            .with_state(|state, now| state.record_pause(now, service, self.key, pause, target));
+    }
+
+    /// Records the number of events of a stream of the server that has ended.
+    pub fn record_response(&self, service: ServiceKey, events: u32) {
+        self.gateway
+            .with_state(|state, _| state.record_response(service, self.key, events));
+    }
+
     /// Records an outcome of the server.
     pub fn report(&self, record: impl FnOnce(&mut health::Record, Instant)) {
         self.gateway.with_state(|state, now| {
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -15,7 +15,9 @@
 pub(crate) struct Pool {
     pub(crate) name: Arc<str>,
     pub(crate) digest: u32,
-    pub(crate) limit: Limit,
+    /// Limit of each group, sorted by key. There is a single one without a key unless
+    /// the servers are known to belong to several groups.
+    pub(crate) groups: Vec<GroupLimit>,
     pub(crate) queue: Queue,
     pub(crate) waiting: Vec<Waiter>,
     /// Permits held by client account.
@@ -36,6 +38,16 @@
     pub(crate) late_admitted: arrival::Window,
 }
 
+/// Concurrency limit of one group of a service.
+#[derive(Debug)]
+pub(crate) struct GroupLimit {
+    /// Digest of the group's name; `None` if it stands for all servers of the service.
+    pub(crate) key: Option<u32>,
+    /// Digest under which entries tell each other the limit.
+    pub(crate) digest: u32,
+    pub(crate) limit: Limit,
+}
+
 /// A queued request.
 #[derive(Debug)]
 pub(crate) struct Waiter {
@@ -45,6 +57,11 @@
 }
 
 impl Pool {
+    /// Returns whether the service has several groups with a limit each.
+    pub(crate) fn is_split(&self) -> bool {
+        self.groups.iter().any(|group| group.key.is_some())
+    }
+
     pub(crate) fn admit(&mut self, now: Instant, request: &Request) {
         self.pacer.begin(now, f64::from(request.tokens));
         self.admitted.try_acquire(now, usize::MAX);
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -109,6 +109,11 @@
         self.retries.push(reason);
     }
 
+    /// Returns the number of arrivals of events so far.
+    pub fn events(&self) -> u32 {
+        self.events
+    }
+
     /// Records the arrival of one or more events at once, or of a complete
     /// answer; returns the pause before it, `None` for the first.
     pub fn event(&mut self) -> Option<Duration> {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -87,6 +87,9 @@
                     let content = &self.call.content;
                     self.gateway
                         .with_state(|state, now| state.record_answer(now, content));
+                    let service = self.call.service;
+                    self.assignment
+                        .record_response(service, self.record.events());
                     let status = self.exchange.response.status();
                     self.record.end(End::Answered, status.as_u16(), None);
                     return Ok(None);
@@ -123,8 +126,7 @@
             return;
         };
         let service = self.call.service;
-        self.gateway
-            .with_state(|state, now| state.record_pause(now, service, pause, target));
+        self.assignment.record_pause(service, pause, target);
     }
 
     /// Continues the stream at another server, after the last complete event.
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod capacity;
 mod crash;
+mod group;
 mod notice;
 mod placement;
 
@@ -24,7 +25,7 @@
 use crate::backend::{self, Server};
 use crate::metrics::Metrics;
 use crate::peer::Peers;
-use crate::pool::Pool;
+use crate::pool::{GroupLimit, Pool};
 use crate::settings::Settings;
 use crate::view::View;
 
@@ -80,6 +81,8 @@
     /// Time at which this entry itself heard that it leaves.
     leaving_heard: Option<Instant>,
     pause: pause::Pause,
+    /// Digest of the name of its group, if it has reported one.
+    group: Option<u32>,
     slowdown: Slowdown,
     /// Ratio to the usual pace that was logged last, and when.
     logged: Option<(f64, Instant)>,
@@ -175,6 +178,7 @@
                 leaving: self.left.contains(&server.id, server.born),
                 leaving_heard: None,
                 pause: pause::Pause::default(),
+                group: None,
                 slowdown: Slowdown::default(),
                 logged: None,
             };
@@ -186,6 +190,7 @@
         self.mark_superseded();
         self.update_slowdowns();
         self.update_ceilings();
+        self.update_delays();
     }
 
     /// Limits the requests at each service to the slots of its servers.
@@ -194,8 +199,19 @@
         for index in 0..view.configuration.value.services.len() {
             let name = view.configuration.value.services[index].name.clone();
             let key = self.service_key(&name);
-            let capacity = self.capacity(&name);
-            self.pools[key.0].limit.set_ceiling(capacity.max(1.0));
+            for group in 0..self.pools[key.0].groups.len() {
+                let pool = &self.pools[key.0];
+                let wanted = pool.groups[group].key;
+                let servers = self.servers.iter().flatten();
+                let servers = servers.filter(|server| {
+                    server.accepts_requests()
+                        && server.listed.service == pool.name
+                        && pool.key_of(server) == wanted
+                });
+                let slots = servers.map(|server| f64::from(server.listed.slots));
+                let ceiling = slots.sum::<f64>().max(1.0);
+                self.pools[key.0].groups[group].limit.set_ceiling(ceiling);
+            }
         }
     }
 
@@ -245,7 +261,11 @@
             self.pools.push(Pool {
                 name: service.clone(),
                 digest: backend::digest(service),
-                limit,
+                groups: vec![GroupLimit {
+                    key: None,
+                    digest: backend::digest(service),
+                    limit,
+                }],
                 queue: Queue::new(MAX_QUEUED),
                 waiting: Vec::new(),
                 running: Vec::new(),
--- a/crates/direct/src/state/admission.rs
+++ b/crates/direct/src/state/admission.rs
@@ -8,7 +8,7 @@
 use berylgw_core::group::queue::{Id, Request};
 use tokio::sync::oneshot;
 
-use super::{ServiceKey, State};
+use super::{ServerKey, ServiceKey, State};
 use crate::config::Route;
 use crate::pool::Waiter;
 
@@ -37,21 +37,29 @@
 }
 
 impl State {
-    /// Returns the requests in flight at a service from all entries.
+    /// Returns the requests in flight at a service from all entries. Where the service has
+    /// several groups, those beyond the limit of a group do not count: they leave the
+    /// permits of the other groups free.
     pub fn in_flight(&self, service: ServiceKey) -> usize {
         let pool = &self.pools[service.0];
+        if pool.is_split() {
+            let loads = self.group_loads(service);
+            let counted = loads.iter().map(|load| load.in_flight.min(load.limit));
+            // Requests that have a permit and no server yet.
+            let own = loads.iter().map(|load| load.own).sum();
+            return counted.sum::<usize>() + pool.held_permits.saturating_sub(own);
+        }
         let servers = self.servers.iter().flatten();
         let servers = servers.filter(|server| server.listed.service == pool.name);
         let others = servers.map(|server| self.peers.in_flight(server.digest) as usize);
         pool.held_permits + others.sum::<usize>()
     }
 
-    /// Returns the concurrency limit of a service, the mean of the limits of
-    /// this entry and of the live entries that reported one.
+    /// Returns the concurrency limit of a service, the sum over its groups of the mean of
+    /// the limits of this entry and of the live entries that reported one.
     pub fn concurrency_limit(&self, service: ServiceKey) -> usize {
-        let pool = &self.pools[service.0];
-        let (sum, entries) = self.peers.concurrency_limits(pool.digest);
-        (sum as usize + pool.limit.permits()) / (entries + 1)
+        let groups = self.pools[service.0].groups.iter();
+        groups.map(|group| self.group_limit(group)).sum()
     }
 
     /// Returns whether a request can be answered on time.
@@ -202,18 +210,32 @@
         pool.retry_schedule.reserve(now, interval, group_up_at)
     }
 
-    /// Records a pause between two events of an answer and adjusts the
-    /// concurrency limit.
+    /// Records a pause between two events of an answer of a server and adjusts the
+    /// concurrency limit of its group.
     pub fn record_pause(
         &mut self,
         now: Instant,
         service: ServiceKey,
+        server: ServerKey,
         pause: Duration,
         target: Duration,
     ) {
-        self.pools[service.0].limit.observe(pause);
-        let in_flight = self.in_flight(service);
-        self.pools[service.0].limit.adjust(now, in_flight, target);
+        let pool = &self.pools[service.0];
+        let key = match &self.servers[server.0] {
+            Some(server) => pool.key_of(server),
+            None => None,
+        };
+        let groups = pool.groups.iter();
+        let Some(group) = groups.clone().position(|group| group.key == key) else {
+            return;
+        };
+        let in_flight = match key {
+            Some(_) => self.group_loads(service)[group].in_flight,
+            None => self.in_flight(service),
+        };
+        let limit = &mut self.pools[service.0].groups[group].limit;
+        limit.observe(pause);
+        limit.adjust(now, in_flight, target);
     }
 
     /// Records that a group is down because one of its ranks does not run.
--- a/crates/direct/src/state/capacity.rs
+++ b/crates/direct/src/state/capacity.rs
@@ -97,6 +97,8 @@
     pub fn evaluate_capacity(&mut self, now: Instant) {
         if self.paces.evaluate(now) {
             self.update_slowdowns();
+            self.update_groups(now);
+            self.update_delays();
         }
     }
 
--- a/crates/direct/src/state/placement.rs
+++ b/crates/direct/src/state/placement.rs
@@ -8,6 +8,7 @@
 use berylgw_core::group::{arrival, health};
 use berylgw_wire::direct as wire;
 
+use super::group::GroupLoad;
 use super::{ServerKey, ServiceKey, State};
 use crate::backend::Server;
 
@@ -86,6 +87,9 @@
                 slowdown: server.slowdown,
             });
         }
+        if self.pools[service.0].is_split() {
+            self.retain_best_groups(service, &mut keys, &mut candidates);
+        }
         let unseen = self.unseen_begins(now, service);
         let random = |below: usize| rand::random_range(0..below.max(1));
         let chosen = match confined {
@@ -102,6 +106,32 @@
         Some((ServerKey(chosen), server.listed.clone()))
     }
 
+    /// Removes the servers of groups that are full or late if there are others.
+    fn retain_best_groups(
+        &self,
+        service: ServiceKey,
+        keys: &mut Vec<usize>,
+        candidates: &mut Vec<Candidate>,
+    ) {
+        let loads = self.group_loads(service);
+        let pool = &self.pools[service.0];
+        let rank = |index: &usize| {
+            let key = self.servers[*index]
+                .as_ref()
+                .and_then(|server| pool.key_of(server));
+            let load = loads.iter().find(|load| load.key == key);
+            load.map_or(0, GroupLoad::rank)
+        };
+        let ranks: Vec<u8> = keys.iter().map(rank).collect();
+        let Some(best) = ranks.iter().min() else {
+            return;
+        };
+        let mut kept = ranks.iter().map(|rank| rank == best);
+        keys.retain(|_| kept.next().unwrap_or(true));
+        let mut kept = ranks.iter().map(|rank| rank == best);
+        candidates.retain(|_| kept.next().unwrap_or(true));
+    }
+
     /// Returns the order of the service's servers and of the live entries in the
     /// own failure domain, on which the entries of that domain agree.
     fn home_servers(&self, now: Instant, service: &str) -> Homes {
@@ -174,11 +204,22 @@
             server: server.digest,
             in_flight: server.in_flight,
         });
-        let limits = self.pools.iter().filter(|pool| pool.held_permits > 0);
-        let limits = limits.map(|pool| wire::Bound {
-            service: pool.digest,
-            places: pool.limit.permits() as u32,
-        });
-        (loads.collect(), limits.collect())
+        let mut limits = Vec::new();
+        for pool in self.pools.iter().filter(|pool| pool.held_permits > 0) {
+            let groups = pool.groups.iter();
+            let places = groups.clone().map(|group| group.limit.permits() as u32);
+            // For entries that do not know the groups yet.
+            if pool.is_split() {
+                limits.push(wire::Bound {
+                    service: pool.digest,
+                    places: places.sum(),
+                });
+            }
+            limits.extend(groups.map(|group| wire::Bound {
+                service: group.digest,
+                places: group.limit.permits() as u32,
+            }));
+        }
+        (loads.collect(), limits)
     }
 }
--- a/crates/testkit/tests/direct_capacity.rs
+++ b/crates/testkit/tests/direct_capacity.rs
@@ -167,10 +167,8 @@
     wait_for_ratio(&entry, "i-2", 4.0).await?;
     site.sidecars[0].process.signal(Signal::SIGCONT)?;
     site.sidecars[2].process.signal(Signal::SIGKILL)?;
-    let expired = entry.wait_for_line(
-        "capacity of a server changed",
-        &[("server", json!("i-2")), ("ratio", json!(1.0))],
-    );
+    let fields = [("server", json!("i-2")), ("ratio", json!(1.0))];
+    let expired = entry.wait_for_line("capacity of a server changed", &fields);
     tokio::time::timeout(Duration::from_secs(9), expired).await??;
     Ok(())
 }
