Measure the capacity of plain servers, and do not believe paces that pauses contradict

Cause: a slow plain server keeps its share of the requests, as servers count by their slots, and one entry of many has too few responses to tell. A rank that misreports its pace would make its group late.

Change: entries share the response times of the last 2 s (Beat field 27), relative to the median of the route and to the requests in flight beyond the slots. A server that is slower than the median server of its service gets load in proportion, and one probe request in 0.5 s of all entries together. A benchmark of the choice is added; not run yet.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -9,6 +9,8 @@
 use berylgw_core::clock::Instant;
 use berylgw_core::config::Snapshot;
 use berylgw_core::fair::Queue;
+use berylgw_core::group::capacity::{Slowdown, Step};
+use berylgw_core::group::selection::{Candidate, choose};
 use berylgw_core::route::{self, Load, Table, affinity};
 use criterion::{Criterion, criterion_group, criterion_main};
 use rand::{Rng, SeedableRng};
@@ -171,5 +173,41 @@
     });
 }
 
-criterion_group!(benches, routing, admission, fairness, authentication);
+fn selection(c: &mut Criterion) {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let candidate = |rng: &mut ChaCha8Rng, slowdown| Candidate {
+        in_flight: rng.random_range(0..6),
+        slots: 6,
+        same_domain: rng.random_bool(0.2),
+        recovering: false,
+        home_slots: 0,
+        slowdown,
+    };
+    let usual = Slowdown::default();
+    let mut candidates: Vec<Candidate> = (0..SERVERS).map(|_| candidate(&mut rng, usual)).collect();
+    // As in a fleet of 380 entries with 18,000 requests/s.
+    let unseen = 18_000.0 * 1.1;
+    let mut below = |count: usize| rng.random_range(0..count.max(1));
+    c.bench_function("choose_2600_servers", |b| {
+        b.iter(|| black_box(choose(&candidates, unseen, &mut below)));
+    });
+    let step = Step {
+        base_ms: 2.0,
+        per_request_ms: 0.6,
+        steps: 8.0,
+    };
+    candidates[7].slowdown = Slowdown::of_pace(4.0, Some(step));
+    c.bench_function("choose_2600_servers_one_slow", |b| {
+        b.iter(|| black_box(choose(&candidates, unseen, &mut below)));
+    });
+}
+
+criterion_group!(
+    benches,
+    selection,
+    routing,
+    admission,
+    fairness,
+    authentication
+);
 criterion_main!(benches);
--- a/crates/core/src/group/capacity.rs
+++ b/crates/core/src/group/capacity.rs
@@ -8,7 +8,12 @@
 //! [`Paces`] holds the reports and derives the [`Slowdown`] of each rank: how many
 //! requests at a usual rank its own part of a pass amounts to. Reports of different
 //! entries about the same rank are merged by the time at which the rank was read.
+//!
+//! Servers that report no pace are judged by their response times: [`UsualTimes`] has the
+//! usual time of each route, [`Responses`] what an entry observed of each server, and
+//! [`factors`] compares the servers by what all entries have observed together.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -52,6 +57,15 @@
     pub steps: f64,
 }
 
+impl Step {
+    /// Returns the time from one event to the next with a rank of this pace that has no
+    /// requests.
+    pub fn shortest_pass(self, pace: f64) -> Duration {
+        let millis = self.steps * pace * self.base_ms;
+        Duration::from_secs_f64(millis.clamp(0.0, MAX_DELAY_MS) / 1e3)
+    }
+}
+
 /// How slow a server is, as a function of its requests in flight.
 ///
 /// The server takes as long as a usual one that has `factor` times as many requests,
@@ -341,14 +355,18 @@
             .iter()
             .filter(|known| known.report.group == group);
         let pace = ranks.map(|known| known.report.pace).fold(1.0, f64::max);
-        let usual_ms = step.steps * step.base_ms;
-        let millis = |millis: f64| Duration::from_secs_f64(millis.clamp(0.0, MAX_DELAY_MS) / 1e3);
+        let shortest = step.shortest_pass(pace);
         Delay {
-            shortest: millis(usual_ms * pace),
-            excess: millis(usual_ms * (pace - 1.0)),
+            shortest,
+            excess: shortest.saturating_sub(step.shortest_pass(1.0)),
         }
     }
 
+    /// Returns the pace that a rank has reported, 1 if it is not known.
+    pub fn pace(&self, rank: u32) -> f64 {
+        self.find(rank).map_or(1.0, |known| known.report.pace)
+    }
+
     fn find(&self, rank: u32) -> Option<&Known> {
         let found = self
             .known
@@ -382,3 +400,200 @@
 pub fn differs(before: f64, after: f64) -> bool {
     (after - before).abs() > before * 0.1
 }
+
+/// Time for which response times count.
+pub const WINDOW: Duration = Duration::from_secs(2);
+
+/// Largest ratio of a response time to the usual one that counts, so that a single
+/// response does not decide.
+const MAX_TIME_RATIO: f64 = 8.0;
+
+/// Responses of a route before its usual time is known.
+const MIN_ROUTE_SAMPLES: u32 = 20;
+
+/// Step of the estimated median in its logarithm for each response. Half of the
+/// responses move it up and half down, so a minority of slow ones hardly does.
+const MEDIAN_STEP: f64 = 0.03;
+
+/// Largest number of routes whose usual time is kept.
+const MAX_ROUTES: usize = 1_024;
+
+/// Responses from which a server that was usual may count as slow.
+const MIN_SAMPLES: u32 = 8;
+
+/// Responses from which a slow server may count as recovering. Probe requests bring
+/// about this many in [`WINDOW`].
+const MIN_PROBES: u32 = 2;
+
+/// Ratio to the other servers from which a server is slow, after the error of the mean
+/// has been subtracted.
+const SLOW_RATIO: f64 = 1.2;
+
+/// Ratio to the other servers below which a slow server is recovering.
+const RECOVERING_RATIO: f64 = 1.3;
+
+/// Errors of the mean that are subtracted.
+const ERRORS: f64 = 1.5;
+
+/// Part of the distance to the observed ratio that one evaluation covers.
+const FACTOR_GAIN: f64 = 0.5;
+
+/// Factor below which a server that recovers is usual again.
+const RECOVERED_FACTOR: f64 = 1.15;
+
+/// Usual response time of each route, the median over all servers.
+///
+/// ```
+/// use berylgw_core::group::capacity::UsualTimes;
+/// use std::time::Duration;
+///
+/// let mut usual = UsualTimes::default();
+/// for _ in 0..40 {
+///     usual.ratio(7, 2, 6, Duration::from_millis(50));
+/// }
+/// let busy = usual.ratio(7, 12, 6, Duration::from_millis(100));
+/// let slow = usual.ratio(7, 2, 6, Duration::from_millis(100));
+/// assert!(busy.is_some_and(|ratio| ratio < 1.1) && slow.is_some_and(|ratio| ratio > 1.9));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct UsualTimes {
+    /// Logarithm of the median in seconds and number of responses by route, sorted.
+    routes: Vec<(u32, (f64, u32))>,
+}
+
+impl UsualTimes {
+    /// Returns the ratio of a response time to the usual one of its route, which it then
+    /// adjusts; `None` while too few responses are known.
+    ///
+    /// `in_flight` is the number of requests at the server as the request was sent, and
+    /// `slots` those that it runs at once: beyond them, requests wait for each other.
+    pub fn ratio(&mut self, route: u32, in_flight: u32, slots: u32, time: Duration) -> Option<f64> {
+        let wait = (f64::from(in_flight) / f64::from(slots.max(1))).max(1.0);
+        let logarithm = (time.as_secs_f64().max(1e-6) / wait).ln();
+        let index = match self.routes.binary_search_by_key(&route, |known| known.0) {
+            Ok(index) => index,
+            Err(_) if self.routes.len() >= MAX_ROUTES => return None,
+            Err(index) => {
+                self.routes.insert(index, (route, (logarithm, 1)));
+                return None;
+            }
+        };
+        let (median, samples) = &mut self.routes[index].1;
+        let ratio = (logarithm - *median).exp().min(MAX_TIME_RATIO);
+        // Larger steps at first, when the median may be far off.
+        let step = MEDIAN_STEP.max(1.0 / f64::from(*samples));
+        *median += step * (logarithm - *median).clamp(-1.0, 1.0).signum();
+        *samples = samples.saturating_add(1);
+        (*samples > MIN_ROUTE_SAMPLES).then_some(ratio)
+    }
+}
+
+/// Response times of a server relative to the usual ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Total {
+    /// Digest of the server's process.
+    pub process: u32,
+    /// Number of responses.
+    pub samples: u32,
+    /// Sum of the ratios.
+    pub ratio_sum: f64,
+}
+
+impl Total {
+    /// Returns the total of values that another entry has sent; `None` if they are not
+    /// possible.
+    pub fn from_parts(process: u32, samples: u32, ratio_sum: f64) -> Option<Self> {
+        let possible = samples > 0 && ratio_sum >= 0.0;
+        let total = Total {
+            process,
+            samples,
+            ratio_sum,
+        };
+        (possible && ratio_sum <= f64::from(samples) * MAX_TIME_RATIO * 1.01).then_some(total)
+    }
+}
+
+/// Response times that an entry itself has observed in the last [`WINDOW`].
+#[derive(Clone, Debug, Default)]
+pub struct Responses {
+    /// Oldest first.
+    samples: VecDeque<(Instant, u32, f64)>,
+}
+
+impl Responses {
+    /// Records the ratio of a response time of a server to the usual one.
+    pub fn record(&mut self, now: Instant, process: u32, ratio: f64) {
+        self.samples.push_back((now, process, ratio));
+        self.expire(now);
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((at, ..)) = self.samples.front()
+            && now.since(*at) >= WINDOW
+        {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Returns the totals of the servers with responses, sorted by process.
+    pub fn totals(&mut self, now: Instant) -> Vec<Total> {
+        self.expire(now);
+        let samples = self.samples.iter();
+        let single = samples.map(|&(_, process, ratio_sum)| Total {
+            process,
+            samples: 1,
+            ratio_sum,
+        });
+        sum(single.collect())
+    }
+}
+
+/// Adds up the totals of each server; returns them sorted by process.
+pub fn sum(mut totals: Vec<Total>) -> Vec<Total> {
+    totals.sort_unstable_by_key(|total| total.process);
+    totals.dedup_by(|next, sum| {
+        let same = next.process == sum.process;
+        if same {
+            sum.samples = sum.samples.saturating_add(next.samples);
+            sum.ratio_sum += next.ratio_sum;
+        }
+        same
+    });
+    totals
+}
+
+/// Returns the next slowdown factor of each server of a service, given the totals over
+/// all entries and the factor until now.
+///
+/// A server is compared with the median of the others, so that nothing changes if all
+/// are slow. A slow server without responses keeps its factor.
+pub fn factors(servers: &[(Total, f64)]) -> Vec<f64> {
+    let known = servers
+        .iter()
+        .filter(|(total, _)| total.samples >= MIN_SAMPLES);
+    let mut means: Vec<f64> = known.map(|(total, _)| mean(total)).collect();
+    means.sort_by(f64::total_cmp);
+    // The lower one of two, so that one of two servers can be slow.
+    let usual = means.get(means.len().saturating_sub(1) / 2);
+    let usual = usual.copied().unwrap_or(1.0).max(1e-3);
+    let next = |(total, factor): &(Total, f64)| {
+        let ratio = (mean(total) / usual).max(1.0);
+        let samples = f64::from(total.samples.max(1));
+        let certain = ratio * (1.0 - ERRORS / samples.sqrt());
+        let moved = factor + FACTOR_GAIN * (ratio - factor);
+        if *factor <= 1.0 {
+            let slow = means.len() > 1 && total.samples >= MIN_SAMPLES && certain > SLOW_RATIO;
+            return if slow { ratio } else { 1.0 };
+        }
+        if total.samples >= MIN_SAMPLES || (total.samples >= MIN_PROBES && ratio < RECOVERING_RATIO)
+        {
+            return if moved < RECOVERED_FACTOR { 1.0 } else { moved };
+        }
+        *factor
+    };
+    servers.iter().map(next).collect()
+}
+
+fn mean(total: &Total) -> f64 {
+    total.ratio_sum / f64::from(total.samples.max(1))
+}
--- a/crates/core/src/group/concurrency.rs
+++ b/crates/core/src/group/concurrency.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::group::capacity::differs;
 
 /// Shortest time between two adjustments of the limit; several passes long.
 pub const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
@@ -45,6 +46,14 @@
 /// may be from before and after a change.
 const COMPARED_PAUSES: usize = 3;
 
+/// Share of the shortest possible pause below which an observed one contradicts the
+/// reported pace; the times of a step are not exact.
+const POSSIBLE_SHARE: f64 = 0.7;
+
+/// Number of adjustments in a row after which such pauses disprove a report. The first
+/// ones may be from before the rank became slow.
+const DISPROVING_ADJUSTMENTS: u32 = 5;
+
 /// Part of the distance to the limit covered by one adjustment while the delay of the
 /// slowest rank is known, so that it is reached within a second.
 const DELAYED_GAIN: f64 = 0.5;
@@ -140,6 +149,11 @@
     tolerance: Option<Tolerance>,
     /// Numbers of events of the last responses, oldest first.
     responses: Vec<u32>,
+    /// Adjustments in a row with pauses shorter than `delay` allows.
+    disproving: u32,
+    /// Shortest time of a pass above which a reported delay is not believed, as pauses
+    /// were shorter.
+    disproved: Option<Duration>,
 }
 
 impl Limit {
@@ -161,6 +175,8 @@
             known_late: false,
             tolerance: None,
             responses: Vec::new(),
+            disproving: 0,
+            disproved: None,
         }
     }
 
@@ -217,8 +233,32 @@
         if delay == self.delay {
             return false;
         }
-        let (was_late, was_delayed) = (self.known_late, self.delayed);
+        let (before, after) = (self.delay.shortest, delay.shortest);
+        if differs(before.as_secs_f64(), after.as_secs_f64()) {
+            self.disproving = 0;
+            self.disproved = None;
+        }
         self.delay = delay;
+        self.apply_delay(accepted)
+    }
+
+    /// Returns whether the pauses show that passes do not take the time `shortest` that
+    /// the pace of a rank amounts to.
+    pub fn disproves(&self, shortest: Duration) -> bool {
+        self.disproved.is_some_and(|observed| shortest > observed)
+    }
+
+    /// Returns whether the pauses contradict the reported delay.
+    pub fn has_disproved(&self) -> bool {
+        self.disproved.is_some()
+    }
+
+    fn apply_delay(&mut self, accepted: Duration) -> bool {
+        let (was_late, was_delayed) = (self.known_late, self.delayed);
+        let delay = match self.disproves(self.delay.shortest) {
+            true => Delay::default(),
+            false => self.delay,
+        };
         self.known_late = delay.shortest > accepted && !delay.excess.is_zero();
         self.delayed = delay.excess > accepted.mul_f64(DELAY_SHARE);
         if was_delayed && !self.delayed {
@@ -274,6 +314,7 @@
         self.pauses.clear();
         let running = in_flight as f64;
         let on_time = accepted.as_secs_f64() * self.tuning.pause_share;
+        self.check_delay(pause, accepted);
         if self.known_late {
             if let Some(best) = self.best_late_limit(pause, running) {
                 self.permits += DELAYED_GAIN * (best - self.permits);
@@ -346,6 +387,20 @@
         pause * (1.0 - self.tuning.load_share + load_part) > on_time
     }
 
+    /// Stops to believe the reported delay if pauses are shorter than it allows.
+    fn check_delay(&mut self, pause: f64, accepted: Duration) {
+        let contradicted = pause < self.delay.shortest.as_secs_f64() * POSSIBLE_SHARE;
+        if !self.delayed || !contradicted {
+            self.disproving = 0;
+            return;
+        }
+        self.disproving += 1;
+        if self.disproving >= DISPROVING_ADJUSTMENTS {
+            self.disproved = Some(Duration::from_secs_f64(pause / POSSIBLE_SHARE));
+            self.apply_delay(accepted);
+        }
+    }
+
     /// Returns whether a pause is much shorter than recent ones, and not for fewer
     /// requests.
     fn has_eased(&self, pause: f64, running: f64) -> bool {
--- a/crates/core/tests/group_capacity.rs
+++ b/crates/core/tests/group_capacity.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_core::group::capacity::{Paces, Rejected, Report, Slowdown, Source, Step, VALIDITY};
+use berylgw_core::group::capacity::{
+    Paces, Rejected, Report, Responses, Slowdown, Source, Step, Total, UsualTimes, VALIDITY,
+    factors, sum,
+};
 use berylgw_core::group::concurrency::{Limit, Tolerance, Tuning};
 use berylgw_core::group::selection::{Candidate, choose};
 use rand::{Rng, SeedableRng};
@@ -467,3 +470,298 @@
     assert!(outcome.ended * 10 >= usual.ended * 8, "{outcome:?}");
     assert!(outcome.on_time_after * 10 >= usual.on_time_after * 9);
 }
+
+/// A fleet of plain servers of which some are slow.
+#[derive(Clone, Copy)]
+struct Plain {
+    entries: usize,
+    servers: usize,
+    slots: u32,
+    per_second: f64,
+    /// Time of a request at a usual server with a free slot, in milliseconds.
+    usual_ms: f64,
+    method: Method,
+}
+
+/// How the choice of a server takes its slowness into account.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Method {
+    /// Not at all: a server counts by its slots.
+    Fixed,
+    /// No requests for ten seconds to a server whose responses take twice as long as usual
+    /// at the entry.
+    Ejection,
+    /// Load weighted by the mean response time at the entry.
+    Latency,
+    /// A limit for each server, its slots times the usual over the observed time at the
+    /// entry.
+    Gradient,
+    /// The measured capacity, from the responses of all entries.
+    Measured,
+}
+
+const FLEET: Plain = Plain {
+    entries: 47,
+    servers: 40,
+    slots: 6,
+    per_second: 900.0,
+    usual_ms: 80.0,
+    method: Method::Measured,
+};
+
+/// Share of the requests at the slow servers and of those that took more than three times
+/// the usual time, second by second.
+type Seconds = Vec<(f64, f64)>;
+
+/// Simulates the fleet; `pace` returns the time of a server relative to a usual one and
+/// `length` that of a request to a usual one, in a second.
+fn replay_plain(
+    fleet: Plain,
+    seconds: usize,
+    pace: impl Fn(usize, usize) -> f64,
+    length: impl Fn(usize) -> f64,
+) -> (Seconds, Vec<f64>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut usual: Vec<UsualTimes> = vec![UsualTimes::default(); fleet.entries];
+    let mut own: Vec<Responses> = vec![Responses::default(); fleet.entries];
+    let mut factors_now = vec![1.0; fleet.servers];
+    let mut probe_at = vec![0; fleet.servers];
+    // End, entry, server, start and requests in flight at the start.
+    let mut running: Vec<(f64, usize, usize, f64, u32)> = Vec::new();
+    let mut in_flight = vec![0_u32; fleet.servers];
+    let mut counts = vec![(0, 0, 0); seconds];
+    // Mean ratio at each entry, and the end of an ejection.
+    let mut means = vec![vec![1.0; fleet.servers]; fleet.entries];
+    let mut ejected_until = vec![vec![0; fleet.servers]; fleet.entries];
+    for millis in 0..seconds * 1_000 {
+        let (now, second) = (millis as f64, millis / 1_000);
+        running.retain(|&(end, entry, server, began, load)| {
+            if end <= now {
+                in_flight[server] -= 1;
+                let time = Duration::from_secs_f64((end - began) / 1_000.0);
+                let ratio = usual[entry].ratio(1, load, fleet.slots, time);
+                if let Some(ratio) = ratio {
+                    let mean = &mut means[entry][server];
+                    *mean += 0.2 * (ratio - *mean);
+                    if *mean > 2.0 && ejected_until[entry][server] <= millis {
+                        ejected_until[entry][server] = millis + 10_000;
+                        *mean = 1.0;
+                    }
+                    own[entry].record(at(millis as u64), server as u32, ratio);
+                }
+            }
+            end > now
+        });
+        if millis % 400 == 0 && fleet.method == Method::Measured {
+            let told = own.iter_mut().flat_map(|own| own.totals(at(millis as u64)));
+            let totals = sum(told.collect());
+            let known = |server: usize| {
+                let found = totals.binary_search_by_key(&(server as u32), |total| total.process);
+                let total = found.map_or_else(|_| Total::default(), |index| totals[index]);
+                (total, factors_now[server])
+            };
+            let servers: Vec<(Total, f64)> = (0..fleet.servers).map(known).collect();
+            factors_now = factors(&servers);
+        }
+        if !rng.random_bool(fleet.per_second / 1_000.0) {
+            continue;
+        }
+        let entry = rng.random_range(0..fleet.entries);
+        let candidate = |server: usize| {
+            let probe = factors_now[server] > 1.0 && probe_at[server] <= millis;
+            let mean: f64 = means[entry][server];
+            let factor = match fleet.method {
+                Method::Fixed | Method::Gradient => 1.0,
+                Method::Ejection if millis < ejected_until[entry][server] => f64::INFINITY,
+                Method::Ejection => 1.0,
+                Method::Latency => mean.max(1.0),
+                Method::Measured if probe => 1.0,
+                Method::Measured => factors_now[server],
+            };
+            let slots = match fleet.method {
+                Method::Gradient => (f64::from(fleet.slots) / mean.max(1.0)).ceil() as u32,
+                _ => fleet.slots,
+            };
+            Candidate {
+                in_flight: in_flight[server],
+                slots,
+                same_domain: true,
+                recovering: false,
+                home_slots: 0,
+                slowdown: Slowdown {
+                    factor,
+                    offset: 0.0,
+                },
+            }
+        };
+        let candidates: Vec<Candidate> = (0..fleet.servers).map(candidate).collect();
+        let server = choose(&candidates, 0.0, |below| rng.random_range(0..below.max(1)));
+        let server = server.expect("there are servers");
+        if factors_now[server] > 1.0 && probe_at[server] <= millis {
+            probe_at[server] = millis + 500;
+        }
+        let load = in_flight[server];
+        let wait = (f64::from(load + 1) / f64::from(fleet.slots)).max(1.0);
+        let spread = rng.random_range(0.6..1.4);
+        let time = fleet.usual_ms * pace(server, second) * length(second) * wait * spread;
+        in_flight[server] += 1;
+        running.push((now + time, entry, server, now, load));
+        counts[second].0 += 1;
+        counts[second].1 += usize::from(pace(server, second) > 1.0);
+        counts[second].2 += usize::from(time > 3.0 * fleet.usual_ms * length(second));
+    }
+    let share = |&(all, slow, late): &(usize, usize, usize)| {
+        (slow as f64 / all as f64, late as f64 / all as f64)
+    };
+    (counts.iter().map(share).collect(), factors_now)
+}
+
+/// Guards against a slow plain server that keeps its share, against too few samples at
+/// each of 47 entries, and against a server that is avoided after it is sound again or
+/// that alternates between both.
+#[test]
+fn plain_server_slow_then_sound() {
+    let pace = |server: usize, second: usize| match (server, second) {
+        (7, 5..15) => 5.0,
+        _ => 1.0,
+    };
+    let (shares, last) = replay_plain(FLEET, 25, pace, |_| 1.0);
+    let fixed = Plain {
+        method: Method::Fixed,
+        ..FLEET
+    };
+    let (before, _) = replay_plain(fixed, 25, pace, |_| 1.0);
+    println!(
+        "by slots {:?}\nmeasured {:?}",
+        &before[5..16],
+        &shares[5..16]
+    );
+    // From two seconds after the slowdown began.
+    let kept = |shares: &Seconds| shares[7..15].iter().map(|second| second.0).sum::<f64>() / 8.0;
+    assert!(
+        kept(&shares) < 0.5 * kept(&before),
+        "{} {}",
+        kept(&shares),
+        kept(&before)
+    );
+    assert!(kept(&shares) > 0.0, "no probe request");
+    assert_eq!(last[7], 1.0);
+}
+
+/// Guards against servers that count as slow because of their requests: all slow alike,
+/// long prompts only, or a server that is merely busy.
+#[test]
+fn plain_servers_alike() {
+    let all_slow = |_: usize, second: usize| if second >= 5 { 5.0 } else { 1.0 };
+    let fleet = Plain {
+        per_second: 500.0,
+        ..FLEET
+    };
+    let (_, last) = replay_plain(fleet, 12, all_slow, |_| 1.0);
+    assert_eq!(last, vec![1.0; FLEET.servers]);
+    let long_prompts = |second: usize| if second >= 5 { 6.0 } else { 1.0 };
+    let (_, last) = replay_plain(fleet, 12, |_, _| 1.0, long_prompts);
+    assert_eq!(last, vec![1.0; FLEET.servers]);
+    let overload = Plain {
+        servers: 4,
+        ..FLEET
+    };
+    let (_, last) = replay_plain(overload, 6, |_, _| 1.0, |_| 1.0);
+    assert_eq!(last, vec![1.0; 4]);
+}
+
+/// Guards against a server that counts as slow by a few responses.
+#[test]
+fn factors_too_few_samples() {
+    let total = |samples: u32, mean: f64| Total {
+        process: 1,
+        samples,
+        ratio_sum: mean * f64::from(samples),
+    };
+    let usual = (total(40, 1.0), 1.0);
+    assert_eq!(factors(&[usual, usual, (total(4, 8.0), 1.0)])[2], 1.0);
+    assert!(factors(&[usual, usual, (total(40, 3.0), 1.0)])[2] > 2.5);
+    // Without responses a slow server stays slow.
+    assert_eq!(factors(&[usual, usual, (Total::default(), 3.0)])[2], 3.0);
+    assert_eq!(Total::from_parts(1, 3, f64::NAN), None);
+    assert_eq!(Total::from_parts(1, 3, 1e9), None);
+}
+
+/// Guards against a rank that reports a pace which the pauses contradict, and that leaves
+/// its group late or itself without requests.
+#[test]
+fn limit_misreported_pace() {
+    let accepted = Duration::from_millis(120);
+    let mut limit = Limit::new(TUNING, 192.0);
+    let before = limit.permits();
+    let mut paces = Paces::default();
+    record(&mut paces, 0, 32, |rank| if rank == 4 { 20.0 } else { 1.0 });
+    assert!(limit.set_delay(paces.delay(1, STEP), accepted));
+    for step in 1..=6 {
+        limit.observe(Duration::from_millis(60));
+        limit.adjust(at(step * 110), 50, accepted);
+    }
+    assert!(!limit.is_late());
+    assert!(limit.disproves(STEP.shortest_pass(20.0)));
+    assert!(!limit.disproves(STEP.shortest_pass(1.2)));
+    assert_eq!(limit.permits(), before);
+    // The pace varies a little with each report.
+    record(
+        &mut paces,
+        2_000,
+        32,
+        |rank| if rank == 4 { 20.5 } else { 1.0 },
+    );
+    limit.set_delay(paces.delay(1, STEP), accepted);
+    assert!(!limit.is_late());
+}
+
+/// Guards against a worse result than that of the ways which docs/design/capacity.md
+/// weighs, with a slow server and with all servers slow at once.
+#[test]
+fn plain_methods_compared() {
+    let pace = |server: usize, second: usize| match (server, second) {
+        (0..4, 5..15) => 5.0,
+        _ => 1.0,
+    };
+    let all_slow = |_: usize, second: usize| if second >= 5 { 5.0 } else { 1.0 };
+    let methods = [
+        Method::Fixed,
+        Method::Ejection,
+        Method::Latency,
+        Method::Gradient,
+        Method::Measured,
+    ];
+    let mut late = Vec::new();
+    for method in methods {
+        let fleet = Plain { method, ..FLEET };
+        let (shares, _) = replay_plain(fleet, 25, pace, |_| 1.0);
+        let during = shares[7..15].iter().map(|second| second.1).sum::<f64>() / 8.0;
+        // The four servers have a tenth of the slots.
+        let after = share_after(fleet, pace);
+        let light = Plain {
+            per_second: 500.0,
+            ..fleet
+        };
+        let (alike, _) = replay_plain(light, 15, all_slow, |_| 1.0);
+        let alike = alike[8..15].iter().map(|second| second.1).sum::<f64>() / 7.0;
+        println!(
+            "{method:?}: late {during:.4} while slow, share after {after:.4}, all slow {alike:.3}"
+        );
+        late.push(during);
+    }
+    let measured = late[4];
+    assert!(measured < 0.5 * late[0], "{late:?}");
+}
+
+/// Returns the share of the requests at the first four servers in the three seconds from
+/// two seconds after their slowdown on.
+fn share_after(fleet: Plain, pace: impl Fn(usize, usize) -> f64) -> f64 {
+    // A time barely above the usual one marks these servers.
+    let marked = |server: usize, second: usize| match (server, pace(server, second)) {
+        (0..4, 1.0) if second >= 17 => 1.000_001,
+        (_, pace) => pace,
+    };
+    let (shares, _) = replay_plain(fleet, 20, marked, |_| 1.0);
+    shares[17..20].iter().map(|second| second.0).sum::<f64>() / 3.0
+}
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -372,6 +372,8 @@
     let slow_after = call.route.latency_target * ATTEMPT_TIMEOUT_FACTOR;
     let slow_after = slow_after.min(left / 2);
     let server = assignment.server.id.clone();
+    let (key, load) = assignment.load();
+    let sent = gateway.clock.now();
     let request = call.request(gateway, &server, last_event);
     let exchange = async {
         let address = assignment.server.address;
@@ -413,10 +415,21 @@
             return Outcome::Withdrawn;
         }
     };
-    match ended {
+    let outcome = match ended {
         Ok(outcome) => outcome,
         Err(_) => Outcome::Lost(End::Timeout),
+    };
+    // A server that was too slow to answer has taken at least this long.
+    let timed = matches!(
+        outcome,
+        Outcome::Answer(Answer::Buffered(_)) | Outcome::Superseded(_) | Outcome::Lost(End::Timeout)
+    );
+    if timed {
+        gateway.with_state(|state, now| {
+            state.record_time(now, key, &call.route, load, now.since(sent));
+        });
     }
+    outcome
 }
 
 /// Waits until a request is quarantined.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -326,6 +326,13 @@
             .with_state(|state, now| state.record_pause(now, service, self.key, pause, target));
     }
 
+    /// Returns what is needed to record the time of the response after the server is no
+    /// longer assigned: its key and the requests in flight there.
+    pub fn load(&self) -> (ServerKey, u32) {
+        let load = self.gateway.with_state(|state, _| state.load(self.key));
+        (self.key, load)
+    }
+
     /// Records the number of events of a stream of the server that has ended.
     pub fn record_response(&self, service: ServiceKey, events: u32) {
         self.gateway
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -269,7 +269,7 @@
         let settings = &self.gateway.settings;
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
-        let (loads, limits, crashes, rate_limits, leaving_servers, paces, revisions) =
+        let (loads, limits, crashes, rate_limits, leaving_servers, reports, revisions) =
             self.gateway.with_state(|state, now| {
                 let (loads, limits) = state.load_report();
                 let crashes = if with_crashes {
@@ -280,6 +280,10 @@
                 let rate_limits = state.rate_limit_report(now);
                 let leaving = state.leaving_report(now, periodic);
                 let paces = state.pace_report(uptime(), periodic);
+                let responses = match periodic {
+                    true => state.response_report(now),
+                    false => Vec::new(),
+                };
                 let revisions = state.view.revisions();
                 (
                     loads,
@@ -287,10 +291,11 @@
                     crashes,
                     rate_limits,
                     leaving,
-                    paces,
+                    (paces, responses),
                     revisions,
                 )
             });
+        let (paces, responses) = reports;
         let [configuration_age_ms, servers_age_ms, evacuations_age_ms] =
             self.views.told_ages_ms(&revisions);
         let datagram = Beat {
@@ -317,7 +322,7 @@
             evacuations_age_ms,
             sent_us: Some(uptime().as_micros()),
             paces,
-            responses: Vec::new(),
+            responses,
         };
         let bytes = datagram.encode_to_vec();
         let mut failed = 0;
@@ -407,8 +412,9 @@
             tracing::info!(entries, ready = status.ready, "directory changed");
             self.status.send_replace(Arc::new(status));
         }
-        gateway.with_state(|state, _| {
+        gateway.with_state(|state, now| {
             state.evaluate_capacity(uptime());
+            state.evaluate_responses(now);
             state.log_capacity(uptime());
             state.export_capacities(&gateway.metrics);
             state.export_gauges(&gateway.metrics);
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -6,6 +6,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::freshness::Turn;
+use berylgw_core::group::capacity::{self, Total};
 use berylgw_core::revision::Revision;
 use berylgw_core::transit::Transit;
 use berylgw_wire::direct::{self as wire, Beat};
@@ -43,6 +44,10 @@
 /// entries thus fit their type, whatever a datagram says.
 const MAX_IN_FLIGHT: u32 = 1 << 16;
 
+/// Time after which response times from another entry no longer count: three of its
+/// periodic datagrams.
+const RESPONSES_VALIDITY: Duration = Duration::from_millis(1_200);
+
 /// Time between two checks for entries that have become silent.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -118,6 +123,9 @@
     pub loads: Vec<(u32, u32)>,
     /// Its concurrency limit by service digest.
     pub concurrency_limits: Vec<(u32, u32)>,
+    /// Response times that it has observed, and when they arrived. Only some datagrams
+    /// have them.
+    responses: (Vec<Total>, Instant),
     /// Whether its calls to the store fail.
     pub store_lost: bool,
     /// Arrival time of its last datagram.
@@ -163,6 +171,15 @@
             return false;
         }
         let transit = same.and_then(|known| known.transit);
+        let total = |response: &wire::Response| {
+            let sum = f64::from(response.ratio_sum);
+            Total::from_parts(response.process, response.samples, sum)
+        };
+        let responses: Vec<Total> = datagram.responses.iter().filter_map(total).collect();
+        let responses = match same {
+            Some(known) if responses.is_empty() => known.responses.clone(),
+            _ => (responses, now),
+        };
         let mut loads: Vec<(u32, u32)> = datagram
             .loads
             .iter()
@@ -191,6 +208,7 @@
             },
             loads,
             concurrency_limits: concurrency_limits.collect(),
+            responses,
             store_lost: datagram.store_lost,
             updated: now,
             counted: false,
@@ -378,6 +396,13 @@
             .count()
     }
 
+    /// Returns the response times that the other entries have observed lately, by server.
+    pub fn responses(&self, now: Instant) -> Vec<Total> {
+        let live = self.live(now);
+        let recent = live.filter(|peer| now.since(peer.responses.1) < RESPONSES_VALIDITY);
+        capacity::sum(recent.flat_map(|peer| peer.responses.0.clone()).collect())
+    }
+
     /// Returns the requests in flight at a server from live entries, as of the
     /// last [`Peers::expire`].
     pub fn in_flight(&self, server: u32) -> u32 {
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_core::group::capacity::{Paces, Slowdown};
+use berylgw_core::group::capacity::{Paces, Responses, Slowdown, UsualTimes};
 use berylgw_core::group::concurrency::Limit;
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::queue::Queue;
@@ -84,6 +84,14 @@
     /// Digest of the name of its group, if it has reported one.
     group: Option<u32>,
     slowdown: Slowdown,
+    /// Slowdown factor by its response times, 1 if it is usual.
+    response_factor: f64,
+    /// When it may get the next request although it is slow.
+    probe_at: Instant,
+    /// Whether it was listed after this entry had begun, so that it may be in cold start.
+    is_new: bool,
+    /// Time of its first response.
+    first_response: Option<Instant>,
     /// Ratio to the usual pace that was logged last, and when.
     logged: Option<(f64, Instant)>,
 }
@@ -115,6 +123,8 @@
     /// Digests of their processes, sorted: others report them again and again.
     left_processes: Vec<u32>,
     paces: Paces,
+    usual_times: UsualTimes,
+    responses: Responses,
     pools: Vec<Pool>,
     /// Source of queue ids.
     counter: u64,
@@ -135,6 +145,8 @@
             left: drained::Table::default(),
             left_processes: Vec::new(),
             paces: Paces::default(),
+            usual_times: UsualTimes::default(),
+            responses: Responses::default(),
             pools: Vec::new(),
             counter: rand::random(),
         }
@@ -155,6 +167,7 @@
                 *position = None;
             }
         }
+        let is_new = !self.servers.is_empty();
         for server in servers {
             let same = |known: &ServerState| {
                 known.listed.id == server.id && known.listed.born == server.born
@@ -180,6 +193,10 @@
                 pause: pause::Pause::default(),
                 group: None,
                 slowdown: Slowdown::default(),
+                response_factor: 1.0,
+                probe_at: Instant::ORIGIN,
+                is_new,
+                first_response: None,
                 logged: None,
             };
             match self.servers.iter_mut().find(|known| known.is_none()) {
--- a/crates/direct/src/state/capacity.rs
+++ b/crates/direct/src/state/capacity.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_core::group::capacity::{Rejected, Report, Slowdown, Source};
+use berylgw_core::group::capacity::{self, Rejected, Report, Slowdown, Source, Total};
 use berylgw_wire::{direct, rank};
 
-use super::{ServerState, State};
+use super::{ServerKey, ServerState, State};
 use crate::backend;
+use crate::config::Route;
 use crate::metrics::{MAX_SERVER_LABELS, Metrics};
 use crate::settings::Capacity;
 
@@ -21,12 +22,33 @@
 /// deployment of the design size.
 const MAX_PACES_REPORTED: usize = 200;
 
+/// Mean time between two requests of all entries together to a slow server that its share
+/// of the load would leave without any.
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after the first response of a new server in which its responses do not count.
+const COLD_START: Duration = Duration::from_secs(10);
+
+/// Largest number of servers whose response times are in a datagram.
+const MAX_RESPONSES_REPORTED: usize = 400;
+
 /// Ratio of two paces from which a change is logged.
 const LOGGED_CHANGE: f64 = 1.25;
 
 /// Shortest time between two log lines about the capacity of one server.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+impl ServerState {
+    /// Returns the slowdown that counts for the choice of a server at `now`: none if the
+    /// server is due for a probe request.
+    pub(super) fn slowdown_now(&self, now: Instant) -> Slowdown {
+        match self.response_factor > 1.0 && self.probe_at <= now {
+            true => Slowdown::default(),
+            false => self.slowdown,
+        }
+    }
+}
+
 impl State {
     /// Records the pace that a rank has reported to this entry, received at the uptime
     /// `now`.
@@ -109,15 +131,126 @@
         for server in self.servers.iter_mut().flatten() {
             let ratio = self.paces.ratio(server.address_digest);
             server.slowdown = Slowdown::default();
-            if fixed || ratio <= 1.0 {
+            if fixed {
+                continue;
+            }
+            server.slowdown.factor = server.response_factor;
+            if ratio <= 1.0 {
                 continue;
             }
             let service = view.configuration.value.service(&server.listed.service);
             let step = service.and_then(|service| service.step);
+            let pool = self
+                .pools
+                .iter()
+                .find(|pool| pool.name == server.listed.service);
+            if let (Some(step), Some(pool)) = (step, pool) {
+                let key = pool.key_of(server);
+                let mut groups = pool.groups.iter();
+                let limit = groups.find(|group| group.key == key);
+                let pace = self.paces.pace(server.address_digest);
+                let shortest = step.shortest_pass(pace);
+                if limit.is_some_and(|group| group.limit.disproves(shortest)) {
+                    continue;
+                }
+            }
             server.slowdown = Slowdown::of_pace(ratio, step);
         }
     }
 
+    /// Records the time that a plain server took for a request of a route, and the requests
+    /// that were in flight there as it was sent.
+    pub fn record_time(
+        &mut self,
+        now: Instant,
+        key: ServerKey,
+        route: &Route,
+        in_flight: u32,
+        time: Duration,
+    ) {
+        let Some(server) = &mut self.servers[key.0] else {
+            return;
+        };
+        let service = &server.listed.service;
+        let configuration = &self.view.configuration.value;
+        if configuration
+            .service(service)
+            .is_none_or(|service| service.grouped)
+        {
+            return;
+        }
+        let first = *server.first_response.get_or_insert(now);
+        if server.is_new && now.since(first) < COLD_START {
+            return;
+        }
+        let route = backend::digest(&format!("{} {}", route.host, route.prefix));
+        let ratio = self
+            .usual_times
+            .ratio(route, in_flight, server.listed.slots, time);
+        if let Some(ratio) = ratio {
+            self.responses.record(now, server.process, ratio);
+        }
+    }
+
+    /// Returns the requests in flight at a server from all entries.
+    pub fn load(&self, key: ServerKey) -> u32 {
+        let server = self.servers[key.0].as_ref();
+        server.map_or(0, |server| {
+            server.in_flight + self.peers.in_flight(server.digest)
+        })
+    }
+
+    /// Returns the response times that this entry has observed, for the datagrams to other
+    /// entries; those of the servers with most responses if there are too many.
+    pub fn response_report(&mut self, now: Instant) -> Vec<direct::Response> {
+        let mut totals = self.responses.totals(now);
+        totals.sort_by_key(|total| std::cmp::Reverse(total.samples));
+        totals.truncate(MAX_RESPONSES_REPORTED);
+        let response = |total: Total| direct::Response {
+            process: total.process,
+            samples: total.samples,
+            ratio_sum: total.ratio_sum as f32,
+        };
+        totals.into_iter().map(response).collect()
+    }
+
+    /// Compares the response times of the plain servers of each service.
+    pub fn evaluate_responses(&mut self, now: Instant) {
+        let mut totals = self.responses.totals(now);
+        totals.extend(self.peers.responses(now));
+        let totals = capacity::sum(totals);
+        let mut changed = false;
+        for index in 0..self.pools.len() {
+            let service = self.pools[index].name.clone();
+            let mut keys = Vec::new();
+            let mut servers = Vec::new();
+            for (key, server) in self.servers.iter().enumerate() {
+                let Some(server) = server else { continue };
+                if server.listed.service != service || !server.accepts_requests() {
+                    continue;
+                }
+                let found = totals.binary_search_by_key(&server.process, |total| total.process);
+                let total = found.map_or_else(|_| Total::default(), |at| totals[at]);
+                keys.push(key);
+                servers.push((total, server.response_factor));
+            }
+            for (key, factor) in keys.into_iter().zip(capacity::factors(&servers)) {
+                if let Some(server) = &mut self.servers[key] {
+                    changed |= server.response_factor != factor;
+                    server.response_factor = factor;
+                }
+            }
+        }
+        // Pauses may have disproved a report meanwhile.
+        let disproved = self.pools.iter().flat_map(|pool| &pool.groups);
+        let disproved = disproved
+            .filter(|group| group.limit.has_disproved())
+            .count();
+        if changed || disproved > 0 {
+            self.update_slowdowns();
+        }
+    }
+
     /// Logs the capacity of servers whose pace has changed much.
     pub fn log_capacity(&mut self, now: Instant) {
         for index in 0..self.servers.len() {
--- a/crates/direct/src/state/placement.rs
+++ b/crates/direct/src/state/placement.rs
@@ -8,6 +8,7 @@
 use berylgw_core::group::{arrival, health};
 use berylgw_wire::direct as wire;
 
+use super::capacity::PROBE_INTERVAL;
 use super::group::GroupLoad;
 use super::{ServerKey, ServiceKey, State};
 use crate::backend::Server;
@@ -84,7 +85,7 @@
                 home_slots: homes
                     .slots_at(server.digest, slots)
                     .saturating_sub(server.in_flight),
-                slowdown: server.slowdown,
+                slowdown: server.slowdown_now(now),
             });
         }
         if self.pools[service.0].is_split() {
@@ -101,6 +102,10 @@
         };
         let server = self.servers[chosen].as_mut()?;
         server.in_flight += 1;
+        if server.response_factor > 1.0 && server.probe_at <= now {
+            let interval = PROBE_INTERVAL * self.peers.sharing_entries() as u32;
+            server.probe_at = now + interval.mul_f64(rand::random_range(0.5..1.5));
+        }
         server.arrivals.try_acquire(now, usize::MAX);
         server.rate_limit.record_sent();
         Some((ServerKey(chosen), server.listed.clone()))
--- a/crates/direct/tests/capacity.rs
+++ b/crates/direct/tests/capacity.rs
@@ -78,14 +78,16 @@
         }],
         ..Configuration::default()
     };
-    let mut view = View::default();
-    view.configuration = Part {
-        revision: 1.into(),
-        value: Arc::new(configuration),
-    };
-    view.servers = Part {
-        revision: 1.into(),
-        value: Arc::new((0..RANKS * 2).map(server).collect()),
+    let view = View {
+        configuration: Part {
+            revision: 1.into(),
+            value: Arc::new(configuration),
+        },
+        servers: Part {
+            revision: 1.into(),
+            value: Arc::new((0..RANKS * 2).map(server).collect()),
+        },
+        ..View::default()
     };
     state.update_view(Arc::new(view));
     let service = state.service_key(&SERVICE.into());
