Log invalid paces at a bounded rate, and test them in datagrams

Cause: invalid reports of a pace were counted and not logged, the property test of datagrams left fields 26 and 27 empty, and a timeout that the caller had set short counted as a short response time.

Change: at most one log line a second for invalid reports; datagrams of the test have both fields; a timeout counts only from three latency targets on.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -420,14 +420,15 @@
         Err(_) => Outcome::Lost(End::Timeout),
     };
     // A server that was too slow to answer has taken at least this long.
-    let timed = matches!(
-        outcome,
-        Outcome::Answer(Answer::Buffered(_)) | Outcome::Superseded(_) | Outcome::Lost(End::Timeout)
-    );
+    let time = gateway.clock.now().since(sent);
+    let timed = match outcome {
+        Outcome::Answer(Answer::Buffered(_)) | Outcome::Superseded(_) => true,
+        // The time that the caller allowed may have been short.
+        Outcome::Lost(End::Timeout) => time >= slow_after,
+        _ => false,
+    };
     if timed {
-        gateway.with_state(|state, now| {
-            state.record_time(now, key, &call.route, load, now.since(sent));
-        });
+        gateway.with_state(|state, now| state.record_time(now, key, &call.route, load, time));
     }
     outcome
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -123,6 +123,8 @@
     /// Digests of their processes, sorted: others report them again and again.
     left_processes: Vec<u32>,
     paces: Paces,
+    /// When an invalid report of a pace was logged last.
+    invalid_pace_logged: Option<Instant>,
     usual_times: UsualTimes,
     responses: Responses,
     pools: Vec<Pool>,
@@ -145,6 +147,7 @@
             left: drained::Table::default(),
             left_processes: Vec::new(),
             paces: Paces::default(),
+            invalid_pace_logged: None,
             usual_times: UsualTimes::default(),
             responses: Responses::default(),
             pools: Vec::new(),
--- a/crates/direct/src/state/capacity.rs
+++ b/crates/direct/src/state/capacity.rs
@@ -58,6 +58,7 @@
     /// Fails if the report is invalid or a newer one is known.
     pub fn record_pace(&mut self, now: Instant, pace: &rank::Pace) -> Result<(), Rejected> {
         let Ok(address) = pace.rank.parse::<SocketAddr>() else {
+            self.log_invalid(now, &pace.rank, pace.pace, pace.size);
             return Err(Rejected::Invalid);
         };
         let report = Report {
@@ -69,7 +70,21 @@
             read: Instant::from_micros(pace.read_us),
         };
         let age = Duration::from_millis(pace.age_ms.into());
-        self.paces.record(now, report, age, Source::Rank)
+        let recorded = self.paces.record(now, report, age, Source::Rank);
+        if recorded == Err(Rejected::Invalid) {
+            self.log_invalid(now, &pace.rank, pace.pace, pace.size);
+        }
+        recorded
+    }
+
+    /// Logs an invalid report, at most one in [`LOG_INTERVAL`].
+    fn log_invalid(&mut self, now: Instant, rank: &str, pace: f32, size: u32) {
+        let last = self.invalid_pace_logged;
+        if last.is_some_and(|at| now.since(at) < LOG_INTERVAL) {
+            return;
+        }
+        self.invalid_pace_logged = Some(now);
+        tracing::warn!(rank, pace, size, "report of a pace is invalid");
     }
 
     /// Records the pace that a rank has reported to another entry. It was received at the
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -68,6 +68,47 @@
     ]
 }
 
+fn pace() -> impl Strategy<Value = wire::Pace> {
+    let paces = prop_oneof![
+        any::<f32>(),
+        Just(f32::NAN),
+        Just(f32::INFINITY),
+        Just(-1.0),
+        Just(4.0)
+    ];
+    let rank = prop_oneof![Just(backend::digest("10.0.0.9:80")), any::<u32>()];
+    let parts = (
+        rank,
+        number(),
+        any::<u64>(),
+        number(),
+        paces,
+        any::<u64>(),
+        number(),
+    );
+    parts.prop_map(
+        |(rank, group, epoch, size, pace, read_us, age_ms)| wire::Pace {
+            rank,
+            group,
+            epoch,
+            size,
+            pace,
+            read_us,
+            age_ms,
+        },
+    )
+}
+
+fn response() -> impl Strategy<Value = wire::Response> {
+    let sums = prop_oneof![any::<f32>(), Just(f32::NAN), Just(-1.0), Just(50.0)];
+    let parts = (number(), number(), sums);
+    parts.prop_map(|(process, samples, ratio_sum)| wire::Response {
+        process,
+        samples,
+        ratio_sum,
+    })
+}
+
 fn datagram() -> impl Strategy<Value = wire::Beat> {
     let loads = vec((number(), number()), 0..6);
     let bounds = vec((number(), number()), 0..6);
@@ -89,9 +130,11 @@
         vec(crash(), 0..4),
         limits,
         leaving,
+        (vec(pace(), 0..4), vec(response(), 0..4)),
     )
         .prop_map(
-            |(identity, callers, loads, bounds, crashes, limits, leaving_servers)| {
+            |(identity, callers, loads, bounds, crashes, limits, leaving_servers, capacity)| {
+                let (paces, responses) = capacity;
                 let (name, incarnation, sequence, [version, era, number, sent], leaving) = identity;
                 let at = wire::Revision {
                     version,
@@ -135,7 +178,8 @@
                     servers_age_ms: None,
                     evacuations_age_ms: Some(u32::MAX),
                     sent_us: Some(sent),
-                    ..Default::default()
+                    paces,
+                    responses,
                 }
             },
         )
@@ -176,6 +220,10 @@
         state.merge_crashes(now, &datagram.crashes);
         state.merge_rate_limits(now, &datagram.rate_limits);
         state.merge_leaving(&datagram.leaving_servers);
+        for pace in &datagram.paces {
+            let _ = state.merge_pace(now, now, pace);
+        }
+        state.evaluate_capacity(now);
         let (name, incarnation) = (datagram.name.clone(), datagram.incarnation);
         let sent = Instant::from_micros(datagram.sent_us.unwrap_or_default());
         state.peers.apply(now, address, datagram);
@@ -194,6 +242,10 @@
             state.finish_request(key);
         }
         state.peers.role(now, "edge-own", "shed");
+        state.evaluate_responses(now);
+        state.log_capacity(now);
+        assert!(state.pace_report(now, true).is_empty());
+        assert!(state.response_report(now).is_empty());
         state.rate_limit_report(now);
         state.crash_report(now);
         state.leaving_report(now, true);
