--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -373,6 +373,8 @@
     let slow_after = call.route.latency_target * ATTEMPT_TIMEOUT_FACTOR;
     let slow_after = slow_after.min(left / 2);
     let server = assignment.server.id.clone();
+    let (key, load) = assignment.load();
+    let sent = gateway.clock.now();
     let request = call.request(gateway, &server, last_event);
     // A stream counts with its first event instead.
     let plain = !call.kind().streams();
@@ -428,10 +430,22 @@
             return Outcome::Withdrawn;
         }
     };
-    match ended {
+    let outcome = match ended {
         Ok(outcome) => outcome,
         Err(_) => Outcome::Lost(End::Timeout),
+    };
+    // A server that was too slow to answer has taken at least this long.
+    let time = gateway.clock.now().since(sent);
+    let timed = match outcome {
+        Outcome::Answer(Answer::Buffered(_)) | Outcome::Superseded(_) => true,
+        // The time that the caller allowed may have been short.
+        Outcome::Lost(End::Timeout) => time >= slow_after,
+        _ => false,
+    };
+    if timed {
+        gateway.with_state(|state, now| state.record_time(now, key, &call.route, load, time));
     }
+    outcome
 }
 
 /// Waits until a request is quarantined.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -330,6 +330,25 @@
             .with_state(|state, now| state.may_send(now, self.key))
     }
 
+    /// Records a pause between two events of a stream of the server.
+    pub fn record_pause(&self, service: ServiceKey, pause: Duration, target: Duration) {
+        self.gateway
+            .with_state(|state, now| state.record_pause(now, service, self.key, pause, target));
+    }
+
+    /// Returns what is needed to record the time of the response after the server is no
+    /// longer assigned: its key and the requests in flight there.
+    pub fn load(&self) -> (ServerKey, u32) {
+        let load = self.gateway.with_state(|state, _| state.load(self.key));
+        (self.key, load)
+    }
+
+    /// Records the number of events of a stream of the server that has ended.
+    pub fn record_response(&self, service: ServiceKey, events: u32) {
+        self.gateway
+            .with_state(|state, _| state.record_response(service, self.key, events));
+    }
+
     /// Records an outcome of the server.
     pub fn report(&self, record: impl FnOnce(&mut health::Record, Instant)) {
         self.gateway.with_state(|state, now| {
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod capacity;
 mod crash;
+mod group;
 mod notice;
 mod placement;
 
@@ -12,7 +13,7 @@
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
-use berylgw_core::group::capacity::{Paces, Slowdown};
+use berylgw_core::group::capacity::{Paces, Responses, Slowdown, UsualTimes};
 use berylgw_core::group::concurrency::Limit;
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::queue::Queue;
@@ -24,7 +25,7 @@
 use crate::backend::{self, Server};
 use crate::metrics::Metrics;
 use crate::peer::Peers;
-use crate::pool::Pool;
+use crate::pool::{GroupLimit, Pool};
 use crate::settings::Settings;
 use crate::view::View;
 
@@ -80,7 +81,17 @@
     /// Time at which this entry itself heard that it leaves.
     leaving_heard: Option<Instant>,
     pause: pause::Pause,
+    /// Digest of the name of its group, if it has reported one.
+    group: Option<u32>,
     slowdown: Slowdown,
+    /// Slowdown factor by its response times, 1 if it is usual.
+    response_factor: f64,
+    /// When it may get the next request although it is slow.
+    probe_at: Instant,
+    /// Whether it was listed after this entry had begun, so that it may be in cold start.
+    is_new: bool,
+    /// Time of its first response.
+    first_response: Option<Instant>,
     /// Ratio to the usual pace that was logged last, and when.
     logged: Option<(f64, Instant)>,
 }
@@ -112,6 +123,10 @@
     /// Digests of their processes, sorted: others report them again and again.
     left_processes: Vec<u32>,
     paces: Paces,
+    /// When an invalid report of a pace was logged last.
+    invalid_pace_logged: Option<Instant>,
+    usual_times: UsualTimes,
+    responses: Responses,
     pools: Vec<Pool>,
     /// Source of queue ids.
     counter: u64,
@@ -132,6 +147,9 @@
             left: drained::Table::default(),
             left_processes: Vec::new(),
             paces: Paces::default(),
+            invalid_pace_logged: None,
+            usual_times: UsualTimes::default(),
+            responses: Responses::default(),
             pools: Vec::new(),
             counter: rand::random(),
         }
@@ -152,6 +170,7 @@
                 *position = None;
             }
         }
+        let is_new = !self.servers.is_empty();
         for server in servers {
             let same = |known: &ServerState| {
                 known.listed.id == server.id && known.listed.born == server.born
@@ -175,7 +194,12 @@
                 leaving: self.left.contains(&server.id, server.born),
                 leaving_heard: None,
                 pause: pause::Pause::default(),
+                group: None,
                 slowdown: Slowdown::default(),
+                response_factor: 1.0,
+                probe_at: Instant::ORIGIN,
+                is_new,
+                first_response: None,
                 logged: None,
             };
             match self.servers.iter_mut().find(|known| known.is_none()) {
@@ -186,6 +210,7 @@
         self.mark_superseded();
         self.update_slowdowns();
         self.update_ceilings();
+        self.update_delays();
     }
 
     /// Limits the requests at each service to the slots of its servers.
@@ -194,8 +219,19 @@
         for index in 0..view.configuration.value.services.len() {
             let name = view.configuration.value.services[index].name.clone();
             let key = self.service_key(&name);
-            let capacity = self.capacity(&name);
-            self.pools[key.0].limit.set_ceiling(capacity.max(1.0));
+            for group in 0..self.pools[key.0].groups.len() {
+                let pool = &self.pools[key.0];
+                let wanted = pool.groups[group].key;
+                let servers = self.servers.iter().flatten();
+                let servers = servers.filter(|server| {
+                    server.accepts_requests()
+                        && server.listed.service == pool.name
+                        && pool.key_of(server) == wanted
+                });
+                let slots = servers.map(|server| f64::from(server.listed.slots));
+                let ceiling = slots.sum::<f64>().max(1.0);
+                self.pools[key.0].groups[group].limit.set_ceiling(ceiling);
+            }
         }
     }
 
@@ -245,7 +281,11 @@
             self.pools.push(Pool {
                 name: service.clone(),
                 digest: backend::digest(service),
-                limit,
+                groups: vec![GroupLimit {
+                    key: None,
+                    digest: backend::digest(service),
+                    limit,
+                }],
                 queue: Queue::new(MAX_QUEUED),
                 waiting: Vec::new(),
                 running: Vec::new(),
