Let urgent requests wait as long as others and displace them in a full queue

Cause: a request waits for an eighth of its route's latency target, so the most urgent (400 ms) wait 50 ms and the least urgent (800 ms) 100 ms; a full queue refuses by arrival; an account's own priority hides the route's.

Change: where the routes of a service have different priorities, the wait is an eighth of the shortest target, a full queue refuses its last request, and the route's priority counts before the account's.

Tests of berylgw-direct have not been run on this commit.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`concurrency`]: concurrency limit, adjusted from observed pauses.
 //! - [`queue`]: queue of requests that wait for a permit.
+//! - [`share`]: admission by priority and account under scarcity.
 //! - [`pace`]: rate at which requests begin.
 //! - [`client_timeout`]: recognition of client retries.
 //! - [`selection`]: choice of the backend server for a request.
@@ -33,3 +34,4 @@
 pub mod rate;
 pub mod retry_after;
 pub mod selection;
+pub mod share;
--- a/crates/core/src/group/outage.rs
+++ b/crates/core/src/group/outage.rs
@@ -103,6 +103,11 @@
         self.starts.max((free as f64 / windows) as usize)
     }
 
+    /// Returns whether the group runs again and fills up.
+    pub fn is_refilling(&self, now: Instant) -> bool {
+        self.since.is_none() && self.is_out_or_refilling(now)
+    }
+
     fn is_out_or_refilling(&self, now: Instant) -> bool {
         self.since.is_some() || now.since(self.ended) < REFILL_TIME
     }
--- a/crates/core/src/group/queue.rs
+++ b/crates/core/src/group/queue.rs
@@ -14,8 +14,16 @@
 /// A waiting request, with the attributes that decide the order of the queue.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
-    /// Priority of the route or client account; 0 is the highest.
+    /// Priority; 0 is the highest. It is the route's where the routes of the service
+    /// have different priorities, elsewhere that of the client account if it has one.
     pub priority: u32,
+    /// Priority of the client account among requests of one `priority`; 0 is the
+    /// highest.
+    pub account_priority: u32,
+    /// Whether the account uses more than usual, so that it waits behind all others.
+    pub flooding: bool,
+    /// Whether a refused client returns at the time that it was given.
+    pub returning: bool,
     /// Whether the response can still be on time.
     pub in_time: bool,
     /// Client account that is charged.
@@ -26,6 +34,22 @@
     pub deadline: Instant,
 }
 
+/// Result of [`Queue::push_before`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Push {
+    /// The request is queued.
+    Queued,
+    /// The request is queued in place of the last one, which is refused.
+    Displaced(Id),
+    /// The queue is full of requests that precede this one.
+    Refused,
+}
+
+/// Position in the order of the queue: whether the account floods, priority, whether the
+/// client does not return, priority of the account, whether the response is late, running
+/// requests of the account.
+type Key = (bool, u32, bool, u32, bool, usize);
+
 #[derive(Clone, Debug)]
 struct Waiting {
     id: Id,
@@ -34,9 +58,10 @@
 
 /// A bounded queue of requests that wait for permits.
 ///
-/// Requests are ordered by priority, then those that can still be on time first,
-/// then by the number of running requests of their client account, fewest first,
-/// then by arrival.
+/// Those of accounts that flood are last. Requests are ordered by priority, then those of
+/// clients that return at their time first, then by the priority of their client account,
+/// then those that can still be on time first, then by the number of running requests of
+/// their client account, fewest first, then by arrival.
 ///
 /// ```
 /// use berylgw_core::clock::Instant;
@@ -44,7 +69,10 @@
 /// use std::time::Duration;
 ///
 /// let deadline = Instant::ORIGIN + Duration::from_millis(50);
-/// let late = Request { priority: 1, in_time: false, account: "a".into(), tokens: 1, deadline };
+/// let late = Request {
+///     priority: 1, account_priority: 0, flooding: false, returning: false, in_time: false,
+///     account: "a".into(), tokens: 1, deadline,
+/// };
 /// let fresh = Request { in_time: true, ..late.clone() };
 /// let mut queue = Queue::new(8);
 /// assert!(queue.push(1, late));
@@ -85,18 +113,41 @@
         true
     }
 
+    /// Queues a request, if the queue is full in place of the last one of the queue
+    /// order, unless that one precedes it. Without this, a burst of requests that are
+    /// not urgent keeps urgent ones out of the queue.
+    ///
+    /// `running` returns the number of requests that an account has in flight.
+    pub fn push_before(
+        &mut self,
+        id: Id,
+        request: Request,
+        running: impl Fn(&str) -> usize,
+    ) -> Push {
+        if self.push(id, request.clone()) {
+            return Push::Queued;
+        }
+        let keys = self.items.iter().map(|item| key(&item.request, &running));
+        // `max_by_key` returns the last of equal keys, the one that arrived last.
+        let Some((index, last)) = keys.enumerate().max_by_key(|(_, key)| *key) else {
+            return Push::Refused;
+        };
+        if key(&request, &running) >= last {
+            return Push::Refused;
+        }
+        let displaced = self.items.remove(index).id;
+        self.items.push(Waiting { id, request });
+        Push::Displaced(displaced)
+    }
+
     /// Removes and returns the first request of the queue order. Requests that
     /// cannot be on time are passed over unless `late` is set.
     ///
     /// `running` returns the number of requests that an account has in flight.
     pub fn pop(&mut self, late: bool, running: impl Fn(&str) -> usize) -> Option<Id> {
-        let key = |index: &usize| {
-            let request = &self.items[*index].request;
-            let is_late = !request.in_time;
-            (request.priority, is_late, running(&request.account))
-        };
         // `min_by_key` returns the first of equal keys, so arrival breaks ties.
         let eligible = |index: &usize| late || self.items[*index].request.in_time;
+        let key = |index: &usize| key(&self.items[*index].request, &running);
         let index = (0..self.items.len()).filter(eligible).min_by_key(key)?;
         Some(self.items.remove(index).id)
     }
@@ -109,3 +160,14 @@
         self.items.len() < before
     }
 }
+
+fn key(request: &Request, running: impl Fn(&str) -> usize) -> Key {
+    (
+        request.flooding,
+        request.priority,
+        !request.returning,
+        request.account_priority,
+        !request.in_time,
+        running(&request.account),
+    )
+}
--- a/crates/core/tests/group.rs
+++ b/crates/core/tests/group.rs
@@ -9,7 +9,7 @@
 use berylgw_core::group::health::Record;
 use berylgw_core::group::outage::Outage;
 use berylgw_core::group::pace::Pacer;
-use berylgw_core::group::queue::{Queue, Request};
+use berylgw_core::group::queue::{Push, Queue, Request};
 use berylgw_core::group::retry_after::Schedule;
 use berylgw_core::group::selection::{Candidate, choose};
 use berylgw_core::retry::{self, Allowance};
@@ -95,6 +95,9 @@
 fn request(priority: u32, in_time: bool, account: &str) -> Request {
     Request {
         priority,
+        account_priority: 0,
+        flooding: false,
+        returning: false,
         in_time,
         account: account.into(),
         tokens: 800,
@@ -136,6 +139,49 @@
     assert!(queue.is_empty());
 }
 
+/// Guards against an urgent request that a full queue refuses while less urgent ones
+/// wait, and against equal requests that displace one another.
+#[test]
+fn push_before_full() {
+    let mut queue = Queue::new(2);
+    let running = |_: &str| 0;
+    for (id, priority) in [(1, 1), (2, 2)] {
+        let push = queue.push_before(id, request(priority, true, "a"), running);
+        assert_eq!(push, Push::Queued);
+    }
+    let push = queue.push_before(3, request(2, true, "a"), running);
+    assert_eq!(push, Push::Refused);
+    let push = queue.push_before(4, request(0, true, "a"), running);
+    assert_eq!(push, Push::Displaced(2));
+    let push = queue.push_before(5, request(0, true, "b"), running);
+    assert_eq!(push, Push::Displaced(1));
+    assert_eq!(queue.pop(true, running), Some(4));
+}
+
+/// Guards against an account whose own priority moves its requests of a less urgent
+/// route before those of an urgent one.
+#[test]
+fn pop_account_priority() {
+    let mut queue = Queue::new(4);
+    let preferred = Request {
+        account_priority: 0,
+        ..request(2, true, "preferred")
+    };
+    let usual = Request {
+        account_priority: 2,
+        ..request(2, true, "usual")
+    };
+    let urgent = Request {
+        account_priority: 3,
+        ..request(0, true, "usual")
+    };
+    for (id, request) in [(1, usual), (2, preferred), (3, urgent)] {
+        assert!(queue.push(id, request));
+    }
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop(true, |_| 0)).collect();
+    assert_eq!(order, [3, 2, 1]);
+}
+
 /// Guards against a request that begins shortly after the last one, so that both
 /// prompts are prefilled in one pass, and against a pacer that falls behind a steady
 /// rate of requests.
--- a/crates/core/tests/group_load.rs
+++ b/crates/core/tests/group_load.rs
@@ -80,6 +80,9 @@
             report.sent += 1;
             let request = Request {
                 priority: 1,
+                account_priority: 0,
+                flooding: false,
+                returning: false,
                 in_time: true,
                 account: "a".into(),
                 tokens: 800,
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -30,22 +30,55 @@
     if !service.is_some_and(|service| service.grouped) {
         return Ok(None);
     }
-    let wait = call
-        .route
-        .latency_target
-        .mul_f64(gateway.settings.group.wait_share);
+    let shared_target = gateway.with_state(|state, _| state.shared_target(call.service));
+    let target = shared_target.unwrap_or(call.route.latency_target);
+    let wait = target.mul_f64(gateway.settings.group.wait_share);
+    let account_priority = call.account_priority.unwrap_or(call.route.priority);
+    let (priority, account_priority) = match shared_target {
+        // An account's priority would hide that of its routes, and an urgent route would
+        // be served worse than a less urgent one.
+        Some(_) => (call.route.priority, account_priority),
+        None => (account_priority, 0),
+    };
     let request = Request {
-        priority: call.priority,
+        priority,
+        account_priority,
+        flooding: false,
+        returning: false,
         in_time: call.in_time,
         account: call.account.clone(),
         tokens: call.prompt_tokens,
         deadline: call.started + wait.min(call.time_left(gateway)),
     };
     let until = request.deadline;
-    let admission =
-        gateway.with_state(|state, now| state.request_permit(now, call.service, request));
+    let shared = shared_target.is_some();
+    let (admission, flooding) = gateway.with_state(|state, now| {
+        let mut request = request;
+        let allowed = state.classify(now, call.service, &mut request, call.content.whole());
+        let flooding = request.flooding;
+        let admission = match allowed {
+            true => state.request_permit(now, call.service, request),
+            false => Admission::Refused,
+        };
+        (admission, flooding)
+    });
+    let result = settle(gateway, call, until, admission).await;
+    if shared {
+        let metrics = &gateway.metrics;
+        metrics.count_share(call.route.priority, flooding, result.is_ok());
+    }
+    result.map(Some)
+}
+
+/// Waits for the permit of a queued request.
+async fn settle(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    until: Instant,
+    admission: Admission,
+) -> Result<Permit, Refusal> {
     let (id, granted) = match admission {
-        Admission::Granted => return Ok(Some(Permit::new(gateway, call.service, &call.account))),
+        Admission::Granted => return Ok(Permit::new(gateway, call.service, &call.account)),
         Admission::Queued(id, granted) => (id, granted),
         Admission::Refused => return Err(refuse(gateway, call, End::NoPermit)),
         Admission::GroupDown(_) => return Err(refuse(gateway, call, End::GroupClosed)),
@@ -57,7 +90,7 @@
         granted,
     };
     if waiting.wait_for_permit(until).await {
-        return Ok(Some(Permit::new(gateway, call.service, &call.account)));
+        return Ok(Permit::new(gateway, call.service, &call.account));
     }
     drop(waiting);
     Err(refuse(gateway, call, End::NoPermit))
@@ -73,7 +106,10 @@
 }
 
 fn refuse(gateway: &Gateway, call: &Call, end: End) -> Refusal {
-    let time = gateway.with_state(|state, now| state.retry_after(now, call.service));
+    let (priority, digest) = (call.route.priority, call.content.whole());
+    let left = call.time_left(gateway);
+    let time = gateway
+        .with_state(|state, now| state.retry_after_of(now, call.service, priority, digest, left));
     Refusal::new(end).with_retry_after(time)
 }
 
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -48,8 +48,9 @@
     pub route: Route,
     /// Client account that is charged, empty for anonymous requests.
     pub account: Arc<str>,
-    /// Priority, 0 is the highest.
-    pub priority: u32,
+    /// Priority of the client account, 0 is the highest; `None` if it has none of its
+    /// own.
+    pub account_priority: Option<u32>,
     /// Tokens of its prompt, 0 if it has none.
     pub prompt_tokens: u32,
     /// What it holds, to find requests that crash servers.
@@ -89,7 +90,7 @@
         let host = text(&headers, &HOST).ok_or(malformed)?;
         let route = configuration.route(host, parts.uri.path());
         let route = route.ok_or(Refusal::new(End::NoRoute))?.clone();
-        let (account, priority) = identify(configuration, &headers, &route)?;
+        let (account, account_priority) = identify(configuration, &headers, &route)?;
         let client_timeout = match headers.get(&names.deadline) {
             Some(value) => milliseconds(value).ok_or(malformed)?,
             None => route.timeout,
@@ -123,7 +124,7 @@
             in_time,
             route,
             account,
-            priority,
+            account_priority,
             prompt_tokens,
             content,
             service,
@@ -230,8 +231,8 @@
     configuration: &Configuration,
     headers: &HeaderMap,
     route: &Route,
-) -> Result<(Arc<str>, u32), Refusal> {
-    let anonymous = (Arc::from(""), route.priority);
+) -> Result<(Arc<str>, Option<u32>), Refusal> {
+    let anonymous = (Arc::from(""), None);
     if configuration.keys.is_none() {
         return Ok(anonymous);
     }
@@ -240,7 +241,7 @@
     let key = key.filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"));
     let account = key.and_then(|(_, key)| configuration.api_key(key.trim()));
     match account {
-        Some(key) => Ok((key.account.clone(), key.priority.unwrap_or(route.priority))),
+        Some(key) => Ok((key.account.clone(), key.priority)),
         None if route.anonymous => Ok(anonymous),
         None => Err(Refusal::new(End::Unauthenticated)),
     }
--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -105,7 +105,8 @@
     pub key: Arc<str>,
     /// Name of the client account.
     pub account: Arc<str>,
-    /// Priority that overrides the route's.
+    /// Priority that overrides the route's, unless the routes of a service have
+    /// different ones: it then orders requests of one route priority.
     pub priority: Option<u32>,
 }
 
@@ -175,6 +176,19 @@
         found.ok().map(|index| &self.services[index])
     }
 
+    /// Returns the shortest latency target of the routes that lead to a service, `None`
+    /// unless these have different priorities.
+    pub fn shared_target(&self, service: &str) -> Option<Duration> {
+        let leads = |target: &Target| target.weight > 0 && *target.service == *service;
+        let routes = self.routes.iter();
+        let routes = routes.filter(|route| route.targets.iter().any(leads));
+        let mut priorities = routes.clone().map(|route| route.priority);
+        let first = priorities.next()?;
+        let differ = priorities.any(|priority| priority != first);
+        let shortest = routes.map(|route| route.latency_target).min();
+        shortest.filter(|_| differ)
+    }
+
     /// Returns the API key `key` with its client account.
     pub fn api_key(&self, key: &str) -> Option<&ApiKey> {
         let keys = self.keys.as_deref()?;
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -19,6 +19,7 @@
 use crate::gateway::Gateway;
 use crate::peer::Role;
 use crate::pull::{Queues, Subject, from_wire, to_wire};
+use crate::share;
 use crate::view::{Publisher, Revisions, Section};
 
 /// Time after which an entry whose load does not change sends a datagram, a
@@ -135,7 +136,9 @@
             let left = state.merge_leaving(&datagram.leaving_servers);
             let metrics = &self.gateway.metrics;
             metrics.count_notice("leaving", "peer", left);
+            let returns = share::returns(now, &datagram.shares);
             if state.peers.apply(now, address, datagram) {
+                state.hear_returns(now, &returns);
                 state.grant_permits(now);
             }
             let delay = told.sent.and_then(|sent| {
@@ -261,7 +264,7 @@
         let settings = &self.gateway.settings;
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
-        let (loads, limits, crashes, rate_limits, leaving_servers, revisions) =
+        let (loads, limits, crashes, rate_limits, leaving_servers, revisions, shares) =
             self.gateway.with_state(|state, now| {
                 let (loads, limits) = state.load_report();
                 let crashes = if with_crashes {
@@ -272,7 +275,16 @@
                 let rate_limits = state.rate_limit_report(now);
                 let leaving = state.leaving_report(now, periodic);
                 let revisions = state.view.revisions();
-                (loads, limits, crashes, rate_limits, leaving, revisions)
+                let shares = state.share_report(now);
+                (
+                    loads,
+                    limits,
+                    crashes,
+                    rate_limits,
+                    leaving,
+                    revisions,
+                    shares,
+                )
             });
         let [configuration_age_ms, servers_age_ms, evacuations_age_ms] =
             self.views.told_ages_ms(&revisions);
@@ -299,6 +311,7 @@
             servers_age_ms,
             evacuations_age_ms,
             sent_us: Some(uptime().as_micros()),
+            shares,
         };
         let bytes = datagram.encode_to_vec();
         let mut failed = 0;
@@ -375,6 +388,7 @@
             status.entries.push(own);
         }
         let live = gateway.with_state(|state, now| {
+            state.update_shares(now);
             state.grant_permits(now);
             let live = state.peers.live(now).filter(|peer| !peer.leaving);
             let live = live.map(|peer| (peer.domain.clone(), peer.callers));
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod send;
 pub mod serve;
 pub mod settings;
+pub mod share;
 pub mod state;
 pub mod view;
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -16,6 +16,9 @@
     0.005, 0.01, 0.025, 0.05, 0.08, 0.1, 0.12, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
 ];
 
+/// Least urgent priority with a label value of its own.
+const MAX_PRIORITY_LABEL: u32 = 7;
+
 /// How a request ended, a label value.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum End {
@@ -133,6 +136,7 @@
     /// Requests whose server crashed before it answered them.
     pub crashes: IntCounter,
     notices: IntCounterVec,
+    shares: IntCounterVec,
 }
 
 /// Phases of a request with a histogram.
@@ -233,6 +237,11 @@
                 "Changes that servers have named in their answers, by subject and source",
                 &["subject", "source"],
             )?,
+            shares: counter(
+                "berylgw_direct_shared_requests_total",
+                "Requests for shared permits by priority, class of the account and decision",
+                &["priority", "account", "decision"],
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -251,6 +260,7 @@
         registry.register(Box::new(metrics.datagram_delay.clone()))?;
         registry.register(Box::new(metrics.crashes.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
+        registry.register(Box::new(metrics.shares.clone()))?;
         Ok(metrics)
     }
 
@@ -295,6 +305,20 @@
             .inc_by(count);
     }
 
+    /// Counts a request for one of the permits that are shared by priority and account.
+    pub fn count_share(&self, priority: u32, flooding: bool, admitted: bool) {
+        // Bounds the number of label values.
+        let priority = match priority {
+            0..=MAX_PRIORITY_LABEL => priority.to_string(),
+            _ => "lower".to_owned(),
+        };
+        let account = if flooding { "flooding" } else { "usual" };
+        let decision = if admitted { "admitted" } else { "refused" };
+        self.shares
+            .with_label_values(&[&*priority, account, decision])
+            .inc();
+    }
+
     /// Records the duration of a phase.
     pub fn record(&self, phase: Phase, kind: &str, domain: &str, time: Duration) {
         let phase = phase.to_string();
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -6,12 +6,14 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::freshness::Turn;
+use berylgw_core::group::share::Report;
 use berylgw_core::revision::Revision;
 use berylgw_core::transit::Transit;
 use berylgw_wire::direct::{self as wire, Beat};
 
 use crate::backend;
 use crate::pull::from_wire;
+use crate::share;
 use crate::view::Revisions;
 
 /// Time without a datagram after which an entry counts as failed: callers are
@@ -118,6 +120,8 @@
     pub loads: Vec<(u32, u32)>,
     /// Its concurrency limit by service digest.
     pub concurrency_limits: Vec<(u32, u32)>,
+    /// Its shares by service digest.
+    shares: Vec<(u32, Report)>,
     /// Whether its calls to the store fail.
     pub store_lost: bool,
     /// Arrival time of its last datagram.
@@ -191,6 +195,7 @@
             },
             loads,
             concurrency_limits: concurrency_limits.collect(),
+            shares: share::reports(&datagram.shares),
             store_lost: datagram.store_lost,
             updated: now,
             counted: false,
@@ -363,6 +368,18 @@
         Role { observing, turn }
     }
 
+    /// Returns the shares of a service that live entries report, with their ages.
+    pub fn shares(&self, now: Instant, service: u32) -> Vec<(Duration, &Report)> {
+        let mut shares = Vec::with_capacity(self.peers.len());
+        for peer in self.live(now) {
+            let found = peer.shares.iter().find(|known| known.0 == service);
+            if let Some((_, report)) = found {
+                shares.push((now.since(peer.updated), report));
+            }
+        }
+        shares
+    }
+
     /// Returns the number of entries that may send requests, this one included.
     pub fn sharing_entries(&self) -> usize {
         1 + self.sharing
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -1,15 +1,20 @@
 //! The requests of this entry for one service, queued and in flight.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::concurrency::Limit;
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::queue::{Id, Queue, Request};
+use berylgw_core::group::retry_after::Returns;
+use berylgw_core::group::share::{Class, Share};
 use berylgw_core::group::{arrival, outage, retry_after};
 use berylgw_core::retry::Window;
 use tokio::sync::oneshot;
 
+use crate::backend;
+
 /// Admission state of one service at this entry.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -17,6 +22,9 @@
     pub(crate) digest: u32,
     pub(crate) limit: Limit,
     pub(crate) queue: Queue,
+    /// Shortest latency target of the service's routes if these have different
+    /// priorities.
+    pub(crate) shared_target: Option<Duration>,
     pub(crate) waiting: Vec<Waiter>,
     /// Permits held by client account.
     pub(crate) running: Vec<(Arc<str>, usize)>,
@@ -34,6 +42,14 @@
     /// Late requests that began recently, which give the rate at which retrying
     /// clients get a permit.
     pub(crate) late_admitted: arrival::Window,
+    /// Shares by priority and account, if `shared_target` is known.
+    pub(crate) share: Share,
+    /// Refused clients that may return.
+    pub(crate) returns: Returns,
+    /// Permits reserved for refused clients, by priority, sorted.
+    pub(crate) schedules: Vec<(u32, retry_after::Schedule)>,
+    /// Class of the cutoff that was logged last, and when.
+    pub(crate) logged_cutoff: (Option<Class>, Instant),
 }
 
 /// A queued request.
@@ -51,6 +67,9 @@
         if !request.in_time {
             self.late_admitted.try_acquire(now, usize::MAX);
         }
+        if self.shared_target.is_some() {
+            self.share.admit(now, backend::digest(&request.account));
+        }
         self.acquire(&request.account);
     }
 
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -139,6 +139,26 @@
     pub late_share: f64,
     /// Factor by which an entry may exceed its own recent admission rate.
     pub pace_headroom: f64,
+    /// How permits are shared where the routes of a service have different priorities.
+    pub shares: Shares,
+}
+
+/// How permits are shared where the routes of a service have different priorities.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Shares {
+    /// By priority and account over all entries.
+    #[default]
+    ByPriority,
+    /// By the order of each entry's own queue.
+    Off,
+}
+
+impl Shares {
+    /// Returns whether permits are shared by priority.
+    pub fn by_priority(self) -> bool {
+        self == Shares::ByPriority
+    }
 }
 
 impl Default for Group {
@@ -153,6 +173,7 @@
             wait_share: 0.125,
             late_share: 0.9,
             pace_headroom: 1.2,
+            shares: Shares::ByPriority,
         }
     }
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod notice;
 mod placement;
+mod share;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use berylgw_core::group::concurrency::Limit;
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::queue::Queue;
+use berylgw_core::group::share::Share;
 use berylgw_core::group::{
     arrival, blame, client_timeout, drained, health, outage, pause, rate, retry_after,
 };
@@ -173,6 +175,7 @@
         }
         self.mark_superseded();
         self.update_ceilings();
+        self.update_shared_targets();
     }
 
     /// Limits the requests at each service to the slots of its servers.
@@ -234,6 +237,7 @@
                 digest: backend::digest(service),
                 limit,
                 queue: Queue::new(MAX_QUEUED),
+                shared_target: None,
                 waiting: Vec::new(),
                 running: Vec::new(),
                 held_permits: 0,
@@ -244,7 +248,12 @@
                 outage: outage::Outage::default(),
                 admitted: arrival::Window::default(),
                 late_admitted: arrival::Window::default(),
+                share: Share::default(),
+                returns: retry_after::Returns::default(),
+                schedules: Vec::new(),
+                logged_cutoff: (None, Instant::ORIGIN),
             });
+            self.update_shared_targets();
             self.pools.len() - 1
         });
         ServiceKey(index)
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -6,8 +6,10 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::blame::Content;
+use berylgw_core::group::queue::Request;
 use berylgw_direct::Settings;
 use berylgw_direct::backend::{self, Server};
+use berylgw_direct::config::{Configuration, RequestKind, Route, Target};
 use berylgw_direct::state::State;
 use berylgw_direct::view::{Part, View};
 use berylgw_wire::direct as wire;
@@ -68,6 +70,59 @@
     ]
 }
 
+fn per_second() -> impl Strategy<Value = f32> {
+    prop_oneof![
+        any::<f32>(),
+        Just(f32::NAN),
+        Just(-1.0),
+        Just(f32::MAX),
+        0.0_f32..90.0
+    ]
+}
+
+fn share() -> impl Strategy<Value = wire::Share> {
+    let class = || {
+        (any::<bool>(), number(), 0_u32..5).prop_map(|(flooding, priority, turn)| wire::Class {
+            flooding,
+            priority,
+            turn,
+        })
+    };
+    let demand = (prop::option::of(class()), per_second());
+    let demand = demand.prop_map(|(class, per_second)| wire::Demand { class, per_second });
+    let uses = (number(), per_second());
+    let uses = uses.prop_map(|(account, per_second)| wire::Use {
+        account,
+        per_second,
+    });
+    let returns = (0_u64..4, number(), any::<bool>());
+    let returns = returns.prop_map(|(digest, due_ms, reserved)| wire::Return {
+        digest,
+        due_ms,
+        reserved,
+    });
+    let cutoff = (prop::option::of(class()), per_second());
+    let parts = (
+        number(),
+        vec(demand, 0..50),
+        per_second(),
+        vec(uses, 0..8),
+        cutoff,
+        vec(returns, 0..8),
+    );
+    parts.prop_map(
+        |(service, demand, admitted_per_second, uses, cutoff, returns)| wire::Share {
+            service,
+            demand,
+            admitted_per_second,
+            uses,
+            cutoff: cutoff.0,
+            cutoff_part: cutoff.1,
+            returns,
+        },
+    )
+}
+
 fn datagram() -> impl Strategy<Value = wire::Beat> {
     let loads = vec((number(), number()), 0..6);
     let bounds = vec((number(), number()), 0..6);
@@ -81,6 +136,7 @@
     );
     let callers = prop_oneof![Just("10.0.0.1:80"), Just("nonsense"), Just("")];
     let leaving = vec(number(), 0..4);
+    let shares = vec(share(), 0..3);
     (
         identity,
         callers,
@@ -88,10 +144,10 @@
         bounds,
         vec(crash(), 0..4),
         limits,
-        leaving,
+        (leaving, shares),
     )
         .prop_map(
-            |(identity, callers, loads, bounds, crashes, limits, leaving_servers)| {
+            |(identity, callers, loads, bounds, crashes, limits, (leaving_servers, shares))| {
                 let (name, incarnation, sequence, [version, era, number, sent], leaving) = identity;
                 let at = wire::Revision {
                     version,
@@ -135,6 +191,7 @@
                     servers_age_ms: None,
                     evacuations_age_ms: Some(u32::MAX),
                     sent_us: Some(sent),
+                    shares,
                 }
             },
         )
@@ -162,6 +219,26 @@
     let mut view = View::default();
     let (revision, value) = (1.into(), Arc::new(vec![server]));
     view.servers = Part { revision, value };
+    let route = |prefix: &str, priority| Route {
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        targets: vec![Target {
+            service: SERVICE.into(),
+            weight: 1,
+        }],
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(8),
+        latency_target: Duration::from_millis(400),
+        pause_target: None,
+        attempts: 2,
+        priority,
+        anonymous: true,
+    };
+    let value = Arc::new(Configuration {
+        routes: vec![route("/a/", 0), route("/b/", 2)],
+        ..Configuration::default()
+    });
+    view.configuration = Part { revision, value };
     state.update_view(Arc::new(view));
     state
 }
@@ -177,6 +254,8 @@
         state.merge_leaving(&datagram.leaving_servers);
         let (name, incarnation) = (datagram.name.clone(), datagram.incarnation);
         let sent = Instant::from_micros(datagram.sent_us.unwrap_or_default());
+        let returns = berylgw_direct::share::returns(now, &datagram.shares);
+        state.hear_returns(now, &returns);
         state.peers.apply(now, address, datagram);
         state.peers.delay(&name, incarnation, sent, now);
         state.peers.expire(now);
@@ -188,6 +267,27 @@
         state.in_flight(service);
         state.concurrency_limit(service);
         state.retry_after(now, service);
+        let mut request = Request {
+            priority: number as u32 % 3,
+            account_priority: 0,
+            flooding: false,
+            returning: false,
+            in_time: true,
+            account: "a".into(),
+            tokens: 1,
+            deadline: now + Duration::from_millis(50),
+        };
+        let digest = number as u64 % 4;
+        state.classify(now, service, &mut request, digest);
+        state.update_shares(now);
+        state.retry_after_of(
+            now,
+            service,
+            request.priority,
+            digest,
+            Duration::from_secs(8),
+        );
+        state.share_report(now);
         state.take_retry(now, service);
         if let Some((key, _)) = state.choose_server(now, service, &[], &content) {
             state.finish_request(key);
