Cut off the least urgent requests of all entries under scarcity

Cause: an order among the few requests of one entry does not keep a less urgent request at another entry from a permit that an urgent one waits for.

It falls at once and rises by one class in 0.3 s.

--- a/crates/core/src/group/queue.rs
+++ b/crates/core/src/group/queue.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use super::share::Class;
 use crate::clock::Instant;
 
 /// Identifies a waiting request.
@@ -20,10 +21,8 @@
     /// Priority of the client account among requests of one `priority`; 0 is the
     /// highest.
     pub account_priority: u32,
-    /// Whether the account uses more than usual, so that it waits behind all others.
-    pub flooding: bool,
-    /// Whether a refused client returns at the time that it was given.
-    pub returning: bool,
+    /// Class among all entries' requests, `None` where permits are not shared.
+    pub class: Option<Class>,
     /// Whether the response can still be on time.
     pub in_time: bool,
     /// Client account that is charged.
@@ -45,10 +44,9 @@
     Refused,
 }
 
-/// Position in the order of the queue: whether the account floods, priority, whether the
-/// client does not return, priority of the account, whether the response is late, running
-/// requests of the account.
-type Key = (bool, u32, bool, u32, bool, usize);
+/// Position in the order of the queue: class, priority, priority of the account, whether
+/// the response is late, running requests of the account.
+type Key = (Option<Class>, u32, u32, bool, usize);
 
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -58,10 +56,9 @@
 
 /// A bounded queue of requests that wait for permits.
 ///
-/// Those of accounts that flood are last. Requests are ordered by priority, then those of
-/// clients that return at their time first, then by the priority of their client account,
-/// then those that can still be on time first, then by the number of running requests of
-/// their client account, fewest first, then by arrival.
+/// Requests are ordered by class, if they have one, then by priority, then by that of
+/// their client account, then those that can still be on time first, then by the number
+/// of running requests of their client account, fewest first, then by arrival.
 ///
 /// ```
 /// use berylgw_core::clock::Instant;
@@ -70,7 +67,7 @@
 ///
 /// let deadline = Instant::ORIGIN + Duration::from_millis(50);
 /// let late = Request {
-///     priority: 1, account_priority: 0, flooding: false, returning: false, in_time: false,
+///     priority: 1, account_priority: 0, class: None, in_time: false,
 ///     account: "a".into(), tokens: 1, deadline,
 /// };
 /// let fresh = Request { in_time: true, ..late.clone() };
@@ -163,9 +160,8 @@
 
 fn key(request: &Request, running: impl Fn(&str) -> usize) -> Key {
     (
-        request.flooding,
+        request.class,
         request.priority,
-        !request.returning,
         request.account_priority,
         !request.in_time,
         running(&request.account),
--- a/crates/core/src/group/retry_after.rs
+++ b/crates/core/src/group/retry_after.rs
@@ -118,9 +118,11 @@
 /// let at = Instant::from_millis;
 /// let mut returns = Returns::default();
 /// returns.refuse(at(0), Return { digest: 7, due: at(400), reserved: true });
-/// assert_eq!(returns.arrive(at(100), 7), Arrival::Early(Duration::from_millis(300)));
+/// returns.refuse(at(0), Return { digest: 8, due: at(400), reserved: true });
 /// assert_eq!(returns.arrive(at(405), 7), Arrival::Due);
 /// assert_eq!(returns.arrive(at(410), 7), Arrival::New);
+/// assert_eq!(returns.arrive(at(100), 8), Arrival::Early(Duration::from_millis(300)));
+/// assert_eq!(returns.arrive(at(405), 8), Arrival::New);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Returns {
@@ -141,7 +143,8 @@
     }
 
     /// Returns when a request arrives relative to the time that its client was given. A
-    /// client that returns at its time is forgotten, so that the time counts once.
+    /// client that returns at its time is forgotten, so that the time counts once; one
+    /// that returns earlier loses its permit.
     pub fn arrive(&mut self, now: Instant, digest: u64) -> Arrival {
         let found = self
             .known
@@ -151,6 +154,8 @@
         };
         let Return { due, reserved, .. } = self.known[index].0;
         if now + EARLY_TOLERANCE < due {
+            // A client that tries again and again would always meet its time exactly.
+            self.known[index].0.reserved = false;
             return Arrival::Early(due.since(now));
         }
         self.known.remove(index);
@@ -192,6 +197,9 @@
             Ok(index) if own || refused.due > self.known[index].0.due => {
                 self.known[index] = (refused, own);
             }
+            Ok(index) if refused.due == self.known[index].0.due => {
+                self.known[index].0.reserved &= refused.reserved;
+            }
             Err(index) if self.known.len() < MAX_RETURNS => {
                 self.known.insert(index, (refused, own));
             }
--- a/crates/core/src/group/share.rs
+++ b/crates/core/src/group/share.rs
@@ -15,6 +15,7 @@
 //! parts, each part uses up to the whole limit, so that the sum is at most k times the
 //! limit, until longer pauses lower the limit of each part.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::clock::Instant;
@@ -43,11 +44,13 @@
 /// the reports is added, so that the loop does not oscillate.
 const MIN_SETTLING_TIME: Duration = Duration::from_millis(500);
 
-/// Share of the limit in use below which requests beyond the cutoff are admitted, so
-/// that no permits stay free. With 0.92 instead of 0.85, urgent requests lose a tenth of
-/// their value in the replay of 47 entries at 2.5 times the capacity, as all entries see
-/// the same free permits (crates/core/tests/group_share.rs).
-const SLACK_SHARE: f64 = 0.85;
+/// Time for which the permits that admitted requests will need are kept from requests
+/// beyond the cutoff.
+const RESERVED_TIME: Duration = Duration::from_millis(100);
+
+/// Share of the limit that is kept from what accounts request beyond their usual use.
+/// Chance moves the requests in flight by about as much, and others would be refused.
+const FLOOD_RESERVE: f64 = 0.1;
 
 /// Time in which the cutoff rises by one class at most.
 const STEP_TIME: Duration = Duration::from_millis(300);
@@ -87,8 +90,10 @@
 ///
 /// What an account requests beyond its usual use comes after the usual requests of all
 /// priorities: otherwise an account could flood the urgent routes at the expense of the
-/// others' less urgent requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+/// others' less urgent requests. Late requests come after those of all priorities that
+/// can be on time: otherwise the retries of an earlier shortage keep new requests late
+/// after its end, while there are permits for nearly all of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Class {
     /// Whether the account has used more than usual.
     pub flooding: bool,
@@ -98,6 +103,25 @@
     pub turn: Turn,
 }
 
+impl Class {
+    fn key(&self) -> (bool, bool, u32, Turn) {
+        let is_late = self.turn == Turn::Late;
+        (self.flooding, is_late, self.priority, self.turn)
+    }
+}
+
+impl Ord for Class {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.key().cmp(&other.key())
+    }
+}
+
+impl PartialOrd for Class {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 /// A level among the classes: those before `class` are admitted, those after it are
 /// refused.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -200,6 +224,10 @@
     /// Demand of all entries per second, by class, sorted.
     total: Vec<(Class, f64)>,
     cutoff: Option<Cutoff>,
+    /// Demand beyond the cutoff per second.
+    beyond: f64,
+    /// Time until other entries know of a request that one admits.
+    delay: Duration,
     started: Option<Instant>,
     updated: Instant,
 }
@@ -238,12 +266,30 @@
     }
 
     /// Returns whether a request may take a permit or wait for one. `draw` is uniformly
-    /// random from 0 to 1. Beyond the cutoff, it may take one of those that more urgent
-    /// requests leave free.
+    /// random from 0 to 1.
+    ///
+    /// Requests beyond the cutoff share the permits that are left free, so that none
+    /// stays free. All entries see the same free permits until their next reports;
+    /// each admits the part that fills them in this time.
     pub fn admits(&self, class: Class, load: Load, draw: f64) -> bool {
-        let slack = load.limit as f64 * SLACK_SHARE;
-        let admits = |cutoff: Cutoff| cutoff.admits(class, draw);
-        self.cutoff.is_none_or(admits) || (load.in_flight as f64) < slack
+        let Some(cutoff) = self.cutoff else {
+            return true;
+        };
+        if cutoff.admits(class, draw) {
+            return true;
+        }
+        let draw = match class == cutoff.class {
+            true => (draw - cutoff.part) / (1.0 - cutoff.part),
+            false => draw,
+        };
+        let within: f64 = self.total.iter().map(|known| known.1).sum::<f64>() - self.beyond;
+        let mut reserved = within * RESERVED_TIME.as_secs_f64();
+        if class.flooding {
+            reserved = reserved.max(load.limit as f64 * FLOOD_RESERVE);
+        }
+        let free = load.limit as f64 - load.in_flight as f64 - reserved;
+        let arriving = self.beyond * self.delay.as_secs_f64();
+        free > 0.0 && draw * arriving < free
     }
 
     /// Counts a request of an account that takes a permit.
@@ -323,7 +369,10 @@
             self.cutoff = cutoff_of_others(reports);
         }
         let before = self.cutoff;
-        self.move_cutoff(passed, capacity);
+        let settling_time = settling_time(mean_age).as_secs_f64();
+        let flood_reserve = load.limit as f64 * FLOOD_RESERVE / settling_time;
+        self.move_cutoff(passed, capacity, flood_reserve);
+        self.delay = mean_age + UPDATE_INTERVAL;
         before.map(|cutoff| cutoff.class) != self.cutoff.map(|cutoff| cutoff.class)
     }
 
@@ -353,10 +402,15 @@
 
     /// Lowers the cutoff at once to the level that the capacity allows, in requests per
     /// second, or raises it by one class in [`STEP_TIME`].
-    fn move_cutoff(&mut self, passed: Duration, capacity: f64) {
+    fn move_cutoff(&mut self, passed: Duration, capacity: f64, flood_reserve: f64) {
         let mut left = capacity;
         let mut level = 0.0;
-        for (_, demand) in &self.total {
+        let mut flooding = false;
+        for (class, demand) in &self.total {
+            if class.flooding && !flooding {
+                flooding = true;
+                left -= flood_reserve;
+            }
             let part = (left / demand.max(MIN_RATE)).clamp(0.0, 1.0);
             level += part;
             left -= demand;
@@ -381,6 +435,10 @@
             class: *class,
             part: level.fract(),
         });
+        let from = self.total.get(level as usize..).unwrap_or_default();
+        let beyond: f64 = from.iter().map(|known| known.1).sum();
+        let part = from.first().map_or(0.0, |known| known.1 * level.fract());
+        self.beyond = beyond - part;
     }
 
     /// Updates the recent and the usual use of the accounts. What an account uses
@@ -446,9 +504,12 @@
 /// Returns the requests per second that can be admitted: as many as lately, and those
 /// that lead the requests in flight to the limit.
 fn capacity(load: Load, admitted: f64, age: Duration) -> f64 {
-    let settling_time = MIN_SETTLING_TIME + 2 * age;
     let free = load.limit as f64 - load.in_flight as f64;
-    admitted + free / settling_time.as_secs_f64()
+    admitted + free / settling_time(age).as_secs_f64()
+}
+
+fn settling_time(age: Duration) -> Duration {
+    MIN_SETTLING_TIME + 2 * age
 }
 
 /// Returns the cutoff of the youngest report if most reports have one.
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -43,8 +43,7 @@
     let request = Request {
         priority,
         account_priority,
-        flooding: false,
-        returning: false,
+        class: None,
         in_time: call.in_time,
         account: call.account.clone(),
         tokens: call.prompt_tokens,
@@ -55,7 +54,7 @@
     let (admission, flooding) = gateway.with_state(|state, now| {
         let mut request = request;
         let allowed = state.classify(now, call.service, &mut request, call.content.whole());
-        let flooding = request.flooding;
+        let flooding = request.class.is_some_and(|class| class.flooding);
         let admission = match allowed {
             true => state.request_permit(now, call.service, request),
             false => Admission::Refused,
--- a/crates/direct/src/state/admission.rs
+++ b/crates/direct/src/state/admission.rs
@@ -73,7 +73,7 @@
     ) -> Admission {
         let in_flight = self.in_flight(service);
         let limit = self.concurrency_limit(service);
-        let full = in_flight >= self.usable_limit(service, limit, request.in_time);
+        let full = in_flight >= self.usable_limit(limit, request.in_time);
         let unpaced = is_unpaced(in_flight, limit);
         let pool = &mut self.pools[service.0];
         if now < pool.retry_at {
@@ -99,10 +99,9 @@
     }
 
     /// Returns the part of the concurrency limit that a request may use; late
-    /// requests may not use all of it, unless permits are shared by priority: there, an
-    /// urgent request would get less than a less urgent one that is not late.
-    fn usable_limit(&self, service: ServiceKey, limit: usize, in_time: bool) -> usize {
-        if in_time || self.shared_target(service).is_some() {
+    /// requests may not use all of it.
+    fn usable_limit(&self, limit: usize, in_time: bool) -> usize {
+        if in_time {
             return limit;
         }
         (limit as f64 * self.settings.group.late_share) as usize
@@ -118,7 +117,7 @@
             return false;
         };
         let request = waiter.request.clone();
-        let usable = self.usable_limit(service, limit, request.in_time) as f64;
+        let usable = self.usable_limit(limit, request.in_time) as f64;
         if in_flight as f64 >= PACING_OVERRIDE_MAX_LOAD * usable {
             return false;
         }
@@ -157,7 +156,7 @@
             let in_flight = self.in_flight(key);
             let unpaced = is_unpaced(in_flight, limit);
             let mut free = limit.saturating_sub(in_flight);
-            let late_free = self.usable_limit(key, limit, false);
+            let late_free = self.usable_limit(limit, false);
             let mut late_free = late_free.saturating_sub(in_flight);
             while free > 0 {
                 let pool = &mut self.pools[index];
--- a/crates/direct/src/state/share.rs
+++ b/crates/direct/src/state/share.rs
@@ -71,8 +71,7 @@
         let class = pool
             .share
             .classify(request.priority, account, turn, rand::random());
-        request.flooding = class.flooding;
-        request.returning = due;
+        request.class = Some(class);
         if now < pool.retry_at {
             // Refused as the group is down.
             pool.share.arrive(now, class);
