Share permits fairly by account over all entries

Cause: nothing kept an account's flood at one entry from the permits of the others, beyond the order in one entry's queue.

Change: entries report the recent use of accounts; what an account requests beyond 1.25 times its usual use, with a margin for chance, comes after the usual requests of all priorities and leaves 0.15 of the limit free.

--- a/crates/core/src/group/share.rs
+++ b/crates/core/src/group/share.rs
@@ -33,6 +33,10 @@
 /// Time constant of the usual use of an account: far longer than a flood.
 const USUAL_TIME_CONSTANT: Duration = Duration::from_secs(60);
 
+/// Part of the allowed use of an account over which ever more of its requests count as
+/// flooding.
+const FLOOD_RAMP: f64 = 0.15;
+
 /// Factor on the usual use of an account up to which it is served as usual.
 const USUAL_HEADROOM: f64 = 1.25;
 
@@ -50,7 +54,7 @@
 
 /// Share of the limit that is kept from what accounts request beyond their usual use.
 /// Chance moves the requests in flight by about as much, and others would be refused.
-const FLOOD_RESERVE: f64 = 0.1;
+const FLOOD_RESERVE: f64 = 0.15;
 
 /// Time in which the cutoff rises by one class at most.
 const STEP_TIME: Duration = Duration::from_millis(300);
@@ -242,9 +246,9 @@
         let flooding = found.is_ok_and(|index| {
             let Use { recent, usual, .. } = self.uses[index];
             let allowed = allowed(usual, self.mean_use);
-            // Becomes certain at a fifth above what is allowed, so that the use of a
-            // flooding account settles there.
-            draw * 0.2 * allowed < recent - allowed
+            // Certain from what is allowed on, so that the use of a flooding account
+            // settles below it.
+            draw * FLOOD_RAMP * allowed < recent - (1.0 - FLOOD_RAMP) * allowed
         });
         Class {
             flooding,
