Reserve permits for refused clients that return at their time

Change: a client that returns at its time is not held to that share, and the requests of a flood get no reservation.

--- a/crates/core/tests/group_share.rs
+++ b/crates/core/tests/group_share.rs
@@ -74,6 +74,9 @@
     tokens: u32,
     began: u64,
     refusals: u32,
+    /// When it last returned at its time.
+    due: u64,
+    flooding: bool,
     granted: Option<u64>,
 }
 
@@ -147,6 +150,9 @@
     /// Time, entry.
     ends: Vec<(u64, usize)>,
     ids: u64,
+    /// Clients that returned at their time, and those of them that were refused again, by
+    /// priority.
+    returned: [(usize, usize); 3],
     /// Requests in flight, sampled every 100 ms.
     loads: Vec<usize>,
 }
@@ -168,6 +174,7 @@
         arrivals: Vec::new(),
         ends: Vec::new(),
         ids: 0,
+        returned: [(0, 0); 3],
         loads: Vec::new(),
     };
     for now in 0..scenario.seconds * 1_000 {
@@ -201,6 +208,8 @@
                 tokens: self.load_rng.random_range(100..4_000),
                 began: now,
                 refusals: 0,
+                due: u64::MAX,
+                flooding: false,
                 granted: None,
             });
             self.arrivals.push((now, self.clients.len() - 1));
@@ -291,12 +300,18 @@
             let account = self.clients[client].account as u32;
             let class = share.classify(self.clients[client].priority, account, turn, draws[0]);
             request.class = Some(class);
+            self.clients[client].flooding = class.flooding;
+            request.in_time |= arrival == Arrival::Due;
             if let (Arrival::Early(left), Some(cutoff)) = (arrival, share.cutoff())
                 && class >= cutoff.class
             {
                 self.come_back(client, left);
                 return;
             }
+            if arrival == Arrival::Due {
+                self.returned[class.priority as usize].0 += 1;
+                self.clients[client].due = now;
+            }
             share.arrive(at(now), class);
             if !share.admits(class, load, draws[1]) {
                 self.refuse(entry, client);
@@ -356,12 +371,19 @@
         let left =
             Duration::from_millis((self.clients[client].began + PATIENCE_MS).saturating_sub(now));
         self.clients[client].refusals += 1;
+        if self.clients[client].due.saturating_add(TARGETS_MS[0] / 8) >= now
+            && self.clients[client].due <= now
+        {
+            self.returned[priority as usize].1 += 1;
+        }
         let after = if self.policy == Policy::Shares {
             let latest = at(now) + left.mul_f64(0.32);
             let room = own.share.room(priority) / ENTRIES as f64;
             let interval = Duration::from_secs_f64(1.0 / room.max(0.01));
             let schedule = &mut own.schedules[priority as usize];
+            let flooding = self.clients[client].flooding;
             let reserved = schedule.reserve_until(at(now), interval, at(now), latest);
+            let reserved = reserved.filter(|_| !flooding);
             let after = reserved.unwrap_or(left.mul_f64(0.32));
             let refused = Return {
                 digest: client as u64,
@@ -650,7 +672,7 @@
     let [honoured, honoured_former, _] = compare("honoured Retry-After", &Scenario::default());
     let ignoring = |replay: &Replay| replay.value(|client| client.account < ACCOUNTS / 4);
     let others = |replay: &Replay| replay.value(|client| client.account >= ACCOUNTS / 4);
-    for replay in [&shares, &former, &honoured] {
+    for replay in [&shares, &former, &honoured, &honoured_former] {
         println!(
             "{:?}: ignoring {:.3}, others {:.3}",
             replay.policy,
@@ -680,3 +702,16 @@
     println!("longest {longest:.3}, all {all:.3}");
     assert!(longest >= 0.5 * all);
 }
+
+/// Guards against clients that are refused again although they return at the time that
+/// they were given.
+#[test]
+fn return_in_time() {
+    let [shares, ..] = compare("returns", &Scenario::default());
+    println!("returned, refused again: {:?}", shares.returned);
+    let (returned, again) = shares
+        .returned
+        .iter()
+        .fold((0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1));
+    assert!(returned > 20 && again * 5 < returned);
+}
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -5,6 +5,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::queue::{Id, Request};
+use berylgw_core::group::share::Class;
 use tokio::sync::oneshot;
 
 use crate::answer::Refusal;
@@ -12,7 +13,8 @@
 use crate::config::RequestKind;
 use crate::gateway::{Gateway, Permit};
 use crate::metrics::End;
-use crate::state::{Admission, ServiceKey, State};
+use crate::record::Record;
+use crate::state::{Admission, Ruling, ServiceKey, State, label};
 
 /// `Retry-After` of a refusal while this entry drains; another entry can take
 /// the request at once.
@@ -24,7 +26,11 @@
 /// # Errors
 ///
 /// Fails with the answer to the caller if no permit becomes free in time.
-pub async fn admit(gateway: &Rc<Gateway>, call: &Call) -> Result<Option<Permit>, Refusal> {
+pub async fn admit(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    record: &mut Record,
+) -> Result<Option<Permit>, Refusal> {
     let view = gateway.with_state(|state, _| state.view.clone());
     let service = view.configuration.value.service(&call.service_name);
     if !service.is_some_and(|service| service.grouped) {
@@ -50,21 +56,23 @@
         deadline: call.started + wait.min(call.time_left(gateway)),
     };
     let until = request.deadline;
-    let shared = shared_target.is_some();
-    let (admission, flooding) = gateway.with_state(|state, now| {
+    let (admission, class, ruling, cutoff) = gateway.with_state(|state, now| {
         let mut request = request;
-        let allowed = state.classify(now, call.service, &mut request, call.content.whole());
-        let flooding = request.class.is_some_and(|class| class.flooding);
-        let admission = match allowed {
-            true => state.request_permit(now, call.service, request),
-            false => Admission::Refused,
+        let ruling = state.classify(now, call.service, &mut request, call.content.whole());
+        let class = request.class;
+        let admission = match ruling {
+            Ruling::Allowed => state.request_permit(now, call.service, request),
+            Ruling::CutOff | Ruling::Early => Admission::Refused,
         };
-        (admission, flooding)
+        (admission, class, ruling, state.cutoff_label(call.service))
     });
-    let result = settle(gateway, call, until, admission).await;
-    if shared {
+    if let Some(class) = class {
+        record.classified(label(class), ruling, cutoff);
+    }
+    let result = settle(gateway, call, until, class, admission).await;
+    if let Some(class) = class {
         let metrics = &gateway.metrics;
-        metrics.count_share(call.route.priority, flooding, result.is_ok());
+        metrics.count_share(class.priority, class.flooding, result.is_ok());
     }
     result.map(Some)
 }
@@ -74,13 +82,14 @@
     gateway: &Rc<Gateway>,
     call: &Call,
     until: Instant,
+    class: Option<Class>,
     admission: Admission,
 ) -> Result<Permit, Refusal> {
     let (id, granted) = match admission {
         Admission::Granted => return Ok(Permit::new(gateway, call.service, &call.account)),
         Admission::Queued(id, granted) => (id, granted),
-        Admission::Refused => return Err(refuse(gateway, call, End::NoPermit)),
-        Admission::GroupDown(_) => return Err(refuse(gateway, call, End::GroupClosed)),
+        Admission::Refused => return Err(refuse(gateway, call, class, End::NoPermit)),
+        Admission::GroupDown(_) => return Err(refuse(gateway, call, class, End::GroupClosed)),
     };
     let mut waiting = Waiting {
         gateway,
@@ -92,7 +101,7 @@
         return Ok(Permit::new(gateway, call.service, &call.account));
     }
     drop(waiting);
-    Err(refuse(gateway, call, End::NoPermit))
+    Err(refuse(gateway, call, class, End::NoPermit))
 }
 
 /// Returns the refusal of a request that is answered by `deadline` at the latest,
@@ -104,11 +113,11 @@
     (!admitted).then_some(refusal)
 }
 
-fn refuse(gateway: &Gateway, call: &Call, end: End) -> Refusal {
-    let (priority, digest) = (call.route.priority, call.content.whole());
+fn refuse(gateway: &Gateway, call: &Call, class: Option<Class>, end: End) -> Refusal {
+    let digest = call.content.whole();
     let left = call.time_left(gateway);
     let time = gateway
-        .with_state(|state, now| state.retry_after_of(now, call.service, priority, digest, left));
+        .with_state(|state, now| state.retry_after_of(now, call.service, class, digest, left));
     Refusal::new(end).with_retry_after(time)
 }
 
--- a/crates/direct/src/record.rs
+++ b/crates/direct/src/record.rs
@@ -10,7 +10,7 @@
 use crate::config::RequestKind;
 use crate::gateway::Gateway;
 use crate::metrics::{End, Phase, Retry};
-use crate::state::State;
+use crate::state::{Ruling, State};
 
 /// Collects what happens to one request; logs it on drop.
 #[derive(Debug)]
@@ -25,6 +25,7 @@
     client_timeout: Duration,
     in_time: bool,
     waited: Option<Duration>,
+    share: Option<(String, Ruling, Option<String>)>,
     concurrency_limit: usize,
     in_flight: usize,
     servers: Vec<Arc<str>>,
@@ -56,6 +57,7 @@
             client_timeout: Duration::ZERO,
             in_time: true,
             waited: None,
+            share: None,
             concurrency_limit: 0,
             in_flight: 0,
             servers: Vec::new(),
@@ -90,6 +92,12 @@
         (self.concurrency_limit, self.in_flight) = self.gateway.with_state(limits);
     }
 
+    /// Records the class of the request among those that share permits, what that
+    /// decided, and the cutoff in force.
+    pub fn classified(&mut self, class: String, ruling: Ruling, cutoff: Option<String>) {
+        self.share = Some((class, ruling, cutoff));
+    }
+
     /// Records that the request was admitted.
     pub fn admitted(&mut self) {
         let waited = self.age();
@@ -166,6 +174,7 @@
             let labels: Vec<String> = retries.iter().map(Retry::to_string).collect();
             labels.join(",")
         };
+        let share = self.share.as_ref();
         tracing::info!(
             request = self.id,
             %end,
@@ -176,6 +185,9 @@
             kind = self.kind,
             places = self.concurrency_limit,
             in_flight = self.in_flight,
+            class = share.map(|share| &*share.0),
+            ruling = share.map(|share| share.1.to_string()),
+            cutoff = share.and_then(|share| share.2.as_deref()),
             patience_ms = millis(self.client_timeout),
             in_time = self.in_time,
             stopping_ms = self.stopping.map(millis),
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -168,7 +168,7 @@
     if let Some(refusal) = refusal {
         return refuse(&mut record, refusal);
     }
-    let permit = match admit(gateway, &call).await {
+    let permit = match admit(gateway, &call, &mut record).await {
         Ok(permit) => permit,
         Err(refusal) => return refuse(&mut record, refusal),
     };
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -30,6 +30,7 @@
 
 pub use admission::Admission;
 pub use notice::{Notice, Readiness, Value};
+pub use share::{Ruling, label};
 
 /// Requests that may queue for a permit at one entry and service. At the rate
 /// at which a full group frees permits, more would be refused after their wait
--- a/crates/direct/src/state/share.rs
+++ b/crates/direct/src/state/share.rs
@@ -7,8 +7,9 @@
 use berylgw_core::group::arrival;
 use berylgw_core::group::queue::{Id, Push, Request};
 use berylgw_core::group::retry_after::{Arrival, Return, Schedule};
-use berylgw_core::group::share::{Class, Load, Turn};
+use berylgw_core::group::share::{Class, Cutoff, Load, Turn};
 use berylgw_wire::direct as wire;
+use derive_more::Display;
 
 use super::admission::running_of;
 use super::{ServiceKey, State};
@@ -26,6 +27,20 @@
 /// Lowest rate of permits for refused clients that is reckoned with, per second.
 const MIN_ROOM: f64 = 0.01;
 
+/// What the shares of permits decide on a request that arrives, a label value.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Ruling {
+    /// It may take a permit or wait for one.
+    #[display("allowed")]
+    Allowed,
+    /// Its class is beyond the cutoff.
+    #[display("cut_off")]
+    CutOff,
+    /// Its client returns before the time that it was given.
+    #[display("early")]
+    Early,
+}
+
 impl State {
     /// Returns the latency target from which the wait for a permit is derived for all
     /// requests of a service, `None` if its routes have one priority and each has its
@@ -45,16 +60,16 @@
 
     /// Classifies a request that arrives, by its priority, its account and the time of
     /// its client; returns whether it may take a permit or wait for one. `digest` is that
-    /// of the whole request. Always `true` where the routes have one priority.
+    /// of the whole request. All are allowed where the routes have one priority.
     pub fn classify(
         &mut self,
         now: Instant,
         service: ServiceKey,
         request: &mut Request,
         digest: u64,
-    ) -> bool {
+    ) -> Ruling {
         if self.pools[service.0].shared_target.is_none() {
-            return true;
+            return Ruling::Allowed;
         }
         self.update_share(now, service);
         let load = self.load(service);
@@ -72,18 +87,28 @@
             .share
             .classify(request.priority, account, turn, rand::random());
         request.class = Some(class);
+        // The share of late requests would refuse a client that returns at its time.
+        request.in_time |= due;
         if now < pool.retry_at {
             // Refused as the group is down.
             pool.share.arrive(now, class);
-            return true;
+            return Ruling::Allowed;
         }
         let cutoff = pool.share.cutoff();
         let is_scarce = cutoff.is_some_and(|cutoff| class >= cutoff.class);
         if is_scarce && matches!(arrival, Arrival::Early(_)) {
-            return false;
+            return Ruling::Early;
         }
         pool.share.arrive(now, class);
-        pool.share.admits(class, load, rand::random())
+        match pool.share.admits(class, load, rand::random()) {
+            true => Ruling::Allowed,
+            false => Ruling::CutOff,
+        }
+    }
+
+    /// Returns the cutoff of a service as in log lines, `None` if none is in force.
+    pub fn cutoff_label(&self, service: ServiceKey) -> Option<String> {
+        self.pools[service.0].share.cutoff().map(cutoff_label)
     }
 
     /// Updates the cutoffs of all services.
@@ -142,13 +167,16 @@
         &mut self,
         now: Instant,
         service: ServiceKey,
-        priority: u32,
+        class: Option<Class>,
         digest: u64,
         left: Duration,
     ) -> Duration {
-        if self.pools[service.0].shared_target.is_none() {
+        let Some(Class {
+            flooding, priority, ..
+        }) = class
+        else {
             return self.retry_after(now, service);
-        }
+        };
         let limit = self.concurrency_limit(service);
         let free = limit.saturating_sub(self.in_flight(service));
         let entries = self.peers.sharing_entries().max(1);
@@ -180,7 +208,11 @@
         let group_up_at = pool.retry_at.max(pool.outage.expected_end(now));
         let longest = left.mul_f64(MAX_RETRY_SHARE);
         let schedule = &mut pool.schedules[index].1;
-        let reserved = schedule.reserve_until(now, interval, group_up_at, now + longest);
+        // A reservation would put the requests of a flood before usual ones.
+        let reserved = match flooding {
+            true => None,
+            false => schedule.reserve_until(now, interval, group_up_at, now + longest),
+        };
         let time = reserved.unwrap_or(longest);
         let refused = Return {
             digest,
@@ -224,8 +256,7 @@
         .collect();
     tracing::info!(
         service = %pool.name,
-        cutoff = class.map(label),
-        part = cutoff.map(|cutoff| cutoff.part),
+        cutoff = cutoff.map(cutoff_label),
         places = load.limit,
         in_flight = load.in_flight,
         demand_per_s = demand.join(","),
@@ -234,8 +265,13 @@
     );
 }
 
+/// Returns the cutoff as in log lines: its class and the part of it that is admitted.
+fn cutoff_label(cutoff: Cutoff) -> String {
+    format!("{}:{:.2}", label(cutoff.class), cutoff.part)
+}
+
 /// Returns a class as in log lines: priority, account class, turn.
-fn label(class: Class) -> String {
+pub fn label(class: Class) -> String {
     let account = if class.flooding { "flooding" } else { "usual" };
     let turn = match class.turn {
         Turn::Returning => "returning",
--- a/crates/direct/tests/datagram.rs
+++ b/crates/direct/tests/datagram.rs
@@ -279,13 +279,7 @@
         let digest = number as u64 % 4;
         state.classify(now, service, &mut request, digest);
         state.update_shares(now);
-        state.retry_after_of(
-            now,
-            service,
-            request.priority,
-            digest,
-            Duration::from_secs(8),
-        );
+        state.retry_after_of(now, service, request.class, digest, Duration::from_secs(8));
         state.share_report(now);
         state.take_retry(now, service);
         if let Some((key, _)) = state.choose_server(now, service, &[], &content) {
