--- a/crates/testkit/tests/direct_share.rs
+++ b/crates/testkit/tests/direct_share.rs
@@ -102,6 +102,7 @@
     assert!(growers * 10 >= millers * 6, "{growers} and {millers}");
     assert!(millers * 10 >= growers * 6, "{growers} and {millers}");
     let of_path = |path: usize| paused[0][path] + paused[1][path];
-    assert!(of_path(0) > of_path(1), "{paused:?}");
+    // Without shares, the order in the queue of each entry gives 1.2 times as many.
+    assert!(of_path(0) * 2 > of_path(1) * 3, "{paused:?}");
     Ok(())
 }
