--- a/crates/core/tests/group_load.rs
+++ b/crates/core/tests/group_load.rs
@@ -80,6 +80,8 @@
             report.sent += 1;
             let request = Request {
                 priority: 1,
+                account_priority: 0,
+                class: None,
                 in_time: true,
                 account: "a".into(),
                 tokens: 800,
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -5,6 +5,7 @@
 
 use berylgw_core::clock::Instant;
 use berylgw_core::group::queue::{Id, Request};
+use berylgw_core::group::share::Class;
 use tokio::sync::oneshot;
 
 use crate::answer::Refusal;
@@ -12,7 +13,8 @@
 use crate::config::RequestKind;
 use crate::gateway::{Gateway, Permit};
 use crate::metrics::End;
-use crate::state::{Admission, ServiceKey, State};
+use crate::record::Record;
+use crate::state::{Admission, Ruling, ServiceKey, State, label};
 
 /// `Retry-After` of a refusal while this entry drains; another entry can take
 /// the request at once.
@@ -24,31 +26,70 @@
 /// # Errors
 ///
 /// Fails with the answer to the caller if no permit becomes free in time.
-pub async fn admit(gateway: &Rc<Gateway>, call: &Call) -> Result<Option<Permit>, Refusal> {
+pub async fn admit(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    record: &mut Record,
+) -> Result<Option<Permit>, Refusal> {
     let view = gateway.with_state(|state, _| state.view.clone());
     let service = view.configuration.value.service(&call.service_name);
     if !service.is_some_and(|service| service.grouped) {
         return Ok(None);
     }
-    let wait = call
-        .route
-        .latency_target
-        .mul_f64(gateway.settings.group.wait_share);
+    let shared_target = gateway.with_state(|state, _| state.shared_target(call.service));
+    let target = shared_target.unwrap_or(call.route.latency_target);
+    let wait = target.mul_f64(gateway.settings.group.wait_share);
+    let account_priority = call.account_priority.unwrap_or(call.route.priority);
+    let (priority, account_priority) = match shared_target {
+        // An account's priority would hide that of its routes, and an urgent route would
+        // be served worse than a less urgent one.
+        Some(_) => (call.route.priority, account_priority),
+        None => (account_priority, 0),
+    };
     let request = Request {
-        priority: call.priority,
+        priority,
+        account_priority,
+        class: None,
         in_time: call.in_time,
         account: call.account.clone(),
         tokens: call.prompt_tokens,
         deadline: call.started + wait.min(call.time_left(gateway)),
     };
     let until = request.deadline;
-    let admission =
-        gateway.with_state(|state, now| state.request_permit(now, call.service, request));
+    let (admission, class, ruling, cutoff) = gateway.with_state(|state, now| {
+        let mut request = request;
+        let ruling = state.classify(now, call.service, &mut request, call.content.whole());
+        let class = request.class;
+        let admission = match ruling {
+            Ruling::Allowed => state.request_permit(now, call.service, request),
+            Ruling::CutOff | Ruling::Early => Admission::Refused,
+        };
+        (admission, class, ruling, state.cutoff_label(call.service))
+    });
+    if let Some(class) = class {
+        record.classified(label(class), ruling, cutoff);
+    }
+    let result = settle(gateway, call, until, class, admission).await;
+    if let Some(class) = class {
+        let metrics = &gateway.metrics;
+        metrics.count_share(class.priority, class.flooding, result.is_ok());
+    }
+    result.map(Some)
+}
+
+/// Waits for the permit of a queued request.
+async fn settle(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    until: Instant,
+    class: Option<Class>,
+    admission: Admission,
+) -> Result<Permit, Refusal> {
     let (id, granted) = match admission {
-        Admission::Granted => return Ok(Some(Permit::new(gateway, call.service, &call.account))),
+        Admission::Granted => return Ok(Permit::new(gateway, call.service, &call.account)),
         Admission::Queued(id, granted) => (id, granted),
-        Admission::Refused => return Err(refuse(gateway, call, End::NoPermit)),
-        Admission::GroupDown(_) => return Err(refuse(gateway, call, End::GroupClosed)),
+        Admission::Refused => return Err(refuse(gateway, call, class, End::NoPermit)),
+        Admission::GroupDown(_) => return Err(refuse(gateway, call, class, End::GroupClosed)),
     };
     let mut waiting = Waiting {
         gateway,
@@ -57,10 +98,10 @@
         granted,
     };
     if waiting.wait_for_permit(until).await {
-        return Ok(Some(Permit::new(gateway, call.service, &call.account)));
+        return Ok(Permit::new(gateway, call.service, &call.account));
     }
     drop(waiting);
-    Err(refuse(gateway, call, End::NoPermit))
+    Err(refuse(gateway, call, class, End::NoPermit))
 }
 
 /// Returns the refusal of a request that is answered by `deadline` at the latest,
@@ -72,8 +113,11 @@
     (!admitted).then_some(refusal)
 }
 
-fn refuse(gateway: &Gateway, call: &Call, end: End) -> Refusal {
-    let time = gateway.with_state(|state, now| state.retry_after(now, call.service));
+fn refuse(gateway: &Gateway, call: &Call, class: Option<Class>, end: End) -> Refusal {
+    let digest = call.content.whole();
+    let left = call.time_left(gateway);
+    let time = gateway
+        .with_state(|state, now| state.retry_after_of(now, call.service, class, digest, left));
     Refusal::new(end).with_retry_after(time)
 }
 
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -21,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::peer::Role;
 use crate::pull::{Queues, Subject, from_wire, to_wire};
+use crate::share;
 use crate::usage::Meter;
 use crate::view::{Publisher, Revisions, Section};
 
@@ -141,8 +142,10 @@
             let left = state.merge_leaving(&datagram.leaving_servers);
             let metrics = &self.gateway.metrics;
             metrics.count_notice("leaving", "peer", left);
+            let returns = share::returns(now, &datagram.shares);
             let newer = state.peers.apply(now, address, datagram);
             if newer {
+                state.hear_returns(now, &returns);
                 state.grant_permits(now);
             }
             let delay = told.sent.and_then(|sent| {
@@ -321,17 +324,18 @@
                     false => Vec::new(),
                 };
                 let revisions = state.view.revisions();
+                let shares = state.share_report(now);
                 (
                     loads,
                     limits,
                     crashes,
                     rate_limits,
                     leaving,
-                    (paces, responses),
+                    (paces, responses, shares),
                     revisions,
                 )
             });
-        let (paces, responses) = reports;
+        let (paces, responses, shares) = reports;
         let [configuration_age_ms, servers_age_ms, evacuations_age_ms] =
             self.views.told_ages_ms(&revisions);
         Beat {
@@ -361,6 +365,7 @@
             responses,
             usage: self.gateway.meter.as_ref().map(Meter::head),
             usage_ack: None,
+            shares,
         }
     }
 
@@ -423,6 +428,7 @@
             status.entries.push(own);
         }
         let live = gateway.with_state(|state, now| {
+            state.update_shares(now);
             state.grant_permits(now);
             let live = state.peers.live(now).filter(|peer| !peer.leaving);
             let live = live.map(|peer| (peer.domain.clone(), peer.callers));
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod send;
 pub mod serve;
 pub mod settings;
+pub mod share;
 pub mod state;
 pub mod usage;
 pub mod view;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -21,6 +21,9 @@
 /// Largest number of servers with a capacity of their own in the metrics.
 pub const MAX_SERVER_LABELS: usize = 20;
 
+/// Least urgent priority with a label value of its own.
+const MAX_PRIORITY_LABEL: u32 = 7;
+
 /// How a request ended, a label value.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum End {
@@ -147,6 +150,7 @@
     pub clock_lead: IntGauge,
     usage_faults: IntCounterVec,
     usage_windows: IntCounterVec,
+    shares: IntCounterVec,
 }
 
 /// Phases of a request with a histogram.
@@ -282,6 +286,11 @@
                 "Usage windows that this entry decided, by what ended the wait",
                 &["end"],
             )?,
+            shares: counter(
+                "berylgw_direct_shared_requests_total",
+                "Requests for shared permits by priority, class of the account and decision",
+                &["priority", "account", "decision"],
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -307,6 +316,7 @@
         registry.register(Box::new(metrics.clock_lead.clone()))?;
         registry.register(Box::new(metrics.usage_faults.clone()))?;
         registry.register(Box::new(metrics.usage_windows.clone()))?;
+        registry.register(Box::new(metrics.shares.clone()))?;
         Ok(metrics)
     }
 
@@ -380,6 +390,20 @@
         self.usage_windows.with_label_values(&[end]).inc();
     }
 
+    /// Counts a request for one of the permits that are shared by priority and account.
+    pub fn count_share(&self, priority: u32, flooding: bool, admitted: bool) {
+        // Bounds the number of label values.
+        let priority = match priority {
+            0..=MAX_PRIORITY_LABEL => priority.to_string(),
+            _ => "lower".to_owned(),
+        };
+        let account = if flooding { "flooding" } else { "usual" };
+        let decision = if admitted { "admitted" } else { "refused" };
+        self.shares
+            .with_label_values(&[&*priority, account, decision])
+            .inc();
+    }
+
     /// Records the duration of a phase.
     pub fn record(&self, phase: Phase, kind: &str, domain: &str, time: Duration) {
         let phase = phase.to_string();
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -200,6 +200,8 @@
     pub pace_headroom: f64,
     /// How the capacity of a server is determined.
     pub capacity: Capacity,
+    /// How permits are shared where the routes of a service have different priorities.
+    pub shares: Shares,
 }
 
 /// How the capacity of a server is determined.
@@ -213,6 +215,24 @@
     Fixed,
 }
 
+/// How permits are shared where the routes of a service have different priorities.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Shares {
+    /// By priority and account over all entries.
+    #[default]
+    ByPriority,
+    /// By the order of each entry's own queue.
+    Off,
+}
+
+impl Shares {
+    /// Returns whether permits are shared by priority.
+    pub fn by_priority(self) -> bool {
+        self == Shares::ByPriority
+    }
+}
+
 impl Default for Group {
     fn default() -> Self {
         // docs/MEASUREMENTS.md compares these values with others.
@@ -226,6 +246,7 @@
             late_share: 0.9,
             pace_headroom: 1.2,
             capacity: Capacity::Measured,
+            shares: Shares::ByPriority,
         }
     }
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -8,6 +8,7 @@
 mod group;
 mod notice;
 mod placement;
+mod share;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use berylgw_core::group::concurrency::Limit;
 use berylgw_core::group::pace::Pacer;
 use berylgw_core::group::queue::Queue;
+use berylgw_core::group::share::Share;
 use berylgw_core::group::{
     arrival, blame, client_timeout, drained, health, outage, pause, rate, retry_after,
 };
@@ -31,6 +33,7 @@
 
 pub use admission::Admission;
 pub use notice::{Notice, Readiness, Value};
+pub use share::{Ruling, label};
 
 /// Requests that may queue for a permit at one entry and service. At the rate
 /// at which a full group frees permits, more would be refused after their wait
@@ -211,6 +214,7 @@
         self.update_slowdowns();
         self.update_ceilings();
         self.update_delays();
+        self.update_shared_targets();
     }
 
     /// Limits the requests at each service to the slots of its servers.
@@ -287,6 +291,7 @@
                     limit,
                 }],
                 queue: Queue::new(MAX_QUEUED),
+                shared_target: None,
                 waiting: Vec::new(),
                 running: Vec::new(),
                 held_permits: 0,
@@ -297,7 +302,12 @@
                 outage: outage::Outage::default(),
                 admitted: arrival::Window::default(),
                 late_admitted: arrival::Window::default(),
+                share: Share::default(),
+                returns: retry_after::Returns::default(),
+                schedules: Vec::new(),
+                logged_cutoff: (None, Instant::ORIGIN),
             });
+            self.update_shared_targets();
             self.pools.len() - 1
         });
         ServiceKey(index)
--- a/crates/direct/src/state/admission.rs
+++ b/crates/direct/src/state/admission.rs
@@ -8,7 +8,7 @@
 use berylgw_core::group::queue::{Id, Request};
 use tokio::sync::oneshot;
 
-use super::{ServerKey, ServiceKey, State};
+use super::{ServerKey, ServiceKey, State, share};
 use crate::config::Route;
 use crate::pool::Waiter;
 
@@ -94,7 +94,7 @@
         }
         let id = self.counter;
         self.counter = self.counter.wrapping_add(1);
-        if request.deadline <= now || !pool.queue.push(id, request.clone()) {
+        if request.deadline <= now || !share::push(pool, id, &request) {
             return Admission::Refused;
         }
         let (granted, receiver) = oneshot::channel();
@@ -268,7 +268,7 @@
     (in_flight as f64) < PACING_MIN_LOAD * limit as f64
 }
 
-fn running_of(running: &[(Arc<str>, usize)], account: &str) -> usize {
+pub(super) fn running_of(running: &[(Arc<str>, usize)], account: &str) -> usize {
     let found = running.iter().find(|(name, _)| **name == *account);
     found.map_or(0, |(_, permits)| *permits)
 }
