Count whole answers until they have been sent to their callers

Change: the bytes of an answer hold their reservation until the last copy is dropped, which is when they have been written. Answers beyond the limit end as lost, as before while they were read.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use berylgw_core::group::blame;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
@@ -554,8 +554,9 @@
     let status = exchange.response.status();
     let mut headers = exchange.response.headers().clone();
     strip_connection_headers(&mut headers);
-    let mut body = BytesMut::new();
-    let mut reservations = Vec::new();
+    let mut body = Vec::new();
+    // Callers may read slowly, so that the memory is held until the answer is sent.
+    let mut held = gateway.reserve_body(0).ok_or(Malformed::NoMemory)?;
     while let Some(frame) = exchange.response.body_mut().frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
@@ -563,14 +564,17 @@
         if body.len() + data.len() > MAX_ANSWER_BYTES {
             return Err(Malformed::AnswerTooLong);
         }
-        let reservation = gateway.reserve_body(data.len());
-        reservations.push(reservation.ok_or(Malformed::NoMemory)?);
+        held.extend(
+            gateway
+                .reserve_body(data.len())
+                .ok_or(Malformed::NoMemory)?,
+        );
         body.extend_from_slice(&data);
     }
     Ok(Buffered {
         status,
         headers,
-        body: body.freeze(),
+        body: held.hold(body),
     })
 }
 
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use berylgw_core::clock::Instant;
@@ -11,6 +12,7 @@
 use berylgw_core::stop::Schedule;
 use berylgw_runtime::clock::Clock;
 use berylgw_wire::rank::Pace;
+use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
 use crate::backend::Server;
@@ -45,7 +47,8 @@
     state: RefCell<State>,
     stop: watch::Sender<Option<Schedule>>,
     stopped: Cell<bool>,
-    reserved_bytes: Cell<usize>,
+    /// Shared with the bytes of answers, which are freed once they have been sent.
+    reserved_bytes: Arc<AtomicUsize>,
     in_progress: Cell<usize>,
     connections: Cell<usize>,
 }
@@ -75,7 +78,7 @@
             quarantine_changed: Notify::new(),
             stop: watch::Sender::new(None),
             stopped: Cell::new(false),
-            reserved_bytes: Cell::new(0),
+            reserved_bytes: Arc::default(),
             in_progress: Cell::new(0),
             connections: Cell::new(0),
         }
@@ -172,14 +175,14 @@
 
     /// Reserves memory for `bytes` of a body, `None` if too much is
     /// reserved already.
-    pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
-        let reserved = self.reserved_bytes.get() + bytes;
+    pub fn reserve_body(&self, bytes: usize) -> Option<BodyReservation> {
+        let reserved = self.reserved_bytes.load(Ordering::Relaxed) + bytes;
         if reserved > MAX_BODY_BYTES {
             return None;
         }
-        self.reserved_bytes.set(reserved);
+        self.reserved_bytes.store(reserved, Ordering::Relaxed);
         Some(BodyReservation {
-            gateway: self.clone(),
+            reserved: self.reserved_bytes.clone(),
             bytes,
         })
     }
@@ -199,14 +202,41 @@
 /// Memory reserved for a body, released on drop.
 #[derive(Debug)]
 pub struct BodyReservation {
-    gateway: Rc<Gateway>,
+    reserved: Arc<AtomicUsize>,
     bytes: usize,
 }
 
+impl BodyReservation {
+    /// Adds the memory of another reservation to this one.
+    pub fn extend(&mut self, mut other: BodyReservation) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
+    /// Returns `body` as bytes that hold this reservation until the last copy of them is
+    /// dropped, which for an answer is when it has been written to its caller.
+    pub fn hold(self, body: Vec<u8>) -> Bytes {
+        Bytes::from_owner(Reserved {
+            body,
+            _reservation: self,
+        })
+    }
+}
+
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        let reserved = self.gateway.reserved_bytes.get();
-        self.gateway.reserved_bytes.set(reserved - self.bytes);
+        self.reserved.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A body and the memory reserved for it.
+struct Reserved {
+    body: Vec<u8>,
+    _reservation: BodyReservation,
+}
+
+impl AsRef<[u8]> for Reserved {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
     }
 }
 
--- a/crates/testkit/tests/direct_endless.rs
+++ b/crates/testkit/tests/direct_endless.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use berylgw_testkit::direct::backend::{Reply, Server};
-use berylgw_testkit::direct::caller::{Call, send};
+use berylgw_testkit::direct::caller::{Answer, Call, Channel, Pace, send};
 use berylgw_testkit::direct::site::{Entry, Failure, KEY, configuration, register};
 use berylgw_testkit::direct::store::Store;
 use hyper::StatusCode;
@@ -167,3 +167,62 @@
     }
     Ok(())
 }
+
+/// Bytes of an answer that callers read slowly, below what an entry reads as a whole.
+const SLOWLY_READ_BYTES: usize = 6 << 20;
+
+/// Guards against whole answers that wait for slow callers and together exceed the
+/// memory of an entry: each was counted only until it had been read from the server.
+#[tokio::test]
+async fn slowly_read_answers_bounded() -> Result {
+    let store = Store::default();
+    store.put("config", "main", configuration(3, &[KEY]));
+    let server = Server::start("i-long", Reply::AsAsked).await?;
+    register(&store, "yard", &[&server]);
+    let entry = Entry::start(&store, "edge-1", "shed").await?;
+    entry.wait_for_view(&[("servers", json!(1))]).await?;
+    let before = resident_kib(entry.process.id())?;
+    let callers = entry.callers;
+    let bytes = SLOWLY_READ_BYTES.to_string();
+    let mut calls = Vec::new();
+    for number in 0..2 * CALLS {
+        let bytes = bytes.clone();
+        calls.push(tokio::spawn(async move {
+            let call = Call {
+                id: format!("s{number}"),
+                path: "/pickup/1".to_owned(),
+                key: Some(KEY.to_owned()),
+                deadline_ms: 8_000,
+            };
+            let mut channel = Channel::open(callers, Some(4_096)).await?;
+            let pace = Pace {
+                read: Duration::from_millis(400),
+                ..Pace::default()
+            };
+            let headers = [("answer-bytes", &*bytes)];
+            let answer = channel.ask(&call, &headers, pace).await;
+            answer.map_err(|failure| format!("{failure:?}").into())
+        }));
+    }
+    let mut peak = before;
+    for _ in 0..30 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        peak = peak.max(resident_kib(entry.process.id())?);
+    }
+    let mut refused = 0;
+    for call in calls {
+        if !call.is_finished() {
+            call.abort();
+            continue;
+        }
+        let answered: Result<Answer> = call.await?;
+        refused += usize::from(answered?.status == StatusCode::BAD_GATEWAY);
+    }
+    assert!(refused > 0, "no answer exceeded the memory for answers");
+    assert!(
+        peak < before + MAX_GROWTH_KIB,
+        "{before} to {peak} KiB for {} answers",
+        2 * CALLS
+    );
+    Ok(())
+}
