--- a/crates/direct/src/duty/send.rs
+++ b/crates/direct/src/duty/send.rs
@@ -130,11 +130,10 @@
         if report.is_none() || !shared.permits(tenure.token()) || !self.bucket.take(now) {
             return;
         }
-        match (self.turns.choose(report.is_some(), false), report) {
-            (Some(duty::Subject::Report), Some((report, true_now))) => {
-                self.report(tenure, report, true_now).await;
-            }
-            _ => {}
+        // Orders are not decided yet.
+        let chosen = self.turns.choose(report.is_some(), false);
+        if let (Some(duty::Subject::Report), Some((report, true_now))) = (chosen, report) {
+            self.report(tenure, report, true_now).await;
         }
     }
 
--- a/crates/testkit/src/direct/duty.rs
+++ b/crates/testkit/src/direct/duty.rs
@@ -207,10 +207,10 @@
             body: serde_json::from_slice(&body).unwrap_or_default(),
             accepted: false,
         };
-        let accepts = match treatment {
-            Treatment::Limited | Treatment::Unavailable | Treatment::Silent => false,
-            _ => true,
-        };
+        let accepts = !matches!(
+            treatment,
+            Treatment::Limited | Treatment::Unavailable | Treatment::Silent
+        );
         let accepted = self.record(call, accepts);
         match treatment {
             Treatment::Unavailable => return Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
