--- a/crates/core/src/group/share.rs
+++ b/crates/core/src/group/share.rs
@@ -71,8 +71,7 @@
 /// Most accounts in a report; those with the most recent use.
 pub const MAX_REPORTED_ACCOUNTS: usize = 96;
 
-/// Most classes in a report: twelve for each flag and turn of two priorities more than
-/// any known configuration has.
+/// Most classes in a report: six for each of six priorities, the most urgent first.
 pub const MAX_REPORTED_CLASSES: usize = 36;
 
 /// Most accounts whose usual use is known.
