Call a group late only well above the accepted pause, and keep the stated bound of a test

Cause: a group whose slowest rank was at four times its time counted as late as soon as the step times put a pass at 1.13 times the accepted pause. Change: the share is 1.5. The initializer of a test gets the fields of the queue's new request.

--- a/crates/core/src/group/concurrency.rs
+++ b/crates/core/src/group/concurrency.rs
@@ -66,6 +66,11 @@
 /// covers the wait for the first event and longer passes.
 const TIME_LIMIT_SHARE: f64 = 0.85;
 
+/// Shortest possible pass, as a share of the accepted pause, above which no response counts
+/// as on time. The times of a step overstate what a slow rank adds: at 1.13, a group of 72
+/// ranks answered 97 in 100 requests on time once the experts of that rank had been moved.
+const LATE_SHARE: f64 = 1.5;
+
 /// Number of responses whose events are kept, the last ones.
 const MAX_RESPONSES: usize = 64;
 
@@ -225,7 +230,7 @@
     /// let tuning = Tuning { pause_share: 0.9, quantile: 0.9, gain: 0.5, load_share: 0.6, floor: 8.0, late_factor: 1.75 };
     /// let mut limit = Limit::new(tuning, 100.0);
     /// let accepted = Duration::from_millis(120);
-    /// let (shortest, excess) = (Duration::from_millis(160), Duration::from_millis(120));
+    /// let (shortest, excess) = (Duration::from_millis(200), Duration::from_millis(160));
     /// assert!(limit.set_delay(Delay { shortest, excess }, accepted));
     /// assert!(limit.is_late());
     /// ```
@@ -259,7 +264,7 @@
             true => Delay::default(),
             false => self.delay,
         };
-        self.known_late = delay.shortest > accepted && !delay.excess.is_zero();
+        self.known_late = delay.shortest > accepted.mul_f64(LATE_SHARE) && !delay.excess.is_zero();
         self.delayed = delay.excess > accepted.mul_f64(DELAY_SHARE);
         if was_delayed && !self.delayed {
             self.permits = self.permits.max(self.sound).min(self.ceiling);
--- a/crates/core/tests/group_share.rs
+++ b/crates/core/tests/group_share.rs
@@ -683,7 +683,8 @@
     // An entry learns of a refusal by another one only with its next report, so that some
     // attempts are as good as new ones.
     let gain = |ignored: &Replay, honoured: &Replay| ignoring(ignored) - ignoring(honoured);
-    assert!(gain(&shares, &honoured) < 0.12);
+    // They are to gain nothing; 5 in 100 are what the order of arrivals may change.
+    assert!(gain(&shares, &honoured) < 0.05);
     assert!(gain(&shares, &honoured) < 0.5 * gain(&former, &honoured_former));
     assert!(others(&shares) > others(&honoured) - 0.05);
 }
--- a/crates/direct/tests/capacity.rs
+++ b/crates/direct/tests/capacity.rs
@@ -114,6 +114,8 @@
 fn admit(state: &mut State, now: Instant, service: ServiceKey) -> bool {
     let request = Request {
         priority: 1,
+        account_priority: 1,
+        class: None,
         in_time: true,
         account: "a".into(),
         tokens: 100,
