--- a/crates/direct/tests/usage.rs
+++ b/crates/direct/tests/usage.rs
@@ -9,7 +9,7 @@
 use berylgw_direct::backend::Server;
 use berylgw_direct::config::{ApiKey, Configuration, RequestKind, Route, Target};
 use berylgw_direct::header::Names;
-use berylgw_direct::settings::Duties;
+use berylgw_direct::settings::{Duties, Scaling};
 use berylgw_direct::usage::Office;
 use berylgw_direct::view::{Part, Source};
 use berylgw_direct::{Entry, Settings};
@@ -238,7 +238,12 @@
         let findings = settings.check().into_iter();
         findings.map(|finding| finding.field).collect::<Vec<_>>()
     };
-    let times = |window_s, late_s| Duties { window_s, late_s };
+    let times = |window_s, late_s| Duties {
+        window_s,
+        late_s,
+        lease_ms: 3_000,
+        scaling: Scaling::Off,
+    };
     assert!(findings(times(5, 10.0)).is_empty());
     for late_s in [0.0, 4.9, f64::NAN, f64::INFINITY, -1.0] {
         assert_eq!(findings(times(5, late_s)), ["duties.late_s"]);
--- a/crates/testkit/tests/direct_share.rs
+++ b/crates/testkit/tests/direct_share.rs
@@ -75,7 +75,7 @@
     ]);
     store.put("config", "main", config);
     let reply = Reply::Events(20, Duration::from_millis(50));
-    let first = Server::start("i-first", reply.clone()).await?;
+    let first = Server::start("i-first", reply).await?;
     let second = Server::start("i-second", reply).await?;
     register(&store, "model", &[&first, &second]);
     let mut entries = Vec::new();
