Let the limit fall before a group without a known delay counts as late

Result: group_capacity, group and group_load pass unchanged. A doc link to a private item is removed.

--- a/crates/core/src/group/concurrency.rs
+++ b/crates/core/src/group/concurrency.rs
@@ -33,10 +33,6 @@
 /// first.
 const MAX_PAUSES: usize = 256;
 
-/// Number of adjustments in a row after which pauses that are too long without any load
-/// count as late. Single passes are long when many prompts are prefilled together.
-const LATE_ADJUSTMENTS: u32 = 3;
-
 /// Ratio of a pause to the one expected from recent pauses at the same load below which
 /// the cause of those counts as over. Within one state, the quantile of the pauses
 /// varies less.
@@ -140,8 +136,6 @@
     /// of a slow rank. Late responses are then preferred to refusals.
     all_late: bool,
     last_adjusted: Instant,
-    /// Adjustments in a row with pauses that are too long without any load.
-    overlong: u32,
     /// Pause and requests in flight of the last adjustments, oldest first.
     recent: Vec<(f64, f64)>,
     /// The last limit before pauses became too long.
@@ -172,7 +166,6 @@
             pauses: Vec::new(),
             all_late: false,
             last_adjusted: Instant::ORIGIN,
-            overlong: 0,
             recent: Vec::new(),
             sound: permits,
             delay: Delay::default(),
@@ -277,7 +270,6 @@
             // Pauses from before the change do not show its effect.
             self.pauses.clear();
             self.recent.clear();
-            self.overlong = 0;
         }
         was_late != self.known_late
     }
@@ -336,12 +328,6 @@
         }
         self.recent.push((pause, running));
         self.all_late = self.is_all_late(pause, running, on_time);
-        if self.all_late
-            && let Some(best) = self.best_late_limit(pause, running)
-        {
-            self.permits += self.tuning.gain * (best - self.permits);
-            return true;
-        }
         if eased && pause <= on_time {
             self.permits = self.permits.max(self.sound).min(self.ceiling);
         }
@@ -375,16 +361,10 @@
         true
     }
 
-    fn is_all_late(&mut self, pause: f64, running: f64, on_time: f64) -> bool {
+    fn is_all_late(&self, pause: f64, running: f64, on_time: f64) -> bool {
         let low_load = self.ceiling * LOW_LOAD_SHARE;
         if !self.all_late {
-            // No load explains these pauses, so the limit need not fall first.
-            let load_part =
-                self.tuning.load_share * (self.tuning.floor / running.max(1.0)).min(1.0);
-            let overlong = pause * (1.0 - self.tuning.load_share + load_part) > on_time;
-            self.overlong = if overlong { self.overlong + 1 } else { 0 };
-            let at_low_load = running <= low_load && self.permits <= low_load;
-            return pause > on_time && (at_low_load || self.overlong >= LATE_ADJUSTMENTS);
+            return pause > on_time && running <= low_load && self.permits <= low_load;
         }
         // Predicts the pause at `low_load` requests, the largest number at which
         // `all_late` is set.
--- a/crates/direct/src/gossip/usage.rs
+++ b/crates/direct/src/gossip/usage.rs
@@ -27,7 +27,7 @@
 const LAST_DELIVERIES: usize = 4;
 
 impl Gossip {
-    /// Delivers what was counted to the holder of the duty every [`DELIVERY_INTERVAL`];
+    /// Delivers what was counted to the holder of the duty every `DELIVERY_INTERVAL`;
     /// never returns.
     pub async fn deliver_usage(&self) {
         loop {
