Follow the pauses unless a rank's pace leaves no pass in time

Cause: below the pace at which no pass can be in time, the limit was computed from the delay of the slowest rank. The step times overstate it, so the limit fell to its floor, which counts as late. Change: the delay is used only where no pass can be in time.

--- a/crates/core/src/group/concurrency.rs
+++ b/crates/core/src/group/concurrency.rs
@@ -54,10 +54,6 @@
 /// slowest rank is known, so that it is reached within a second.
 const DELAYED_GAIN: f64 = 0.5;
 
-/// Excess of a known delay, as a share of the accepted pause, from which the limit
-/// allows for it.
-const DELAY_SHARE: f64 = 0.1;
-
 /// Share of the time limit of late responses that their events may take up. The rest
 /// covers the wait for the first event and longer passes.
 const TIME_LIMIT_SHARE: f64 = 0.85;
@@ -258,7 +254,7 @@
             false => self.delay,
         };
         self.known_late = delay.shortest > accepted.mul_f64(LATE_SHARE) && !delay.excess.is_zero();
-        self.delayed = delay.excess > accepted.mul_f64(DELAY_SHARE);
+        self.delayed = self.known_late;
         if was_delayed && !self.delayed {
             self.permits = self.permits.max(self.sound).min(self.ceiling);
             if was_late {
