--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -577,6 +577,17 @@
     /// Writes the events from `first` to `last` and the end of the stream; fails if the
     /// server has crashed meanwhile.
     pub fn write_events(&mut self, first: u32, last: u32, pause: Duration) -> io::Result<()> {
+        self.write_some_events(first, last, pause)?;
+        write!(self.stream, "0\r\n\r\n")
+    }
+
+    /// Writes the events from `first` to `last`; fails if the server has crashed meanwhile.
+    pub fn write_some_events(
+        &mut self,
+        first: u32,
+        last: u32,
+        pause: Duration,
+    ) -> io::Result<()> {
         for id in first..=last {
             std::thread::sleep(pause);
             if self.server.down.load(Ordering::SeqCst) {
@@ -585,7 +596,7 @@
             let event = format!("id: {id}\ndata: words\n\n");
             write!(self.stream, "{:x}\r\n{event}\r\n", event.len())?;
         }
-        write!(self.stream, "0\r\n\r\n")
+        Ok(())
     }
 }
 
