--- a/review/11/case.rs
+++ b/review/kit-3/chain.rs
@@ -1,6 +1,6 @@
 //! A part of a prompt that crashes servers, behind more than 32 shared parts.
 
-include!("../kit-3/kit.rs");
+include!("kit.rs");
 
 use std::collections::BTreeSet;
 use std::io::Write;
--- a/review/15/case.rs
+++ b/review/kit-3/followers-killed.rs
@@ -1,6 +1,6 @@
 //! Entries that follow the store are killed as half of the servers of a service leave.
 
-include!("../kit-3/kit.rs");
+include!("kit.rs");
 
 use std::io::Write;
 use std::net::TcpStream;
--- a/review/kit-3/kit.rs
+++ b/review/kit-3/kit.rs
@@ -21,6 +21,9 @@
     pub const CONTACT_MS: u64 = 3_000;
     pub const DRAIN_MS: u64 = 2_000;
 
+    /// Largest page of a list of the store; one object may be as large.
+    const PAGE_BYTES: usize = 1_000_000;
+
     /// Longest run of a script, after which it ends with exit code 2.
     const MAX_RUN: Duration = Duration::from_secs(115);
 
@@ -33,7 +36,7 @@
 
     impl Record {
         pub fn create() -> Result<Self> {
-            let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
+            let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
             let file = Arc::new(Mutex::new(File::create(path)?));
             let start = Instant::now();
             Ok(Record { file, start })
@@ -315,13 +318,24 @@
             match (method, name) {
                 ("GET", None) => {
                     let Some(since) = number("Watch") else {
-                        let of_kind = inner.objects.iter().filter(|known| known.0.0 == kind);
-                        let items = of_kind.map(|(key, (spec, revision))| {
-                            Objects::object(&key.1, spec, *revision)
+                        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+                        let after = pairs.find(|pair| pair.0 == "After");
+                        let after = after.map(|pair| decode(pair.1)).unwrap_or_default();
+                        let of_kind = inner.objects.iter().filter(|known| {
+                            known.0.0 == kind && known.0.1 > after
                         });
-                        let items = items.collect::<Vec<_>>().join(",");
+                        let (mut items, mut more) = (String::new(), false);
+                        for (key, (spec, revision)) in of_kind {
+                            let item = Objects::object(&key.1, spec, *revision);
+                            if !items.is_empty() && items.len() + item.len() > PAGE_BYTES {
+                                more = true;
+                                break;
+                            }
+                            let comma = if items.is_empty() { "" } else { "," };
+                            items = items + comma + &item;
+                        }
                         let at = inner.revision;
-                        return (200, format!(r#"{{"Items":[{items}],"More":false,"At":{at}}}"#));
+                        return (200, format!(r#"{{"Items":[{items}],"More":{more},"At":{at}}}"#));
                     };
                     let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
                     let end = Instant::now() + wait;
@@ -371,6 +385,27 @@
         }
     }
 
+    /// Decodes the percent-encoding of a value in a query.
+    fn decode(text: &str) -> String {
+        let mut bytes = Vec::new();
+        let mut rest = text.as_bytes();
+        while let Some((&first, after)) = rest.split_first() {
+            let hex = after.get(..2).and_then(|two| std::str::from_utf8(two).ok());
+            let byte = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+            match (first, byte) {
+                (b'%', Some(byte)) => {
+                    bytes.push(byte);
+                    rest = &after[2..];
+                }
+                _ => {
+                    bytes.push(first);
+                    rest = after;
+                }
+            }
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     fn between(text: &str, before: &str, after: &str) -> Option<String> {
         let rest = text.split_once(before)?.1;
         Some(rest.split_once(after)?.0.to_owned())
@@ -611,7 +646,11 @@
             let settings = folder().join(format!("{name}.yaml"));
             fs::write(&settings, text)?;
             let log = File::create(folder().join(format!("{name}.log")))?;
-            let child = Command::new("target/release/berylgw-direct")
+            // The case is in target/review-2 of the repository.
+            let case = std::env::current_exe()?;
+            let root = case.ancestors().nth(3).ok_or("no folder of the repository")?;
+            let child = Command::new(root.join("target/release/berylgw-direct"))
+                .current_dir(root)
                 .arg("--settings")
                 .arg(&settings)
                 .env("BERYLGW_CONFIGURATION_MS", "2000")
--- a/review/14/case.rs
+++ b/review/kit-3/outage-remembered.rs
@@ -1,7 +1,7 @@
 //! Entries that follow the store are killed as a server leaves, some time after an outage
 //! of the store.
 
-include!("../kit-3/kit.rs");
+include!("kit.rs");
 
 use std::io::Write;
 use std::net::TcpStream;
--- a/review/13/case.rs
+++ b/review/kit-3/parts.rs
@@ -1,6 +1,6 @@
 //! A part of a prompt that crashes servers, in the first requests with a new prompt.
 
-include!("../kit-3/kit.rs");
+include!("kit.rs");
 
 use std::io::Write;
 use std::net::TcpStream;
