--- a/review/15/case.rs
+++ b/review/15/case.rs
@@ -1,250 +1,135 @@
-//! A part of a prompt crashes each server that begins to write an answer on it. It is the
-//! last shared part of a long session.
-//!
-//! `PLACE` sets the place of the part among the shared parts, 40 if it is not set.
+//! Another writer puts an entry into the list of servers whose service no configuration names.
+//! It has the address of a sound server, which gets no more requests.
 
 #[path = "../kit-4/kit.rs"]
 mod kit;
 
 use kit::*;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-const CONTACT: Duration = Duration::from_millis(3_000);
-const SERVERS: usize = 6;
-const DEADLY: &str = "dead0001";
-const LENGTH: Duration = Duration::from_secs(60);
-/// Time for which a server that crashed is away.
-const AWAY: Duration = Duration::from_secs(3);
+const LENGTH: Duration = Duration::from_secs(20);
 
-/// What the servers have seen.
-#[derive(Default)]
-struct Seen {
-    crashes: Vec<Instant>,
-    /// Arrivals of requests with the part, and whether the server began to write.
-    deadly: Vec<(Instant, String, String)>,
-}
-
-struct Servers {
-    store: Store,
-    record: Record,
-    seen: Mutex<Seen>,
-    ports: Mutex<Vec<Option<Port>>>,
-    addresses: Vec<SocketAddr>,
-}
-
-fn serve(servers: &Arc<Servers>, index: usize, stream: TcpStream) {
+fn serve(name: &str, stream: TcpStream) {
     let mut channel = Channel::new(stream);
     while let Ok(Some(request)) = channel.read(false) {
         if !request.complete {
             return;
         }
         let id = request.id().to_owned();
-        let own = format!("i-{index}");
         let echo = format!("Berylgw-Attempt-Id: {id}\r\n");
-        if request.header("berylgw-expect-instance").is_some_and(|wanted| wanted != own) {
+        if request.header("berylgw-expect-instance").is_some_and(|own| own != name) {
             let _ = channel.send(&answer("421 Misdirected Request", &echo, ""));
             continue;
         }
-        let prefix = request.header("berylgw-prompt-prefix").unwrap_or("");
-        let deadly = has_trouble() && prefix.contains(DEADLY);
-        if prefix.contains(DEADLY) {
-            servers.record.add(format_args!("{id} with the part reaches {own}"));
-            lock(&servers.seen).deadly.push((Instant::now(), id.clone(), own.clone()));
-        }
-        let last = request.header("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
-             Berylgw-Server-Seal: seal-{own}-{id}\r\n{echo}\r\n"
-        );
-        if channel.send(&head).is_err() {
+        thread::sleep(Duration::from_millis(15));
+        let seal = format!("{echo}Berylgw-Server-Seal: seal-{name}-{id}\r\n");
+        if channel.send(&answer("200 OK", &seal, &"x".repeat(800))).is_err() {
             return;
         }
-        for event in last + 1..=6 {
-            thread::sleep(Duration::from_millis(15));
-            let text = format!("id: {event}\ndata: e{event}\n\n");
-            if channel.send(&format!("{:x}\r\n{text}\r\n", text.len())).is_err() {
-                return;
-            }
-            if deadly {
-                thread::sleep(Duration::from_millis(40));
-                crash(servers, index, &id);
-                return;
-            }
-        }
-        let _ = channel.send("0\r\n\r\n");
     }
 }
 
-fn crash(servers: &Arc<Servers>, index: usize, id: &str) {
-    let Some(port) = lock(&servers.ports)[index].take() else { return };
-    port.crash();
-    lock(&servers.seen).crashes.push(Instant::now());
-    servers.record.add(format_args!("server i-{index} crashes under {id}"));
-    let servers = servers.clone();
-    thread::spawn(move || {
-        thread::sleep(AWAY);
-        start(&servers, index);
-        servers.record.add(format_args!("server i-{index} is back"));
-    });
-}
-
-fn start(servers: &Arc<Servers>, index: usize) {
-    let own = servers.clone();
-    let address = servers.addresses[index];
-    let opened = Port::open(address, move |stream| serve(&own, index, stream));
-    match opened {
-        Ok(port) => lock(&servers.ports)[index] = Some(port),
-        Err(error) => {
-            servers.record.say(format_args!("server i-{index} does not start: {error}"));
-            std::process::exit(NOT_RUN);
-        }
-    }
-    let zone = ["east", "west"][index % 2];
-    let entry = server_entry("model", address, zone, "ready", unix_ms());
-    servers.store.put("servers", &format!("i-{index}"), &entry);
-}
-
-/// Returns the shared parts of the session; `deadly` is the one at `place`, if it is there.
-fn prefix(place: usize, deadly: bool, own: &str) -> String {
-    let mut parts = Vec::new();
-    for number in 1..=40 {
-        match number == place {
-            true if deadly => parts.push(format!("{DEADLY}:20")),
-            true => parts.push("5afe0001:20".to_owned()),
-            false => parts.push(format!("{:08x}:20", 0x5e55_0000 + number)),
-        }
-    }
-    format!("Berylgw-Model: m\r\nBerylgw-Token-Count: 850,30\r\nBerylgw-Prompt-Prefix: {},{own}:50\r\n", parts.join(","))
-}
-
 fn main() {
     let record = Record::create();
-    let place = std::env::var("PLACE").ok().and_then(|place| place.parse().ok()).unwrap_or(40);
     let store = Store::start().unwrap_or_else(|_| std::process::exit(NOT_RUN));
-    let routes = [
-        route("/notes/", "streaming", "model", 8_000, true),
-        route("/once/", "streaming", "model", 8_000, false),
-    ];
-    store.put("config", "main", &configuration(7, &routes, &["model"]));
-    let addresses = free_ports(SERVERS).unwrap_or_default();
-    let servers = Arc::new(Servers {
-        store: store.clone(),
-        record: record.clone(),
-        seen: Mutex::default(),
-        ports: Mutex::new((0..SERVERS).map(|_| None).collect()),
-        addresses,
-    });
-    for index in 0..SERVERS {
-        start(&servers, index);
+    let mut routes = vec![route("/look/", "idempotent", "desk", 2_000, false)];
+    store.put("config", "main", &configuration(7, &routes, &["desk", "pay"]));
+    let mut ports = Vec::new();
+    let mut addresses = Vec::new();
+    for (index, service) in ["desk", "desk", "pay", "pay"].into_iter().enumerate() {
+        let name = format!("i-{index}");
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let Ok(port) = Port::open(address, move |stream| serve(&name, stream)) else {
+            std::process::exit(NOT_RUN)
+        };
+        let entry = server_entry(service, port.address, "east", "ready", unix_ms());
+        store.put("servers", &format!("i-{index}"), &entry);
+        addresses.push((service, port.address));
+        ports.push(port);
     }
-    let mut entries = Vec::new();
-    for (name, zone) in [("edge-east-1", "east"), ("edge-west-1", "west")] {
-        match Process::entry(name, zone, store.address) {
-            Ok(entry) => entries.push(entry),
-            Err(error) => {
-                record.say(format_args!("{name} does not start: {error}"));
-                finish(entries, NOT_RUN);
-            }
+    let entry = match Process::entry("edge-east-1", "east", store.address) {
+        Ok(entry) => entry,
+        Err(error) => {
+            record.say(format_args!("the entry does not start: {error}"));
+            std::process::exit(NOT_RUN)
         }
+    };
+    if !entry.wait_ready() {
+        record.say("the entry is not ready");
+        finish(vec![entry], NOT_RUN);
     }
-    if !entries.iter().all(Process::wait_ready) {
-        record.say("an entry is not ready");
-        finish(entries, NOT_RUN);
+    routes.push(route("/pay/", "non_idempotent", "pay", 2_000, false));
+    store.put("config", "main", &configuration(9, &routes, &["desk", "pay"]));
+    thread::sleep(Duration::from_secs(1));
+    if has_trouble() {
+        // The other writer names the processes by a service of its own.
+        for (index, (service, address)) in addresses.iter().enumerate() {
+            if *service == "pay" {
+                let spec = server_entry("pay-audit", *address, "east", "ready", unix_ms());
+                store.put("servers", &format!("audit-{index}"), &spec);
+                record.add(format_args!("another writer: audit-{index} {spec}"));
+            }
+        }
     }
-    thread::sleep(Duration::from_secs(2));
-    let callers: Vec<SocketAddr> = entries.iter().map(|entry| entry.callers).collect();
+    thread::sleep(Duration::from_secs(4));
     let began = Instant::now();
-    // Sound requests: 8 clients with kept channels, half of them on the route that may not be
-    // resumed.
-    let sound: Arc<Mutex<Vec<(bool, u16, bool)>>> = Arc::default();
+    let callers = entry.callers;
+    let counts: Arc<Mutex<BTreeMap<&str, BTreeMap<u16, usize>>>> = Arc::default();
     let mut clients = Vec::new();
-    for client in 0..8 {
-        let (record, sound) = (record.clone(), sound.clone());
-        let address = callers[client % callers.len()];
-        clients.push(thread::spawn(move || {
-            let mut channel = None;
-            while began.elapsed() < LENGTH {
-                let path = ["/notes/a", "/once/a"][client / 2 % 2];
-                let id = new_id();
-                let headers = prefix(place, false, &format!("a{id}"));
-                let text = request(path, &id, 8_000, &headers, "question");
-                if channel.is_none() {
-                    channel = Channel::connect(address).ok();
-                }
-                let asked = channel.as_mut().map(|channel| {
-                    channel.send(&text)?;
-                    channel.read(true)
-                });
-                let (status, complete) = match asked {
-                    Some(Ok(Some(answer))) => (answer.status(), answer.complete),
-                    _ => (0, false),
-                };
-                if !complete {
-                    channel = None;
+    for (route, path) in [("/look/", "/look/17"), ("/pay/", "/pay/17")] {
+        for _ in 0..2 {
+            let (counts, record) = (counts.clone(), record.clone());
+            clients.push(thread::spawn(move || {
+                let mut channel: Option<Channel> = None;
+                while began.elapsed() < LENGTH {
+                    let id = new_id();
+                    let text = request(path, &id, 2_000, "", "order");
+                    if channel.is_none() {
+                        channel = Channel::connect(callers).ok();
+                    }
+                    let asked = channel.as_mut().map(|channel| {
+                        channel.send(&text)?;
+                        channel.read(true)
+                    });
+                    let answer = asked.and_then(Result::ok).flatten().unwrap_or_default();
+                    if !answer.complete {
+                        channel = None;
+                    }
+                    record.add(format_args!("{id} on {route}: status {}", answer.status()));
+                    let mut counts = lock(&counts);
+                    *counts.entry(route).or_default().entry(answer.status()).or_default() += 1;
+                    drop(counts);
+                    thread::sleep(Duration::from_millis(300));
                 }
-                if status != 200 || !complete {
-                    record.add(format_args!("sound {id} on {path}: status {status}, complete {complete}"));
-                }
-                lock(&sound).push((path == "/once/a", status, complete));
-                thread::sleep(Duration::from_millis(150));
-            }
-        }));
-    }
-    // Requests with the part, no two alike, at both entries in turn.
-    thread::sleep(Duration::from_secs(3));
-    let mut number = 0;
-    while began.elapsed() < LENGTH - Duration::from_secs(3) {
-        let address = callers[number % callers.len()];
-        number += 1;
-        let record = record.clone();
-        thread::spawn(move || {
-            let id = new_id();
-            let headers = prefix(place, true, &format!("b{id}"));
-            let text = request("/notes/b", &id, 8_000, &headers, &format!("question {number}"));
-            record.add(format_args!("{id} with the part is sent"));
-            let asked = Channel::connect(address).and_then(|mut channel| {
-                channel.send(&text)?;
-                channel.read(true)
-            });
-            if let Ok(Some(answer)) = asked {
-                let (status, complete) = (answer.status(), answer.complete);
-                record.add(format_args!("{id} gets status {status}, complete {complete}"));
-            }
-        });
-        thread::sleep(Duration::from_millis(2_500));
+            }));
+        }
     }
     for client in clients {
         let _ = client.join();
     }
-    let seen = lock(&servers.seen);
-    let fifth = seen.crashes.get(4).map(|at| *at + CONTACT);
-    let late = seen.deadly.iter().filter(|arrival| fifth.is_some_and(|fifth| arrival.0 > fifth));
-    let late: Vec<_> = late.collect();
-    let requests: BTreeSet<&str> = late.iter().map(|arrival| &*arrival.1).collect();
-    let sound = lock(&sound);
-    let cut = sound.iter().filter(|(once, status, complete)| *once && *status == 200 && !complete).count();
-    let served = sound.iter().filter(|(_, status, complete)| *status == 200 && *complete).count();
-    record.say(format_args!(
-        "place {place}, sent {number} requests with the part, {} arrivals, {} crashes; sound: {} sent, \
-         {served} whole, {cut} cut off midway on the route without resumption",
-        seen.deadly.len(),
-        seen.crashes.len(),
-        sound.len()
-    ));
+    let counts = lock(&counts);
+    let share = |route: &str| {
+        let by_status = counts.get(route).cloned().unwrap_or_default();
+        let sent: usize = by_status.values().sum();
+        record.say(format_args!("{route}: {sent} sent, by status {by_status:?}"));
+        let served = by_status.get(&200).copied().unwrap_or(0);
+        (sent, served as f64 / sent.max(1) as f64)
+    };
+    let (first, later) = (share("/look/"), share("/pay/"));
     record.say(format_args!(
-        "BUDGET: {} requests with the part reached servers later than 3,000 ms after the fifth \
-         crash, in {} arrivals; 3 are allowed",
-        requests.len(),
-        late.len()
+        "CONFIG: served on the first route {:.1} in 100, on the route added later {:.1} in 100 of \
+         {}; less than a quarter breaks the rule",
+        first.1 * 100.0,
+        later.1 * 100.0,
+        later.0
     ));
-    if served < 100 {
-        record.say("too few requests were served");
-        finish(entries, NOT_RUN);
+    if later.0 < 20 || first.1 < 0.5 {
+        record.say("too few requests were sent or served");
+        finish(vec![entry], NOT_RUN);
     }
-    let status = if requests.len() > 3 { BROKEN } else { HELD };
-    finish(entries, status)
+    finish(vec![entry], if later.1 < first.1 / 4.0 { BROKEN } else { HELD })
 }
